--- /dev/null
+++ b/Makefile
@@ -0,0 +1,34 @@
+PYTHON ?= python3
+VENV := .venv
+BIN := $(VENV)/bin
+READY := $(VENV)/.ready
+
+.PHONY: demo test format bench acceptance clean
+
+$(READY): requirements.txt constraints.txt pyproject.toml
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet --disable-pip-version-check -c constraints.txt -r requirements.txt
+	$(BIN)/pip install --quiet --disable-pip-version-check -c constraints.txt --no-deps -e .
+	touch $(READY)
+
+demo: $(READY)
+	$(BIN)/python examples/demo.py
+
+test: $(READY)
+	$(BIN)/ruff format --check .
+	$(BIN)/ruff check .
+	$(BIN)/mypy
+	$(BIN)/python testing/run.py
+
+format: $(READY)
+	$(BIN)/ruff format .
+	$(BIN)/ruff check --fix .
+
+acceptance: $(READY)
+	for run in 1 2 3 4 5 6 7 8 9 10; do $(BIN)/pytest testing/test_acceptance.py || exit 1; done
+
+bench: $(READY)
+	$(BIN)/python benchmarks/latency.py
+
+clean:
+	rm -rf $(VENV) build src/*.egg-info
--- /dev/null
+++ b/idl/copperrun.thrift
@@ -0,0 +1,79 @@
+// Control messages between copperrun's own processes, in the compact protocol.
+namespace py copperrun.gen
+
+enum Ran {
+  NO = 0,
+  UNKNOWN = 1
+}
+
+// Names one attempt of one request at one incarnation of one side.
+struct AttemptId {
+  1: required string request,
+  2: required i32 attempt,
+  3: required i64 incarnation
+}
+
+struct Attempt {
+  1: required AttemptId id,
+  2: required string deployment,
+  3: optional string adapter,
+  4: required string tenant,
+  5: required string caller,
+  6: required string service_class,
+  7: required i64 revision,
+  8: required i64 remaining_ms,
+  9: optional bool stream,
+  10: optional string method,
+  11: optional string path,
+  12: optional string content_type,
+  13: optional string idempotency_key,
+  14: required binary body,
+  15: optional i32 resume_chunks,
+  16: optional string resume_text
+}
+
+// Load of one side, carried back on every answer.
+struct Load {
+  1: required i32 queued,
+  2: required i32 running,
+  3: required i64 queue_ms
+}
+
+struct Answer {
+  1: required AttemptId id,
+  2: required i32 status,
+  3: required string content_type,
+  4: required binary body,
+  5: required i64 checksum,
+  6: required bool recorded,
+  7: required Load load
+}
+
+struct Refusal {
+  1: required AttemptId id,
+  2: required string reason,
+  3: required Ran ran,
+  4: required string detail,
+  5: required i64 retry_after_ms,
+  6: optional string redirect,
+  7: optional Load load
+}
+
+struct Cancel {
+  1: required AttemptId id
+}
+
+struct CancelResult {
+  1: required AttemptId id,
+  2: required bool started
+}
+
+// Answers a peer's hello: who this process is now and what it holds.
+struct Hello {
+  1: required string instance,
+  2: required i64 incarnation,
+  3: required string state,
+  4: required i64 revision,
+  5: required Load load,
+  6: required list<string> resident
+}
--- /dev/null
+++ b/src/copperrun/adapters/__init__.py
@@ -0,0 +1,3 @@
+"""Adapters that implement the ports with libraries."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/copperrun/adapters/client.py
@@ -0,0 +1,149 @@
+"""HTTP client shared by the adapters."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Mapping
+from enum import Enum
+from typing import Any
+from typing import NamedTuple
+
+import aiohttp
+
+from copperrun.ports.timers import Timers
+
+MAX_CONNECTIONS = 4_096
+KEEPALIVE_S = 30.0
+JSON_HEADERS = {"Content-Type": "application/json"}
+
+
+class HttpFailureReason(Enum):
+    """How far a failed exchange got."""
+
+    NOT_SENT = "not_sent"
+    ANSWER_LOST = "answer_lost"
+
+
+class HttpFailure(NamedTuple):
+    """An exchange without a whole response.
+
+    Attributes:
+        reason: Whether the request may have reached the server.
+        detail: One line for the operator's log.
+    """
+
+    reason: HttpFailureReason
+    detail: str
+
+
+class HttpReply(NamedTuple):
+    """A whole response."""
+
+    status: int
+    content_type: str
+    body: bytes
+
+    def json(self) -> Any:
+        """Return the parsed body, or None when it is not JSON."""
+        try:
+            return json.loads(self.body)
+        except ValueError:
+            return None
+
+
+def open_session() -> aiohttp.ClientSession:
+    """Return a session without total time limits; callers set their own."""
+    return aiohttp.ClientSession(
+        connector=aiohttp.TCPConnector(
+            limit=MAX_CONNECTIONS, keepalive_timeout=KEEPALIVE_S
+        ),
+        timeout=aiohttp.ClientTimeout(total=None),
+        auto_decompress=False,
+        cookie_jar=aiohttp.DummyCookieJar(),
+    )
+
+
+class HttpClient:
+    """Requests to one kind of server, with failures as values."""
+
+    def __init__(
+        self,
+        session: aiohttp.ClientSession,
+        timers: Timers,
+        headers: Mapping[str, str] | None = None,
+    ) -> None:
+        self._session = session
+        self._timers = timers
+        self._headers = dict(headers or {})
+
+    async def call(
+        self,
+        method: str,
+        url: str,
+        *,
+        body: bytes | None = None,
+        headers: Mapping[str, str] | None = None,
+        timeout_ms: int | None = None,
+    ) -> HttpReply | HttpFailure:
+        """Send a request and read the whole response."""
+        if timeout_ms is None:
+            return await self._exchange(method, url, body, headers)
+        try:
+            async with self._timers.timeout_ms(timeout_ms):
+                return await self._exchange(method, url, body, headers)
+        except TimeoutError:
+            detail = f"{method} {url}: no response within {timeout_ms} ms"
+            return HttpFailure(HttpFailureReason.ANSWER_LOST, detail)
+
+    async def call_json(
+        self, method: str, url: str, value: Any = None, *, timeout_ms: int | None = None
+    ) -> HttpReply | HttpFailure:
+        """Send a JSON value and read the whole response."""
+        body = None if value is None else json.dumps(value).encode()
+        return await self.call(
+            method, url, body=body, headers=JSON_HEADERS, timeout_ms=timeout_ms
+        )
+
+    async def open(
+        self,
+        method: str,
+        url: str,
+        *,
+        body: bytes | None = None,
+        headers: Mapping[str, str] | None = None,
+    ) -> aiohttp.ClientResponse | HttpFailure:
+        """Send a request and return the response before its body."""
+        try:
+            return await self._session.request(
+                method, url, data=body, headers=self._merge(headers)
+            )
+        except aiohttp.ClientConnectorError as exc:
+            return HttpFailure(HttpFailureReason.NOT_SENT, f"{method} {url}: {exc}")
+        except (aiohttp.ClientError, OSError) as exc:
+            return _lost(method, url, exc)
+
+    async def _exchange(
+        self,
+        method: str,
+        url: str,
+        body: bytes | None,
+        headers: Mapping[str, str] | None,
+    ) -> HttpReply | HttpFailure:
+        response = await self.open(method, url, body=body, headers=headers)
+        if isinstance(response, HttpFailure):
+            return response
+        try:
+            async with response:
+                data = await response.read()
+        except (aiohttp.ClientError, OSError) as exc:
+            return _lost(method, url, exc)
+        return HttpReply(response.status, response.content_type, data)
+
+    def _merge(self, headers: Mapping[str, str] | None) -> Mapping[str, str]:
+        if not headers:
+            return self._headers
+        return {**self._headers, **headers}
+
+
+def _lost(method: str, url: str, exc: Exception) -> HttpFailure:
+    return HttpFailure(HttpFailureReason.ANSWER_LOST, f"{method} {url}: {exc!r}")
--- /dev/null
+++ b/src/copperrun/adapters/events.py
@@ -0,0 +1,72 @@
+"""Server-sent events, read from and written to aiohttp streams."""
+
+from __future__ import annotations
+
+from collections.abc import AsyncIterator
+from typing import NamedTuple
+
+import aiohttp
+
+DONE = "[DONE]"
+EVENT_STREAM = "text/event-stream"
+MAX_EVENT_BYTES = 1024 * 1024
+
+
+class Event(NamedTuple):
+    """One event.
+
+    Attributes:
+        data: Payload.
+        name: Event name; empty for the default.
+        id: Event id; empty when it has none.
+    """
+
+    data: str
+    name: str = ""
+    id: str = ""
+
+
+def encode_event(event: Event) -> bytes:
+    """Serialize an event whose payload has no line breaks."""
+    head = f"event: {event.name}\n" if event.name else ""
+    if event.id:
+        head += f"id: {event.id}\n"
+    return f"{head}data: {event.data}\n\n".encode()
+
+
+async def read_events(content: aiohttp.StreamReader) -> AsyncIterator[Event]:
+    """Yield the whole events of a response; a cut one is not yielded.
+
+    Raises:
+        ValueError: A line is longer than ``MAX_EVENT_BYTES``.
+    """
+    data: list[str] = []
+    name = event_id = ""
+    async for raw in _read_lines(content):
+        line = raw.rstrip(b"\r").decode()
+        if not line:
+            if data:
+                yield Event("\n".join(data), name, event_id)
+            data = []
+            name = event_id = ""
+            continue
+        field, _, value = line.partition(":")
+        value = value.removeprefix(" ")
+        match field:
+            case "data":
+                data.append(value)
+            case "event":
+                name = value
+            case "id":
+                event_id = value
+
+
+async def _read_lines(content: aiohttp.StreamReader) -> AsyncIterator[bytes]:
+    """Yield lines without their ends, however many arrive in one read."""
+    rest = b""
+    async for block in content.iter_any():
+        *lines, rest = (rest + block).split(b"\n")
+        for line in lines:
+            yield line
+        if len(rest) > MAX_EVENT_BYTES:
+            raise ValueError("event line is too long")
--- /dev/null
+++ b/src/copperrun/adapters/metrics.py
@@ -0,0 +1,109 @@
+"""Metrics by OpenTelemetry, exposed in the Prometheus text format."""
+
+from __future__ import annotations
+
+from opentelemetry.exporter.prometheus import PrometheusMetricReader
+from opentelemetry.sdk.metrics import MeterProvider
+from opentelemetry.sdk.metrics.view import ExplicitBucketHistogramAggregation
+from opentelemetry.sdk.metrics.view import View
+from prometheus_client import REGISTRY
+from prometheus_client import generate_latest
+from prometheus_client.exposition import CONTENT_TYPE_LATEST
+
+from copperrun.model import Refusal
+
+CONTENT_TYPE = CONTENT_TYPE_LATEST
+BUCKETS_S = (
+    0.002, 0.005, 0.01, 0.02, 0.033, 0.05, 0.066, 0.1, 0.15, 0.25, 0.4, 0.6,
+    0.84, 1.2, 2.0, 4.0, 8.0, 15.0, 30.0, 60.0, 120.0,
+)  # fmt: skip
+MS_PER_S = 1000
+
+
+class Metrics:
+    """Instruments of one process; times are given in milliseconds."""
+
+    def __init__(self) -> None:
+        view = View(
+            instrument_name="copperrun.*.seconds",
+            aggregation=ExplicitBucketHistogramAggregation(BUCKETS_S),
+        )
+        provider = MeterProvider([PrometheusMetricReader()], views=[view])
+        meter = provider.get_meter("copperrun")
+        self._first_token = meter.create_histogram("copperrun.first_token.seconds")
+        self._between = meter.create_histogram("copperrun.between_tokens.seconds")
+        self._whole = meter.create_histogram("copperrun.request.seconds")
+        self._queue = meter.create_histogram("copperrun.queue.seconds")
+        self._lag = meter.create_histogram("copperrun.configuration_lag.seconds")
+        self._requests = meter.create_counter("copperrun.requests")
+        self._refusals = meter.create_counter("copperrun.refusals")
+        self._targets = meter.create_counter("copperrun.targets")
+        self._retries = meter.create_counter("copperrun.retries")
+        self._moves = meter.create_counter("copperrun.moves")
+        self._appends = meter.create_counter("copperrun.log_appends")
+        self._labels: dict[tuple[str, str], dict[str, str]] = {}
+
+    def first_token(self, tenant: str, service_class: str, elapsed_ms: float) -> None:
+        """Note the time from arrival to the first chunk."""
+        self._first_token.record(
+            elapsed_ms / MS_PER_S, self._attributes(tenant, service_class)
+        )
+
+    def between_tokens(self, tenant: str, service_class: str, gap_ms: float) -> None:
+        """Note the time between two chunks."""
+        self._between.record(gap_ms / MS_PER_S, self._attributes(tenant, service_class))
+
+    def answered(
+        self, tenant: str, service_class: str, elapsed_ms: float, *, met: bool
+    ) -> None:
+        """Note a whole answer and whether it met its targets."""
+        attributes = self._attributes(tenant, service_class)
+        self._whole.record(elapsed_ms / MS_PER_S, attributes)
+        self._requests.add(1, {**attributes, "outcome": "answer"})
+        self._targets.add(1, {**attributes, "met": "yes" if met else "no"})
+
+    def refused(self, tenant: str, service_class: str, refusal: Refusal) -> None:
+        """Note a refusal."""
+        attributes = self._attributes(tenant, service_class)
+        self._requests.add(1, {**attributes, "outcome": "refusal"})
+        self._refusals.add(
+            1,
+            {**attributes, "reason": refusal.reason.value, "ran": refusal.ran.value},
+        )
+
+    def missed(self, tenant: str, service_class: str) -> None:
+        """Note a request of the caller's right that got no answer in time."""
+        self._targets.add(1, {**self._attributes(tenant, service_class), "met": "no"})
+
+    def queued(self, tenant: str, service_class: str, elapsed_ms: float) -> None:
+        """Note the time that an attempt waited at a side."""
+        self._queue.record(
+            elapsed_ms / MS_PER_S, self._attributes(tenant, service_class)
+        )
+
+    def retried(self, reason: str) -> None:
+        """Note a further attempt of a request."""
+        self._retries.add(1, {"reason": reason})
+
+    def moved(self, kind: str, what: str) -> None:
+        """Note a load or unload of a model or adapter."""
+        self._moves.add(1, {"kind": kind, "object": what})
+
+    def appended(self, stream: str) -> None:
+        """Note an append to the platform's log."""
+        self._appends.add(1, {"stream": stream})
+
+    def configuration_lag(self, elapsed_ms: float) -> None:
+        """Note the time from a change's making until it was in force here."""
+        self._lag.record(elapsed_ms / MS_PER_S)
+
+    def exposition(self) -> bytes:
+        """Return all metrics in the Prometheus text format."""
+        return generate_latest(REGISTRY)
+
+    def _attributes(self, tenant: str, service_class: str) -> dict[str, str]:
+        key = (tenant, service_class)
+        found = self._labels.get(key)
+        if found is None:
+            found = self._labels[key] = {"tenant": tenant, "class": service_class}
+        return found
--- /dev/null
+++ b/src/copperrun/adapters/operations.py
@@ -0,0 +1,91 @@
+"""Routes for operators and health checks on a process's listener."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import TypedDict
+
+from aiohttp import web
+
+from copperrun.adapters import metrics as metrics_adapter
+from copperrun.adapters.metrics import Metrics
+from copperrun.adapters.server import json_response
+
+STATUS_PATH = "/internal/status"
+DRAIN_PATH = "/internal/drain"
+
+
+class ProcessStatus(TypedDict):
+    """What one process reports to operators.
+
+    Attributes:
+        instance: Instance name.
+        role: Entry or side.
+        state: Lifecycle state.
+        revision: Configuration offset in force; -1 for none.
+        preset: Preset in force, or an empty string.
+        pool: Pool of a side, or an empty string.
+        queued: Attempts waiting.
+        running: Attempts at the backend server.
+        resident: Objects in accelerator memory.
+        free_bytes: Accelerator memory that may be reserved.
+    """
+
+    instance: str
+    role: str
+    state: str
+    revision: int
+    preset: str
+    pool: str
+    queued: int
+    running: int
+    resident: list[str]
+    free_bytes: int
+
+
+class Operations:
+    """Handlers of health, status, drain and metrics."""
+
+    def __init__(
+        self,
+        metrics: Metrics,
+        status: Callable[[], ProcessStatus],
+        is_ready: Callable[[], bool],
+        drain: Callable[[], None],
+    ) -> None:
+        self._metrics = metrics
+        self._status = status
+        self._is_ready = is_ready
+        self._drain = drain
+
+    def add_health_routes(self, app: web.Application) -> None:
+        """Add what the balancer and the platform ask."""
+        app.router.add_get("/healthz", self._healthz)
+        app.router.add_get("/readyz", self._readyz)
+
+    def add_operator_routes(self, app: web.Application) -> None:
+        """Add what operators ask; the application guards them."""
+        app.router.add_get("/metrics", self._exposition)
+        app.router.add_get(STATUS_PATH, self._report)
+        app.router.add_post(DRAIN_PATH, self._start_drain)
+
+    async def _healthz(self, request: web.Request) -> web.Response:
+        return json_response({"status": "ok"})
+
+    async def _readyz(self, request: web.Request) -> web.Response:
+        ready = self._is_ready()
+        state = self._status()["state"]
+        return json_response({"ready": ready, "state": state}, 200 if ready else 503)
+
+    async def _exposition(self, request: web.Request) -> web.Response:
+        return web.Response(
+            body=self._metrics.exposition(),
+            headers={"Content-Type": metrics_adapter.CONTENT_TYPE},
+        )
+
+    async def _report(self, request: web.Request) -> web.Response:
+        return json_response(self._status())
+
+    async def _start_drain(self, request: web.Request) -> web.Response:
+        self._drain()
+        return json_response(self._status())
--- /dev/null
+++ b/src/copperrun/adapters/server.py
@@ -0,0 +1,161 @@
+"""HTTP server shared by the roles: connection limits, shared key, JSON answers."""
+
+from __future__ import annotations
+
+import hmac
+import json
+from collections.abc import Awaitable
+from collections.abc import Callable
+from collections.abc import Sequence
+from typing import Any
+from typing import NamedTuple
+
+from aiohttp import web
+from aiohttp.web_protocol import RequestHandler
+
+from copperrun.adapters.sides import SHARED_KEY_HEADER
+from copperrun.ports.timers import Subscription
+from copperrun.ports.timers import Timers
+
+MAX_HEADER_BYTES = 16 * 1024
+SWEEP_MS = 1_000
+OPEN_PATHS = frozenset({"/healthz", "/readyz"})
+
+Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
+
+
+class ServerLimits(NamedTuple):
+    """Bounds on what a peer may take.
+
+    Attributes:
+        max_connections: Connections open at once.
+        max_body_bytes: Largest request body.
+        idle_ms: Time that a connection may be open without a whole request head,
+            before its first request and between two.
+    """
+
+    max_connections: int
+    max_body_bytes: int
+    idle_ms: int
+
+
+class HttpServer:
+    """One listener with its connections."""
+
+    def __init__(
+        self, app: web.Application, limits: ServerLimits, timers: Timers
+    ) -> None:
+        self._limits = limits
+        self._timers = timers
+        app.middlewares.append(self._mark_busy)
+        app.on_response_prepare.append(self._finish_head)
+        self._runner = web.AppRunner(
+            app,
+            handler_cancellation=True,
+            access_log=None,
+            max_line_size=MAX_HEADER_BYTES,
+            max_field_size=MAX_HEADER_BYTES,
+            shutdown_timeout=1.0,
+        )
+        self._site: web.BaseSite | None = None
+        self._sweep: Subscription | None = None
+        self._idle_since: dict[RequestHandler, int] = {}
+        self._busy: set[RequestHandler] = set()
+        self._leaving = False
+
+    @property
+    def busy(self) -> int:
+        """Connections that are in a request."""
+        return len(self._busy)
+
+    def shed_connections(self) -> None:
+        """Let each connection end with its next answer."""
+        self._leaving = True
+
+    async def start(self, host: str, port: int) -> int:
+        """Listen and return the port; port 0 picks a free one."""
+        await self._runner.setup()
+        self._site = web.TCPSite(self._runner, host, port, backlog=1024)
+        await self._site.start()
+        self._sweep = self._timers.subscribe(SWEEP_MS, self._close_idle)
+        return int(self._runner.addresses[0][1])
+
+    async def stop_listening(self) -> None:
+        """Accept no more connections; open ones go on."""
+        if self._site is not None:
+            await self._site.stop()
+            self._site = None
+
+    async def close(self) -> None:
+        """Close every connection."""
+        if self._sweep is not None:
+            self._sweep.cancel()
+        await self._runner.cleanup()
+
+    async def _finish_head(
+        self, request: web.Request, response: web.StreamResponse
+    ) -> None:
+        response.headers["Server"] = "copperrun"
+        if self._leaving:
+            response.force_close()
+
+    @web.middleware
+    async def _mark_busy(
+        self, request: web.Request, handler: Handler
+    ) -> web.StreamResponse:
+        """Note which connections are in a request, and refuse beyond the limit."""
+        protocol = request.protocol
+        self._busy.add(protocol)
+        self._idle_since.pop(protocol, None)
+        try:
+            if len(self._connections()) > self._limits.max_connections:
+                response = web.Response(status=503, headers={"Retry-After": "1"})
+                response.force_close()
+                return response
+            return await handler(request)
+        finally:
+            self._busy.discard(protocol)
+
+    def _connections(self) -> Sequence[RequestHandler]:
+        server = self._runner.server
+        return server.connections if server is not None else ()
+
+    async def _close_idle(self) -> None:
+        """Close connections that send no whole request head in time."""
+        now = self._timers.now_ms()
+        connections = set(self._connections())
+        for gone in self._idle_since.keys() - connections:
+            del self._idle_since[gone]
+        for protocol in connections - self._busy:
+            since = self._idle_since.setdefault(protocol, now)
+            if now - since >= self._limits.idle_ms:
+                protocol.force_close()
+                del self._idle_since[protocol]
+
+
+def json_response(value: Any, status: int = 200) -> web.Response:
+    """Return a JSON answer."""
+    return web.Response(
+        body=json.dumps(value).encode(), status=status, content_type="application/json"
+    )
+
+
+def shared_key_guard(keys: Sequence[str]) -> Any:
+    """Return a middleware that refuses requests without one of the shared keys."""
+    accepted = [key.encode() for key in keys]
+
+    @web.middleware
+    async def guard(request: web.Request, handler: Handler) -> web.StreamResponse:
+        if request.path in OPEN_PATHS or has_shared_key(request, accepted):
+            return await handler(request)
+        return json_response({"error": "the shared key is missing or wrong"}, 401)
+
+    return guard
+
+
+def has_shared_key(request: web.Request, accepted: Sequence[bytes]) -> bool:
+    """Return whether a request carries a shared key, compared in constant time."""
+    bearer = request.headers.get("Authorization", "").removeprefix("Bearer ")
+    given = request.headers.get(SHARED_KEY_HEADER, bearer).encode()
+    matches = [hmac.compare_digest(given, key) for key in accepted]
+    return any(matches)
--- /dev/null
+++ b/src/copperrun/adapters/timers.py
@@ -0,0 +1,47 @@
+"""Timer service on the event loop's clock."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from collections.abc import Awaitable
+from collections.abc import Callable
+
+from loguru import logger
+
+
+class SystemTimers:
+    """Timers of a running process."""
+
+    def now_ms(self) -> int:
+        """Return monotonic milliseconds."""
+        return time.monotonic_ns() // 1_000_000
+
+    def wall_ms(self) -> int:
+        """Return Unix time in milliseconds."""
+        return time.time_ns() // 1_000_000
+
+    async def sleep_ms(self, delay_ms: float) -> None:
+        """Suspend the task for ``delay_ms`` milliseconds."""
+        await asyncio.sleep(delay_ms / 1000)
+
+    def timeout_ms(self, delay_ms: float) -> asyncio.Timeout:
+        """Return a context that raises ``TimeoutError`` after ``delay_ms``."""
+        return asyncio.timeout(max(delay_ms, 0) / 1000)
+
+    def subscribe(
+        self, period_ms: int, callback: Callable[[], Awaitable[None]]
+    ) -> asyncio.Task[None]:
+        """Call ``callback`` every ``period_ms`` milliseconds until cancelled."""
+        return asyncio.create_task(self._repeat(period_ms, callback))
+
+    async def _repeat(
+        self, period_ms: int, callback: Callable[[], Awaitable[None]]
+    ) -> None:
+        while True:
+            await asyncio.sleep(period_ms / 1000)
+            try:
+                await callback()
+            except Exception:
+                # One failing subscriber must not lose its later calls.
+                logger.exception("periodic callback failed")
--- /dev/null
+++ b/src/copperrun/admission/__init__.py
@@ -0,0 +1,3 @@
+"""Limits and queues."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/copperrun/admission/attempts.py
@@ -0,0 +1,108 @@
+"""Attempts that a side has seen, so that each runs at most once or not at all."""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass
+from enum import Enum
+
+from copperrun.model import AttemptId
+from copperrun.model import Ran
+from copperrun.model import Refusal
+from copperrun.model import RefusalReason
+from copperrun.ports.timers import Timers
+
+KEEP_MS = 120_000  # longer than a message of an attempt can be under way
+
+
+class AttemptState(Enum):
+    """How far an attempt got at this side."""
+
+    WAITING = "waiting"
+    STARTED = "started"
+    CANCELLED = "cancelled"
+
+
+@dataclass
+class _Entry:
+    state: AttemptState
+    withdraw: Callable[[], object] | None = None
+
+
+class AttemptTable:
+    """Attempts and tombstones of one incarnation of a side."""
+
+    def __init__(self, timers: Timers, incarnation: int) -> None:
+        self._timers = timers
+        self._incarnation = incarnation
+        self._entries: dict[AttemptId, _Entry] = {}
+        self._expiry: deque[tuple[int, AttemptId]] = deque()
+
+    def enter(self, attempt_id: AttemptId) -> Refusal | None:
+        """Note an attempt that arrives, or say why it must not run."""
+        self._purge()
+        if attempt_id.incarnation != self._incarnation:
+            return Refusal(
+                RefusalReason.WRONG_INCARNATION,
+                Ran.NO,
+                "the attempt was meant for an earlier start of this side",
+            )
+        entry = self._entries.get(attempt_id)
+        if entry is None:
+            self._add(attempt_id, _Entry(AttemptState.WAITING))
+            return None
+        if entry.state is AttemptState.CANCELLED:
+            return _cancelled()
+        return Refusal(
+            RefusalReason.CANCELLED, Ran.UNKNOWN, "the attempt arrived twice"
+        )
+
+    def on_cancel(
+        self, attempt_id: AttemptId, withdraw: Callable[[], object] | None
+    ) -> None:
+        """Call ``withdraw`` when the attempt is cancelled, waiting or running."""
+        entry = self._entries.get(attempt_id)
+        if entry is not None:
+            entry.withdraw = withdraw
+
+    def start(self, attempt_id: AttemptId) -> Refusal | None:
+        """Mark an attempt as started, unless it was cancelled before."""
+        entry = self._entries.get(attempt_id)
+        if entry is None or entry.state is AttemptState.CANCELLED:
+            return _cancelled()
+        entry.state = AttemptState.STARTED
+        return None
+
+    def cancel(self, attempt_id: AttemptId) -> bool:
+        """Cancel an attempt and return whether it had started.
+
+        An attempt that has not arrived yet is refused when it does.
+        """
+        if attempt_id.incarnation != self._incarnation:
+            # It died with the incarnation it was meant for, perhaps half run.
+            return True
+        entry = self._entries.get(attempt_id)
+        if entry is None:
+            self._add(attempt_id, _Entry(AttemptState.CANCELLED))
+            return False
+        started = entry.state is AttemptState.STARTED
+        if not started:
+            entry.state = AttemptState.CANCELLED
+        if entry.withdraw is not None:
+            entry.withdraw()
+        return started
+
+    def _add(self, attempt_id: AttemptId, entry: _Entry) -> None:
+        self._entries[attempt_id] = entry
+        self._expiry.append((self._timers.now_ms() + KEEP_MS, attempt_id))
+
+    def _purge(self) -> None:
+        now = self._timers.now_ms()
+        while self._expiry and self._expiry[0][0] <= now:
+            _, attempt_id = self._expiry.popleft()
+            self._entries.pop(attempt_id, None)
+
+
+def _cancelled() -> Refusal:
+    return Refusal(RefusalReason.CANCELLED, Ran.NO, "the attempt was cancelled")
--- /dev/null
+++ b/src/copperrun/admission/limits.py
@@ -0,0 +1,52 @@
+"""Request rates of callers."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from copperrun.configuration.schema import Caller
+from copperrun.model import Ran
+from copperrun.model import Refusal
+from copperrun.model import RefusalReason
+from copperrun.ports.timers import Timers
+
+
+@dataclass
+class _Bucket:
+    tokens: float
+    at_ms: int
+
+
+class RateLimiter:
+    """One token bucket for each caller at this entry.
+
+    Every entry grants its even share of a caller's rate. With N live entries and a
+    balancer that spreads connections unevenly, a caller gets between 1/N of its rate
+    (all work at one entry) and its whole rate; a stale count of entries shifts the
+    sum by the ratio of the counts until the list is read again.
+    """
+
+    def __init__(self, timers: Timers) -> None:
+        self.entries = 1
+        self._timers = timers
+        self._buckets: dict[str, _Bucket] = {}
+
+    def admit(self, name: str, caller: Caller) -> Refusal | None:
+        """Take one token, or say when to come back."""
+        now = self._timers.now_ms()
+        rate = caller.requests_per_second / self.entries
+        burst = max(1.0, caller.burst / self.entries)
+        bucket = self._buckets.setdefault(name, _Bucket(burst, now))
+        refill = (now - bucket.at_ms) / 1000 * rate
+        bucket.tokens = min(burst, bucket.tokens + refill)
+        bucket.at_ms = now
+        if bucket.tokens >= 1:
+            bucket.tokens -= 1
+            return None
+        wait_ms = int((1 - bucket.tokens) / rate * 1000) + 1
+        return Refusal(
+            RefusalReason.RATE_LIMITED,
+            Ran.NO,
+            f"caller {name!r} is over its rate of {caller.requests_per_second:g}/s",
+            wait_ms,
+        )
--- /dev/null
+++ b/src/copperrun/configuration/fold.py
@@ -0,0 +1,284 @@
+"""Deterministic fold of the configuration stream.
+
+Every reader that has folded the same offset holds the same configuration and gave
+each change the same verdict, so that operators need no lock.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from enum import Enum
+from typing import Any
+from typing import NamedTuple
+
+from pydantic import ValidationError
+
+from copperrun.configuration.changes import PRESET_KEY
+from copperrun.configuration.changes import Change
+from copperrun.configuration.changes import CorruptRecord
+from copperrun.configuration.changes import Objects
+from copperrun.configuration.changes import Record
+from copperrun.configuration.changes import Snapshot
+from copperrun.configuration.changes import UnknownRecord
+from copperrun.configuration.changes import decode_record
+from copperrun.configuration.document import describe_validation
+from copperrun.configuration.schema import SECTIONS
+from copperrun.configuration.schema import Configuration
+from copperrun.configuration.schema import check_references
+from copperrun.model import LogRecord
+
+NO_REVISION = -1
+REMEMBERED_CHANGES = 20_000  # more than a day's changes at the design size
+
+
+class Outcome(Enum):
+    """What became of a record."""
+
+    ACCEPTED = "accepted"
+    CONFLICT = "conflict"
+    INVALID = "invalid"
+    DUPLICATE = "duplicate"
+    SNAPSHOT = "snapshot"
+    CORRUPT = "corrupt"
+    UNKNOWN = "unknown"
+    OLD = "old"
+    PENDING = "pending"
+
+
+class Verdict(NamedTuple):
+    """Outcome of one record.
+
+    Attributes:
+        outcome: What became of it.
+        change_id: Id of the change, or an empty string.
+        detail: Reason, for operators.
+    """
+
+    outcome: Outcome
+    change_id: str = ""
+    detail: str = ""
+
+
+class _Entry(NamedTuple):
+    value: Any
+    offset: int
+
+
+class Fold:
+    """Configuration built from the records seen so far."""
+
+    def __init__(self) -> None:
+        self.next_offset = 0
+        self.revision = NO_REVISION
+        self.changed_at_ms = 0
+        self.snapshot_at_ms = 0
+        self.records_since_snapshot = 0
+        self.configuration: Configuration | None = None
+        self.unknown: list[UnknownRecord] = []
+        self._entries: dict[str, _Entry] = {}
+        self._parsed: dict[str, Any] = {}
+        self._verdicts: dict[str, Verdict] = {}
+        self._change_ids: deque[str] = deque()
+        self._gap_end: int | None = None
+        self._pending: list[LogRecord] = []
+
+    def begin(self, start: int) -> None:
+        """Prepare to read from ``start``, the first offset that the log keeps.
+
+        When records before it are gone, changes wait until a snapshot that covers
+        the gap has been read: folding them into less than the whole state would
+        give verdicts that differ from other readers'.
+        """
+        if start <= self.next_offset:
+            return
+        self.next_offset = start
+        self._gap_end = start
+        self._pending.clear()
+
+    def apply(self, record: LogRecord) -> Verdict:
+        """Fold one record in; records below ``next_offset`` change nothing."""
+        if record.offset < self.next_offset:
+            return Verdict(Outcome.OLD)
+        self.next_offset = record.offset + 1
+        self.records_since_snapshot += 1
+        decoded = decode_record(record.data)
+        if self._gap_end is not None and not isinstance(decoded, Snapshot):
+            self._pending.append(record)
+            return Verdict(Outcome.PENDING)
+        return self._apply_decoded(decoded, record.offset)
+
+    def is_whole(self) -> bool:
+        """Return whether no records are missing from the fold."""
+        return self._gap_end is None
+
+    def _apply_decoded(self, decoded: Record, offset: int) -> Verdict:
+        match decoded:
+            case Change() as change:
+                verdict = self._apply_change(change, offset)
+                self._remember(change.id, verdict)
+                return verdict
+            case Snapshot() as snapshot:
+                return self._apply_snapshot(snapshot)
+            case UnknownRecord() as unknown:
+                # A later version of this program may need it.
+                self.unknown.append(unknown)
+                return Verdict(Outcome.UNKNOWN)
+            case CorruptRecord(detail):
+                return Verdict(Outcome.CORRUPT, detail=detail)
+
+    def objects(self) -> Objects:
+        """Return the objects in force as they were published."""
+        return {
+            key: entry.value
+            for key, entry in self._entries.items()
+            if entry.value is not None
+        }
+
+    def verdict_of(self, change_id: str) -> Verdict | None:
+        """Return the verdict on a recent change, or None when it was not seen."""
+        return self._verdicts.get(change_id)
+
+    def snapshot(self, at_ms: int) -> Snapshot:
+        """Return the state after the last folded record."""
+        return Snapshot(
+            at_ms=at_ms,
+            upto=self.next_offset - 1,
+            revision=self.revision,
+            objects={
+                key: (entry.value, entry.offset) for key, entry in self._entries.items()
+            },
+            change_ids=tuple(self._change_ids),
+        )
+
+    def _apply_change(self, change: Change, offset: int) -> Verdict:
+        if change.id in self._verdicts:
+            return Verdict(Outcome.DUPLICATE, change.id)
+        moved = self._moved_since(change)
+        if moved:
+            return Verdict(
+                Outcome.CONFLICT,
+                change.id,
+                f"{', '.join(moved)} changed after revision {change.base}",
+            )
+        parsed = self._parse(change)
+        if isinstance(parsed, Verdict):
+            return parsed
+        cfg = _build(parsed)
+        if isinstance(cfg, str):
+            return Verdict(Outcome.INVALID, change.id, cfg)
+        self._commit(change, offset, parsed, cfg)
+        return Verdict(Outcome.ACCEPTED, change.id)
+
+    def _moved_since(self, change: Change) -> list[str]:
+        touched = [*change.put, *change.remove]
+        return sorted(
+            key
+            for key in touched
+            if (entry := self._entries.get(key)) and entry.offset > change.base
+        )
+
+    def _parse(self, change: Change) -> dict[str, Any] | Verdict:
+        parsed = dict(self._parsed)
+        for key in change.remove:
+            parsed.pop(key, None)
+        for key, value in change.put.items():
+            try:
+                parsed[key] = _parse_object(key, value)
+            except ValidationError as exc:
+                detail = f"{key}: {describe_validation(exc)}"
+                return Verdict(Outcome.INVALID, change.id, detail)
+            except (KeyError, ValueError):
+                return Verdict(Outcome.INVALID, change.id, f"{key}: unknown object")
+        return parsed
+
+    def _commit(
+        self, change: Change, offset: int, parsed: dict[str, Any], cfg: Configuration
+    ) -> None:
+        for key in change.remove:
+            # The offset stays, so that a change made against an earlier revision
+            # cannot bring the object back unseen.
+            self._entries[key] = _Entry(None, offset)
+        for key, value in change.put.items():
+            self._entries[key] = _Entry(value, offset)
+        self._parsed = parsed
+        self.configuration = cfg
+        self.revision = offset
+        self.changed_at_ms = change.at_ms
+
+    def _apply_snapshot(self, snapshot: Snapshot) -> Verdict:
+        self.snapshot_at_ms = snapshot.at_ms
+        self.records_since_snapshot = 0
+        if self._gap_end is None or snapshot.upto < self._gap_end - 1:
+            return Verdict(Outcome.SNAPSHOT, detail="not needed")
+        parsed = _parse_snapshot(snapshot)
+        if isinstance(parsed, str):
+            return Verdict(Outcome.CORRUPT, detail=f"snapshot: {parsed}")
+        cfg = _build(parsed) if parsed else None
+        if isinstance(cfg, str):
+            return Verdict(Outcome.CORRUPT, detail=f"snapshot: {cfg}")
+        self._entries = {
+            key: _Entry(value, offset)
+            for key, (value, offset) in snapshot.objects.items()
+        }
+        self._parsed = parsed
+        self.configuration = cfg
+        self.revision = snapshot.revision
+        for change_id in snapshot.change_ids:
+            self._remember(change_id, Verdict(Outcome.DUPLICATE, change_id))
+        self._gap_end = None
+        self._replay(snapshot.upto)
+        return Verdict(Outcome.SNAPSHOT)
+
+    def _replay(self, upto: int) -> None:
+        pending = self._pending
+        self._pending = []
+        for record in pending:
+            if record.offset > upto:
+                self._apply_decoded(decode_record(record.data), record.offset)
+
+    def _remember(self, change_id: str, verdict: Verdict) -> None:
+        if change_id in self._verdicts:
+            return
+        self._verdicts[change_id] = verdict
+        self._change_ids.append(change_id)
+        if len(self._change_ids) > REMEMBERED_CHANGES:
+            del self._verdicts[self._change_ids.popleft()]
+
+
+def _parse_snapshot(snapshot: Snapshot) -> dict[str, Any] | str:
+    try:
+        return {
+            key: _parse_object(key, value)
+            for key, (value, _) in snapshot.objects.items()
+            if value is not None
+        }
+    except ValidationError as exc:
+        return describe_validation(exc)
+    except (KeyError, ValueError) as exc:
+        return f"unknown object {exc}"
+
+
+def _parse_object(key: str, value: Any) -> Any:
+    if key == PRESET_KEY:
+        return str(value)
+    section, name = key.split("/", 1)
+    if not name:
+        raise ValueError(key)
+    return SECTIONS[section].validate_python(value)
+
+
+def _build(parsed: dict[str, Any]) -> Configuration | str:
+    """Put objects together, or say why they do not fit."""
+    if PRESET_KEY not in parsed:
+        return "preset_in_force: required key is missing"
+    sections: dict[str, dict[str, Any]] = {section: {} for section in SECTIONS}
+    for key, value in parsed.items():
+        if key != PRESET_KEY:
+            section, name = key.split("/", 1)
+            sections[section][name] = value
+    cfg = Configuration(preset_in_force=parsed[PRESET_KEY], **sections)
+    problems = check_references(cfg)
+    if problems:
+        first = problems[0]
+        return f"{'.'.join(map(str, first.location))}: {first.detail}"
+    return cfg
--- /dev/null
+++ b/src/copperrun/configuration/follower.py
@@ -0,0 +1,83 @@
+"""Task that keeps one process's configuration up to date."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+
+from loguru import logger
+
+from copperrun.configuration.fold import Fold
+from copperrun.configuration.reader import read_page
+from copperrun.configuration.schema import Configuration
+from copperrun.ports.log import Log
+from copperrun.ports.metrics import Metrics
+from copperrun.ports.timers import Timers
+
+POLL_WAIT_MS = 2_000
+RETRY_DELAY_MS = 500
+
+Listener = Callable[[Configuration, int], None]
+
+
+class Follower:
+    """Reads the configuration stream and tells listeners of each new revision."""
+
+    def __init__(self, log: Log, timers: Timers, metrics: Metrics) -> None:
+        self.fold = Fold()
+        self._metrics = metrics
+        self._log = log
+        self._timers = timers
+        self._listeners: list[Listener] = []
+        self._changed = asyncio.Event()
+
+    @property
+    def configuration(self) -> Configuration | None:
+        """Configuration in force, or None before the first one."""
+        return self.fold.configuration
+
+    @property
+    def revision(self) -> int:
+        """Offset of the last accepted change; -1 before the first one."""
+        return self.fold.revision
+
+    def subscribe(self, listener: Listener) -> None:
+        """Call ``listener`` with each new configuration and its revision."""
+        self._listeners.append(listener)
+        if self.fold.configuration is not None:
+            listener(self.fold.configuration, self.fold.revision)
+
+    async def wait_for_configuration(self) -> Configuration:
+        """Wait until there is a configuration."""
+        while self.fold.configuration is None:
+            self._changed.clear()
+            await self._changed.wait()
+        return self.fold.configuration
+
+    async def run(self) -> None:
+        """Follow the stream until cancelled."""
+        while True:
+            if not await self.poll(wait_ms=POLL_WAIT_MS):
+                await self._timers.sleep_ms(RETRY_DELAY_MS)
+
+    async def poll(self, *, wait_ms: int = 0) -> bool:
+        """Read once; return whether the log answered."""
+        before = self.fold.revision
+        error = await read_page(self._log, self.fold, wait_ms=wait_ms)
+        if error is not None:
+            logger.warning("configuration not read", detail=error.detail)
+            return False
+        if self.fold.revision > before:
+            self._tell_listeners()
+        return True
+
+    def _tell_listeners(self) -> None:
+        cfg = self.fold.configuration
+        if cfg is None:
+            return
+        logger.info("configuration in force", revision=self.fold.revision)
+        lag_ms = self._timers.wall_ms() - self.fold.changed_at_ms
+        self._metrics.configuration_lag(max(0, lag_ms))
+        self._changed.set()
+        for listener in self._listeners:
+            listener(cfg, self.fold.revision)
--- /dev/null
+++ b/src/copperrun/configuration/snapshots.py
@@ -0,0 +1,61 @@
+"""Appends snapshots of the fold before the log trims the records behind it."""
+
+from __future__ import annotations
+
+from loguru import logger
+
+from copperrun.configuration.changes import STREAM
+from copperrun.configuration.changes import encode_record
+from copperrun.configuration.fold import NO_REVISION
+from copperrun.configuration.fold import Fold
+from copperrun.membership.directory import Directory
+from copperrun.model import Role
+from copperrun.placement.homes import rendezvous_order
+from copperrun.ports.log import Log
+from copperrun.ports.log import LogError
+from copperrun.ports.timers import Timers
+
+CHECK_MS = 30_000
+MAX_AGE_MS = 3_600_000  # well within the log's retention
+MAX_RECORDS = 500
+
+
+class Snapshotter:
+    """Task of every entry; the first in rendezvous order does the work.
+
+    Two entries that both think themselves first append one snapshot too many.
+    """
+
+    def __init__(
+        self, instance: str, log: Log, fold: Fold, directory: Directory, timers: Timers
+    ) -> None:
+        self._instance = instance
+        self._log = log
+        self._fold = fold
+        self._directory = directory
+        self._timers = timers
+
+    async def run(self) -> None:
+        """Check until cancelled."""
+        while True:
+            await self._timers.sleep_ms(CHECK_MS)
+            if self.is_due() and self._is_first():
+                await self._append()
+
+    def is_due(self) -> bool:
+        """Return whether the newest snapshot is too old or too far back."""
+        fold = self._fold
+        if fold.revision == NO_REVISION or not fold.is_whole():
+            return False
+        age_ms = self._timers.wall_ms() - fold.snapshot_at_ms
+        return age_ms >= MAX_AGE_MS or fold.records_since_snapshot >= MAX_RECORDS
+
+    def _is_first(self) -> bool:
+        entries = rendezvous_order(STREAM, self._directory.live(Role.ENTRY))
+        return bool(entries) and entries[0].id == self._instance
+
+    async def _append(self) -> None:
+        snapshot = self._fold.snapshot(self._timers.wall_ms())
+        result = await self._log.append(STREAM, [encode_record(snapshot)])
+        if isinstance(result, LogError):
+            logger.warning("snapshot not appended", detail=result.detail)
--- /dev/null
+++ b/src/copperrun/ctl/__init__.py
@@ -0,0 +1,3 @@
+"""Operators' command-line tool."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/copperrun/ctl/publishing.py
@@ -0,0 +1,181 @@
+"""Publishes configurations and waits until they are in force."""
+
+from __future__ import annotations
+
+from pathlib import Path
+from typing import NamedTuple
+
+from copperrun.configuration.changes import PRESET_KEY
+from copperrun.configuration.changes import STREAM
+from copperrun.configuration.changes import Change
+from copperrun.configuration.changes import difference
+from copperrun.configuration.changes import encode_record
+from copperrun.configuration.changes import objects_of
+from copperrun.configuration.document import Document
+from copperrun.configuration.document import DocumentError
+from copperrun.configuration.document import load_document
+from copperrun.configuration.fold import Fold
+from copperrun.configuration.fold import Outcome
+from copperrun.configuration.reader import read_to_end
+from copperrun.configuration.schema import CONFIGURATION
+from copperrun.configuration.schema import Configuration
+from copperrun.configuration.schema import check_references
+from copperrun.ctl.errors import ToolError
+from copperrun.ctl.errors import ToolErrorReason
+from copperrun.ctl.installation import Installation
+from copperrun.ctl.installation import InstanceReport
+from copperrun.ports.log import LogError
+from copperrun.ports.log import LogErrorReason
+
+APPEND_ATTEMPTS = 3
+POLL_MS = 100
+
+
+class Published(NamedTuple):
+    """A change that is in force.
+
+    Attributes:
+        revision: Its offset.
+        changed: Keys of objects put, with their kind of change.
+        waited_ms: Time until every answering instance had it.
+        silent: Instances that did not answer.
+    """
+
+    revision: int
+    changed: tuple[str, ...]
+    waited_ms: int
+    silent: tuple[str, ...]
+
+
+def load_configuration(path: Path) -> Document[Configuration] | DocumentError:
+    """Read a configuration and check it with its references."""
+    document = load_document(path, CONFIGURATION)
+    if isinstance(document, DocumentError):
+        return document
+    problems = check_references(document.value)
+    if problems:
+        return DocumentError(
+            tuple(document.problem(item.location, item.detail) for item in problems)
+        )
+    return document
+
+
+def describe_change(old: Fold, change: Change) -> tuple[str, ...]:
+    """Return one line for each object that a change touches."""
+    known = old.objects()
+    lines = [
+        f"{'change' if key in known else 'add'} {key}" for key in sorted(change.put)
+    ]
+    return (*lines, *(f"remove {key}" for key in change.remove))
+
+
+async def plan_publication(
+    installation: Installation, document: Document[Configuration]
+) -> tuple[Fold, Change | None] | ToolError:
+    """Compare a document with the configuration in force."""
+    fold = await installation.read_configuration()
+    if isinstance(fold, ToolError):
+        return fold
+    change = difference(
+        fold.objects(),
+        objects_of(document.raw),
+        base=fold.revision,
+        author=installation.operator,
+        at_ms=installation.timers.wall_ms(),
+    )
+    return fold, change
+
+
+async def plan_preset(
+    installation: Installation, preset: str
+) -> tuple[Fold, Change | None] | ToolError:
+    """Plan the switch to a preset."""
+    fold = await installation.read_configuration()
+    if isinstance(fold, ToolError):
+        return fold
+    objects = fold.objects()
+    cfg = fold.configuration
+    if cfg is None or preset not in cfg.presets:
+        known = ", ".join(cfg.presets) if cfg else "none; publish a configuration first"
+        return ToolError(
+            ToolErrorReason.USAGE, f"no preset {preset!r}; presets: {known}"
+        )
+    change = difference(
+        objects,
+        {**objects, PRESET_KEY: preset},
+        base=fold.revision,
+        author=installation.operator,
+        at_ms=installation.timers.wall_ms(),
+    )
+    return fold, change
+
+
+async def publish(
+    installation: Installation, fold: Fold, change: Change, *, timeout_ms: int
+) -> Published | ToolError:
+    """Append a change, learn its verdict and wait until it is in force."""
+    changed = describe_change(fold, change)
+    started = installation.timers.now_ms()
+    revision = await _append(installation, fold, change)
+    if isinstance(revision, ToolError):
+        return revision
+    reports = await _wait_in_force(installation, revision, started + timeout_ms)
+    if isinstance(reports, ToolError):
+        return reports
+    waited_ms = installation.timers.now_ms() - started
+    silent = tuple(item.instance.id for item in reports if item.status is None)
+    return Published(revision, changed, waited_ms, silent)
+
+
+async def _append(
+    installation: Installation, fold: Fold, change: Change
+) -> int | ToolError:
+    """Append until the stream shows the change; it folds once, however often."""
+    detail = ""
+    for _ in range(APPEND_ATTEMPTS):
+        result = await installation.log.append(STREAM, [encode_record(change)])
+        if isinstance(result, LogError):
+            detail = result.detail
+            if result.reason is LogErrorReason.UNAVAILABLE:
+                break
+        error = await read_to_end(installation.log, fold)
+        if error is not None:
+            detail = error.detail
+            continue
+        verdict = fold.verdict_of(change.id)
+        if verdict is None:
+            continue
+        if verdict.outcome is Outcome.ACCEPTED:
+            return fold.revision
+        return ToolError(
+            ToolErrorReason.REJECTED,
+            f"{verdict.outcome.value}: {verdict.detail}; "
+            "look at 'copperrunctl show' and publish again",
+        )
+    return ToolError(
+        ToolErrorReason.PLATFORM,
+        f"log: {detail}; the change may yet be appended, see 'copperrunctl show'",
+    )
+
+
+async def _wait_in_force(
+    installation: Installation, revision: int, deadline_ms: int
+) -> list[InstanceReport] | ToolError:
+    while True:
+        reports = await installation.reports()
+        if isinstance(reports, ToolError):
+            return reports
+        behind = [
+            item.instance.id
+            for item in reports
+            if item.status is not None and item.status["revision"] < revision
+        ]
+        if not behind:
+            return list(reports)
+        if installation.timers.now_ms() >= deadline_ms:
+            return ToolError(
+                ToolErrorReason.FAILED,
+                f"revision {revision} is accepted but not yet in force at "
+                f"{', '.join(behind)}; see 'copperrunctl status'",
+            )
+        await installation.timers.sleep_ms(POLL_MS)
--- /dev/null
+++ b/src/copperrun/embedded/clock.py
@@ -0,0 +1,115 @@
+"""Timer service whose clock is turned by hand."""
+
+from __future__ import annotations
+
+import asyncio
+import heapq
+import itertools
+from collections.abc import AsyncIterator
+from collections.abc import Awaitable
+from collections.abc import Callable
+from contextlib import asynccontextmanager
+
+from loguru import logger
+
+START_WALL_MS = 1_790_000_000_000
+
+
+class ManualTimers:
+    """Timers that move only when ``advance`` is called."""
+
+    def __init__(self) -> None:
+        self._now_ms = 0.0
+        self._waiting: list[tuple[float, int, Callable[[], None]]] = []
+        self._order = itertools.count()
+
+    def now_ms(self) -> int:
+        """Return monotonic milliseconds."""
+        return int(self._now_ms)
+
+    def wall_ms(self) -> int:
+        """Return Unix time in milliseconds."""
+        return START_WALL_MS + int(self._now_ms)
+
+    async def sleep_ms(self, delay_ms: float) -> None:
+        """Suspend the task until the clock has moved by ``delay_ms``."""
+        fut: asyncio.Future[None] = asyncio.get_running_loop().create_future()
+        self._call_later(delay_ms, lambda: _wake(fut))
+        await fut
+
+    @asynccontextmanager
+    async def timeout_ms(self, delay_ms: float) -> AsyncIterator[asyncio.Timeout]:
+        """Raise ``TimeoutError`` when the body outlives ``delay_ms``."""
+        loop = asyncio.get_running_loop()
+        timeout = asyncio.Timeout(None)
+        done = False
+
+        def expire() -> None:
+            if not done:
+                timeout.reschedule(loop.time())
+
+        try:
+            async with timeout:
+                self._call_later(max(delay_ms, 0), expire)
+                yield timeout
+        finally:
+            done = True
+
+    def subscribe(
+        self, period_ms: int, callback: Callable[[], Awaitable[None]]
+    ) -> asyncio.Task[None]:
+        """Call ``callback`` every ``period_ms`` milliseconds until cancelled."""
+        return asyncio.create_task(self._repeat(period_ms, callback))
+
+    async def advance(self, delay_ms: float) -> None:
+        """Move the clock and run everything that falls due on the way."""
+        end = self._now_ms + delay_ms
+        await settle()
+        while self._waiting and self._waiting[0][0] <= end:
+            due, _, callback = heapq.heappop(self._waiting)
+            self._now_ms = max(self._now_ms, due)
+            callback()
+            await settle()
+        self._now_ms = end
+
+    def _call_later(self, delay_ms: float, callback: Callable[[], None]) -> None:
+        due = self._now_ms + delay_ms
+        heapq.heappush(self._waiting, (due, next(self._order), callback))
+
+    async def _repeat(
+        self, period_ms: int, callback: Callable[[], Awaitable[None]]
+    ) -> None:
+        while True:
+            await self.sleep_ms(period_ms)
+            try:
+                await callback()
+            except Exception:
+                logger.exception("periodic callback failed")
+
+
+def _wake(fut: asyncio.Future[None]) -> None:
+    if not fut.done():
+        fut.set_result(None)
+
+
+async def settle() -> None:
+    """Run the event loop until no task can go on without the clock."""
+    loop = asyncio.get_running_loop()
+    idle_turns = 0
+    while idle_turns < 2:
+        # The loop has no public way to tell that its ready queue is empty.
+        idle_turns = 0 if loop._ready else idle_turns + 1  # type: ignore[attr-defined]
+        await asyncio.sleep(0)  # noqa: TID251  # yields; takes no time
+
+
+async def run_until(timers: ManualTimers, fut: asyncio.Future, limit_ms: int) -> None:
+    """Advance the clock until ``fut`` is done.
+
+    Raises:
+        TimeoutError: It was not done after ``limit_ms``.
+    """
+    end = timers.now_ms() + limit_ms
+    while not fut.done():
+        if timers.now_ms() >= end:
+            raise TimeoutError(f"not done after {limit_ms} ms")
+        await timers.advance(1)
--- /dev/null
+++ b/src/copperrun/embedded/log.py
@@ -0,0 +1,162 @@
+"""Stand-in for the platform's append-only log service."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Sequence
+from dataclasses import dataclass
+from dataclasses import field
+from typing import NamedTuple
+
+from copperrun.model import LogRecord
+from copperrun.ports.log import LogError
+from copperrun.ports.log import LogErrorReason
+from copperrun.ports.log import LogPage
+from copperrun.ports.timers import Timers
+
+PAGE_RECORDS = 1_000
+RETENTION_MS = 24 * 3_600_000
+
+
+@dataclass
+class LogFaults:
+    """Switches that tests set.
+
+    Attributes:
+        down: Appends and reads fail; nothing is appended.
+        delay_ms: Time that each call takes.
+        lose_answers: Next appends that take effect but whose answers are lost.
+        late_appends: Next appends that fail with a lost answer and take effect
+            ``late_ms`` later.
+        late_ms: Delay of late appends.
+    """
+
+    down: bool = False
+    delay_ms: int = 0
+    lose_answers: int = 0
+    late_appends: int = 0
+    late_ms: int = 1_000
+
+
+class _Kept(NamedTuple):
+    record: LogRecord
+    at_ms: int
+
+
+@dataclass
+class _Stream:
+    kept: list[_Kept] = field(default_factory=list)
+    start: int = 0
+    end: int = 0
+    grown: asyncio.Event = field(default_factory=asyncio.Event)
+
+
+class LogStandIn:
+    """Streams in memory, with retention, an append rate and faults."""
+
+    def __init__(
+        self,
+        timers: Timers,
+        *,
+        retention_ms: int = RETENTION_MS,
+        appends_per_second: int = 400,
+    ) -> None:
+        self.faults = LogFaults()
+        self.appends = 0
+        self._timers = timers
+        self._retention_ms = retention_ms
+        self._append_interval_ms = 1000 / appends_per_second
+        self._next_append_ms = 0.0
+        self._streams: dict[str, _Stream] = {}
+        self._late: set[asyncio.Task[None]] = set()
+
+    async def append(self, stream: str, records: Sequence[str]) -> int | LogError:
+        """Append ``records`` together and return the offset of the first."""
+        if self.faults.down:
+            return LogError(LogErrorReason.UNAVAILABLE, "log is down")
+        await self._wait_for_rate()
+        if self.faults.late_appends > 0:
+            self.faults.late_appends -= 1
+            task = asyncio.create_task(self._append_late(stream, list(records)))
+            self._late.add(task)
+            task.add_done_callback(self._late.discard)
+            return LogError(LogErrorReason.ANSWER_LOST, "append timed out")
+        first = self._store(stream, records)
+        if self.faults.lose_answers > 0:
+            self.faults.lose_answers -= 1
+            return LogError(LogErrorReason.ANSWER_LOST, "append timed out")
+        return first
+
+    async def read(
+        self, stream: str, offset: int, *, wait_ms: int = 0
+    ) -> LogPage | LogError:
+        """Read from ``offset``; wait up to ``wait_ms`` when there is nothing new."""
+        kept = self._stream(stream)
+        if wait_ms and offset >= kept.end and not self.faults.down:
+            await self._wait_for_growth(kept, wait_ms)
+        if self.faults.down:
+            return LogError(LogErrorReason.UNAVAILABLE, "log is down")
+        if self.faults.delay_ms:
+            await self._timers.sleep_ms(self.faults.delay_ms)
+        self._expire(kept)
+        if offset < kept.start:
+            return LogError(LogErrorReason.TRIMMED, "offset expired", kept.start)
+        first = offset - kept.start
+        page = [item.record for item in kept.kept[first : first + PAGE_RECORDS]]
+        return LogPage(page, kept.start, kept.end)
+
+    def trim(self, stream: str, start: int) -> None:
+        """Drop the records below ``start``, as an early retention cut does."""
+        kept = self._stream(stream)
+        start = min(start, kept.end)
+        del kept.kept[: start - kept.start]
+        kept.start = start
+
+    def _stream(self, name: str) -> _Stream:
+        return self._streams.setdefault(name, _Stream())
+
+    def _store(self, stream: str, records: Sequence[str]) -> int:
+        kept = self._stream(stream)
+        first = kept.end
+        for data in records:
+            record = LogRecord(kept.end, data)
+            kept.kept.append(_Kept(record, self._timers.wall_ms()))
+            kept.end += 1
+        self.appends += 1
+        kept.grown.set()
+        kept.grown = asyncio.Event()
+        return first
+
+    async def _append_late(self, stream: str, records: Sequence[str]) -> None:
+        await self._timers.sleep_ms(self.faults.late_ms)
+        self._store(stream, records)
+
+    async def _wait_for_rate(self) -> None:
+        now = self._timers.now_ms()
+        due = max(self._next_append_ms, now)
+        self._next_append_ms = due + self._append_interval_ms
+        delay = due - now + self.faults.delay_ms
+        if delay > 0:
+            await self._timers.sleep_ms(delay)
+
+    async def _wait_for_growth(self, kept: _Stream, wait_ms: int) -> None:
+        grown = kept.grown
+        try:
+            async with self._timers.timeout_ms(wait_ms):
+                await grown.wait()
+        except TimeoutError:
+            return
+
+    def _expire(self, kept: _Stream) -> None:
+        limit = self._timers.wall_ms() - self._retention_ms
+        expired = 0
+        for item in kept.kept:
+            if item.at_ms >= limit:
+                break
+            expired += 1
+        self._drop(kept, expired)
+
+    def _drop(self, kept: _Stream, count: int) -> None:
+        if count:
+            del kept.kept[:count]
+            kept.start += count
--- /dev/null
+++ b/src/copperrun/embedded/weights.py
@@ -0,0 +1,102 @@
+"""Stand-in for the platform's rate-limited weight store."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Mapping
+from dataclasses import dataclass
+
+from copperrun.ports.timers import Timers
+from copperrun.ports.weights import WeightObject
+from copperrun.ports.weights import WeightsError
+
+GIB = 2**30
+ADAPTER_LIMIT_BYTES = 1 * GIB  # smaller objects load as adapters do
+
+
+@dataclass
+class WeightsFaults:
+    """Switches that tests set.
+
+    Attributes:
+        down: Reads fail.
+        slowdown: Factor on the time of each load.
+    """
+
+    down: bool = False
+    slowdown: float = 1.0
+
+
+class WeightsStandIn:
+    """Objects by name; model loads share a rate and a concurrency limit."""
+
+    def __init__(
+        self,
+        timers: Timers,
+        objects: Mapping[str, int] | None = None,
+        *,
+        loads_per_second: float = 2.0,
+        concurrent_loads: int = 7,
+        load_ms: int = 2_000,
+        adapter_ms: int = 10,
+        adapters_in_transit: int = 55,
+    ) -> None:
+        self.faults = WeightsFaults()
+        self.objects = dict(objects or {})
+        self.loads = 0
+        self._timers = timers
+        self._interval_ms = 1000 / loads_per_second
+        self._slots = asyncio.Semaphore(concurrent_loads)
+        self._next_load_ms = 0.0
+        self._load_ms = load_ms
+        self._adapter_ms = adapter_ms
+        self._adapters_in_transit = adapters_in_transit
+        self._adapters_loading = 0
+
+    async def describe(self, name: str) -> WeightObject | WeightsError:
+        """Return the size of an object without loading it."""
+        if self.faults.down:
+            return WeightsError(False, "weight store is down")
+        size = self.objects.get(name)
+        if size is None:
+            return WeightsError(True, f"no object {name!r} in the weight store")
+        return WeightObject(name, size)
+
+    async def fetch(self, name: str, size_bytes: int) -> bool:
+        """Take the time of a load; return False when the store is down."""
+        if self.faults.down:
+            return False
+        self.loads += 1
+        if size_bytes < ADAPTER_LIMIT_BYTES:
+            await self._fetch_adapter()
+        else:
+            await self._fetch_model()
+        return True
+
+    async def _fetch_model(self) -> None:
+        async with self._slots:
+            now = self._timers.now_ms()
+            due = max(self._next_load_ms, now)
+            self._next_load_ms = due + self._interval_ms * self.faults.slowdown
+            delay = due - now + self._load_ms * self.faults.slowdown
+            await self._timers.sleep_ms(delay)
+
+    async def _fetch_adapter(self) -> None:
+        self._adapters_loading += 1
+        # Beyond the limit the loads share the same throughput.
+        crowding = max(1.0, self._adapters_loading / self._adapters_in_transit)
+        try:
+            delay = self._adapter_ms * crowding * self.faults.slowdown
+            await self._timers.sleep_ms(delay)
+        finally:
+            self._adapters_loading -= 1
+
+
+class OpenWeights(WeightsStandIn):
+    """A store that has every object, however large; for the embedded role."""
+
+    async def describe(self, name: str) -> WeightObject | WeightsError:
+        """Return an object that fits any configured size."""
+        if self.faults.down:
+            return WeightsError(False, "weight store is down")
+        return WeightObject(name, self.objects.get(name, 0))
--- /dev/null
+++ b/src/copperrun/entry/__init__.py
@@ -0,0 +1,3 @@
+"""Entry role: callers' HTTP, admission, routing and whole answers."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/copperrun/entry/callers.py
@@ -0,0 +1,82 @@
+"""Who sends a request, and what it may use."""
+
+from __future__ import annotations
+
+import hashlib
+import hmac
+import secrets
+from typing import NamedTuple
+
+from copperrun.configuration.schema import Caller
+from copperrun.configuration.schema import Configuration
+from copperrun.configuration.schema import Tenant
+from copperrun.model import Ran
+from copperrun.model import Refusal
+from copperrun.model import RefusalReason
+
+KEY_PREFIX = "cr"
+SECRET_BYTES = 32
+_NO_HASH = "0" * 64
+
+
+class Identity(NamedTuple):
+    """An authenticated caller.
+
+    Attributes:
+        name: Caller name.
+        caller: Its entry in the configuration.
+        tenant: Its tenant's entry.
+    """
+
+    name: str
+    caller: Caller
+    tenant: Tenant
+
+
+def create_key(caller: str) -> str:
+    """Return a new random key of a caller."""
+    return f"{KEY_PREFIX}.{caller}.{secrets.token_urlsafe(SECRET_BYTES)}"
+
+
+def hash_key(key: str) -> str:
+    """Return the hash of a key that the configuration keeps.
+
+    The secret has 256 random bits, so that a plain SHA-256 cannot be searched.
+    """
+    return hashlib.sha256(key.encode()).hexdigest()
+
+
+def authenticate(cfg: Configuration, authorization: str) -> Identity | Refusal:
+    """Find the caller of an ``Authorization`` header."""
+    scheme, _, key = authorization.partition(" ")
+    if scheme.lower() != "bearer" or not key:
+        return _invalid("send 'Authorization: Bearer' with the caller key")
+    name = _caller_name(key.strip())
+    caller = cfg.callers.get(name)
+    given = hash_key(key.strip())
+    # Unknown callers take as long as known ones.
+    hashes = caller.key_hashes if caller else (_NO_HASH,)
+    matches = [hmac.compare_digest(given, known) for known in hashes]
+    if caller is None or not any(matches):
+        return _invalid("the caller key is not valid")
+    return Identity(name, caller, cfg.tenants[caller.tenant])
+
+
+def authorize(identity: Identity, deployment: str) -> Refusal | None:
+    """Refuse a deployment that the caller's tenant may not use."""
+    if deployment in identity.tenant.uses:
+        return None
+    return Refusal(
+        RefusalReason.NOT_ALLOWED,
+        Ran.NO,
+        f"tenant {identity.caller.tenant!r} may not use {deployment!r}",
+    )
+
+
+def _caller_name(key: str) -> str:
+    parts = key.rsplit(".", 1)[0].split(".", 1)
+    return parts[1] if len(parts) == 2 and parts[0] == KEY_PREFIX else ""
+
+
+def _invalid(detail: str) -> Refusal:
+    return Refusal(RefusalReason.INVALID_KEY, Ran.NO, detail)
--- /dev/null
+++ b/src/copperrun/entry/daemon.py
@@ -0,0 +1,140 @@
+"""Runs an entry: listeners, outside adapters and an orderly leave."""
+
+from __future__ import annotations
+
+import asyncio
+from contextlib import suppress
+
+from aiohttp import web
+
+from copperrun.adapters.client import HttpClient
+from copperrun.adapters.client import open_session
+from copperrun.adapters.metrics import Metrics
+from copperrun.adapters.operations import Operations
+from copperrun.adapters.operations import ProcessStatus
+from copperrun.adapters.platform import HttpInstances
+from copperrun.adapters.platform import HttpLog
+from copperrun.adapters.server import HttpServer
+from copperrun.adapters.server import ServerLimits
+from copperrun.adapters.server import shared_key_guard
+from copperrun.adapters.sides import SHARED_KEY_HEADER
+from copperrun.adapters.sides import HttpSides
+from copperrun.entry.process import EntryPorts
+from copperrun.entry.process import EntryProcess
+from copperrun.entry.server import add_caller_routes
+from copperrun.ports.timers import Timers
+from copperrun.settings import EntrySettings
+
+DRAIN_POLL_MS = 20
+QUIET_MS = 300  # without a request, after which the remaining connections close
+
+
+class EntryDaemon:
+    """An entry with its listeners."""
+
+    def __init__(
+        self, settings: EntrySettings, timers: Timers, metrics: Metrics
+    ) -> None:
+        self._settings = settings
+        self._timers = timers
+        self._metrics = metrics
+        self._stop = asyncio.Event()
+
+    def leave(self) -> None:
+        """Begin an orderly leave."""
+        self._stop.set()
+
+    async def run(self) -> None:
+        """Serve until ``leave`` is called and every request has ended."""
+        async with open_session() as session:
+            process = self._build_process(HttpClient(session, self._timers), session)
+            public, internal = self._build_servers(process)
+            task = asyncio.create_task(process.run())
+            try:
+                settings = self._settings
+                await public.start(settings.public.host, settings.public.port)
+                await internal.start(settings.internal.host, settings.internal.port)
+                await self._wait_for_leave(task)
+                await self._leave(process, public)
+            finally:
+                task.cancel()
+                process.close()
+                with suppress(asyncio.CancelledError):
+                    await task
+                await public.close()
+                await internal.close()
+
+    def _build_process(self, platform: HttpClient, session: object) -> EntryProcess:
+        settings = self._settings
+        internal = HttpClient(
+            session,  # type: ignore[arg-type]
+            self._timers,
+            {SHARED_KEY_HEADER: settings.shared_keys[0]},
+        )
+        ports = EntryPorts(
+            log=HttpLog(platform, settings.platform.log),
+            instances=HttpInstances(platform, settings.platform.instances),
+            sides=HttpSides(internal),
+            timers=self._timers,
+            metrics=self._metrics,
+        )
+        return EntryProcess(
+            settings.instance, ports, default_deadline_ms=settings.default_deadline
+        )
+
+    def _build_servers(self, process: EntryProcess) -> tuple[HttpServer, HttpServer]:
+        settings = self._settings
+        bounds = settings.limits
+        limits = ServerLimits(bounds.connections, bounds.body, bounds.idle)
+        operations = Operations(
+            self._metrics,
+            lambda: _status(settings, process),
+            lambda: process.is_ready,
+            self.leave,
+        )
+        public = web.Application(client_max_size=bounds.body)
+        add_caller_routes(public, process.gateway, self._timers, bounds)
+        operations.add_health_routes(public)
+        internal = web.Application(middlewares=[shared_key_guard(settings.shared_keys)])
+        operations.add_health_routes(internal)
+        operations.add_operator_routes(internal)
+        return (
+            HttpServer(public, limits, self._timers),
+            HttpServer(internal, limits, self._timers),
+        )
+
+    async def _wait_for_leave(self, task: asyncio.Task[None]) -> None:
+        stop = asyncio.create_task(self._stop.wait())
+        await asyncio.wait({stop, task}, return_when=asyncio.FIRST_COMPLETED)
+        if not stop.done():
+            stop.cancel()
+            task.result()
+
+    async def _leave(self, process: EntryProcess, public: HttpServer) -> None:
+        """Fail the health check, wait for the balancer, finish what runs."""
+        process.lifecycle.leave()
+        public.shed_connections()
+        await self._timers.sleep_ms(self._settings.leave_delay)
+        await public.stop_listening()
+        quiet_since = self._timers.now_ms()
+        while self._timers.now_ms() - quiet_since < QUIET_MS:
+            await self._timers.sleep_ms(DRAIN_POLL_MS)
+            if public.busy:
+                quiet_since = self._timers.now_ms()
+        process.lifecycle.finish()
+
+
+def _status(settings: EntrySettings, process: EntryProcess) -> ProcessStatus:
+    cfg = process.follower.configuration
+    return ProcessStatus(
+        instance=settings.instance,
+        role="entry",
+        state=process.lifecycle.state.value,
+        revision=process.follower.revision,
+        preset=cfg.preset_in_force if cfg else "",
+        pool="",
+        queued=0,
+        running=0,
+        resident=[],
+        free_bytes=0,
+    )
--- /dev/null
+++ b/src/copperrun/entry/errors.py
@@ -0,0 +1,76 @@
+"""How refusals look to callers."""
+
+from __future__ import annotations
+
+import json
+
+from aiohttp import web
+
+from copperrun.model import Ran
+from copperrun.model import Refusal
+from copperrun.model import RefusalReason
+
+_STATUS = {
+    RefusalReason.BAD_REQUEST: 400,
+    RefusalReason.IDEMPOTENCY_KEY_REQUIRED: 400,
+    RefusalReason.IDEMPOTENCY_KEY_INVALID: 400,
+    RefusalReason.IDEMPOTENCY_KEY_EXPIRED: 400,
+    RefusalReason.INVALID_KEY: 401,
+    RefusalReason.NOT_ALLOWED: 403,
+    RefusalReason.UNKNOWN_DEPLOYMENT: 404,
+    RefusalReason.UNKNOWN_ADAPTER: 404,
+    RefusalReason.BODY_TIMEOUT: 408,
+    RefusalReason.IDEMPOTENCY_KEY_REUSED: 409,
+    RefusalReason.BODY_TOO_LARGE: 413,
+    RefusalReason.RATE_LIMITED: 429,
+}
+_TYPES = {
+    400: "invalid_request_error",
+    401: "authentication_error",
+    403: "permission_error",
+    404: "not_found_error",
+    408: "invalid_request_error",
+    409: "idempotency_error",
+    413: "invalid_request_error",
+    429: "rate_limit_error",
+    502: "server_error",
+    503: "server_error",
+}
+
+
+def status_of(refusal: Refusal) -> int:
+    """Return the HTTP status of a refusal."""
+    known = _STATUS.get(refusal.reason)
+    if known is not None:
+        return known
+    return 502 if refusal.ran is Ran.UNKNOWN else 503
+
+
+def is_callers_fault(refusal: Refusal) -> bool:
+    """Return whether a refusal says nothing about the service's own quality."""
+    return status_of(refusal) in (400, 401, 403, 404, 408, 409, 413)
+
+
+def error_body(refusal: Refusal) -> str:
+    """Return the JSON error of a refusal."""
+    error = {
+        "type": _TYPES[status_of(refusal)],
+        "code": refusal.reason.value,
+        "message": refusal.detail,
+        "ran": refusal.ran.value,
+        "retry_after_ms": refusal.retry_after_ms,
+    }
+    return json.dumps({"error": error})
+
+
+def error_response(refusal: Refusal, request_id: str) -> web.Response:
+    """Return the HTTP answer of a refusal."""
+    headers = {"X-Request-Id": request_id}
+    if refusal.retry_after_ms:
+        headers["Retry-After"] = str(-(-refusal.retry_after_ms // 1000))
+    return web.Response(
+        body=error_body(refusal).encode(),
+        status=status_of(refusal),
+        headers=headers,
+        content_type="application/json",
+    )
--- /dev/null
+++ b/src/copperrun/entry/gateway.py
@@ -0,0 +1,307 @@
+"""The entry's decisions on each request, before and while it is dispatched."""
+
+from __future__ import annotations
+
+from collections.abc import AsyncIterator
+from typing import NamedTuple
+from uuid import uuid4
+
+from loguru import logger
+
+from copperrun.admission.limits import RateLimiter
+from copperrun.configuration.follower import Follower
+from copperrun.configuration.schema import Configuration
+from copperrun.configuration.schema import ServiceClass
+from copperrun.entry.attainment import StreamTimes
+from copperrun.entry.callers import Identity
+from copperrun.entry.callers import authenticate
+from copperrun.entry.callers import authorize
+from copperrun.entry.errors import is_callers_fault
+from copperrun.entry.requests import check_idempotency_key
+from copperrun.entry.requests import check_model
+from copperrun.entry.requests import parse_deadline
+from copperrun.entry.requests import parse_model_request
+from copperrun.model import Answer
+from copperrun.model import Attempt
+from copperrun.model import AttemptId
+from copperrun.model import Ran
+from copperrun.model import Refusal
+from copperrun.model import RefusalReason
+from copperrun.ports.metrics import Metrics
+from copperrun.ports.timers import Timers
+from copperrun.routing.dispatcher import Dispatcher
+from copperrun.routing.dispatcher import Work
+from copperrun.routing.router import Target
+
+NOT_READY_RETRY_AFTER_MS = 1_000
+NOT_ADMITTED_RETRY_AFTER_MS = 60_000
+
+
+class CallerRequest(NamedTuple):
+    """A request as it arrived.
+
+    Attributes:
+        id: Request id.
+        arrived_ms: Arrival on the timer service's clock, in milliseconds.
+        authorization: ``Authorization`` header.
+        deadline: ``X-Copperrun-Deadline-Ms`` header, or None.
+        idempotency_key: ``Idempotency-Key`` header, or an empty string.
+        method: HTTP method.
+        path: Path; for a plain service below its prefix, with the query.
+        content_type: Media type of ``body``.
+        body: Request body.
+    """
+
+    id: str
+    arrived_ms: int
+    authorization: str
+    deadline: str | None
+    idempotency_key: str
+    method: str
+    path: str
+    content_type: str
+    body: bytes
+
+
+class Admitted(NamedTuple):
+    """A request that may be dispatched.
+
+    Attributes:
+        arrived_ms: Arrival on the timer service's clock, in milliseconds.
+        service_class: Class with the targets.
+        work: What the dispatcher is given.
+    """
+
+    arrived_ms: int
+    service_class: ServiceClass
+    work: Work
+
+
+class _Subject(NamedTuple):
+    """What a request asks for."""
+
+    deployment: str
+    adapter: str = ""
+    stream: bool = False
+    affinity: int = 0
+
+
+def new_request_id() -> str:
+    """Return a unique request id."""
+    return uuid4().hex
+
+
+class Gateway:
+    """Authenticates, checks, limits and dispatches requests."""
+
+    def __init__(
+        self,
+        follower: Follower,
+        limiter: RateLimiter,
+        dispatcher: Dispatcher,
+        timers: Timers,
+        metrics: Metrics,
+        default_deadline_ms: int,
+    ) -> None:
+        self._follower = follower
+        self._limiter = limiter
+        self._dispatcher = dispatcher
+        self._timers = timers
+        self._metrics = metrics
+        self._default_deadline_ms = default_deadline_ms
+
+    def identify(self, authorization: str) -> Identity | Refusal:
+        """Authenticate a caller."""
+        cfg = self._follower.configuration
+        return _not_ready() if cfg is None else authenticate(cfg, authorization)
+
+    def list_models(self, identity: Identity) -> list[str]:
+        """Return the model names that a caller may use."""
+        cfg = self._follower.configuration
+        if cfg is None:
+            return []
+        names = []
+        for name in identity.tenant.uses:
+            if name in cfg.deployments:
+                adapters = cfg.deployments[name].adapters
+                names += [name, *(f"{name}:{adapter}" for adapter in adapters)]
+        return names
+
+    def admit_model(self, request: CallerRequest) -> Admitted | Refusal:
+        """Check a completion request."""
+        cfg = self._follower.configuration
+        if cfg is None:
+            return _not_ready()
+        identity = authenticate(cfg, request.authorization)
+        if isinstance(identity, Refusal):
+            return identity
+        parsed = parse_model_request(request.path, request.body)
+        if isinstance(parsed, Refusal):
+            return parsed
+        refusal = check_model(cfg, parsed.deployment, parsed.adapter)
+        if refusal is not None:
+            return refusal
+        return self._admit(cfg, identity, request, _Subject(*parsed))
+
+    def admit_service(self, request: CallerRequest, service: str) -> Admitted | Refusal:
+        """Check a call of a plain service."""
+        cfg = self._follower.configuration
+        if cfg is None:
+            return _not_ready()
+        identity = authenticate(cfg, request.authorization)
+        if isinstance(identity, Refusal):
+            return identity
+        spec = cfg.services.get(service)
+        if spec is None:
+            detail = f"no service {service!r}"
+            return Refusal(RefusalReason.UNKNOWN_DEPLOYMENT, Ran.NO, detail)
+        if spec.is_unrepeatable(request.method, request.path):
+            refusal = check_idempotency_key(request.idempotency_key)
+            if refusal is not None:
+                return refusal
+        return self._admit(cfg, identity, request, _Subject(service))
+
+    async def submit(self, admitted: Admitted) -> Answer | Refusal:
+        """Return the whole answer, or a true refusal."""
+        outcome = await self._dispatcher.submit(admitted.work)
+        elapsed_ms = self._elapsed_ms(admitted)
+        if isinstance(outcome, Refusal):
+            self.note_refusal(admitted.work.request, outcome, admitted)
+            return outcome
+        met = elapsed_ms <= admitted.service_class.whole
+        self._note_answer(admitted, elapsed_ms, met)
+        return outcome
+
+    async def stream(self, admitted: Admitted) -> AsyncIterator[str | Refusal]:
+        """Yield the payloads of a whole stream; a refusal ends a cut one."""
+        template = admitted.work.template
+        times = StreamTimes(admitted.service_class)
+        items = self._dispatcher.stream(admitted.work)
+        try:
+            async for item in items:
+                if isinstance(item, Refusal):
+                    self.note_refusal(admitted.work.request, item, admitted)
+                    yield item
+                    return
+                gap_ms = times.note_chunk(self._elapsed_ms(admitted))
+                if gap_ms is None:
+                    self._metrics.first_token(
+                        template.tenant, template.service_class, times.first_ms
+                    )
+                else:
+                    self._metrics.between_tokens(
+                        template.tenant, template.service_class, gap_ms
+                    )
+                yield item
+        finally:
+            await items.aclose()  # type: ignore[attr-defined]
+        self._note_answer(admitted, self._elapsed_ms(admitted), times.met())
+
+    def note_refusal(
+        self, request_id: str, refusal: Refusal, admitted: Admitted | None = None
+    ) -> None:
+        """Log and count a refusal."""
+        tenant = service_class = caller = "-"
+        revision = self._follower.revision
+        if admitted is not None:
+            template = admitted.work.template
+            tenant, service_class = template.tenant, template.service_class
+            caller, revision = template.caller, template.revision
+        self._metrics.refused(tenant, service_class, refusal)
+        if admitted is not None and not is_callers_fault(refusal):
+            self._metrics.missed(tenant, service_class)
+        logger.info(
+            "refused",
+            request=request_id,
+            caller=caller,
+            tenant=tenant,
+            revision=revision,
+            reason=refusal.reason.value,
+            ran=refusal.ran.value,
+        )
+
+    def _admit(
+        self,
+        cfg: Configuration,
+        identity: Identity,
+        request: CallerRequest,
+        subject: _Subject,
+    ) -> Admitted | Refusal:
+        caller = identity.caller
+        remaining_ms = parse_deadline(request.deadline, self._default_deadline_ms)
+        if isinstance(remaining_ms, Refusal):
+            return remaining_ms
+        refusal = (
+            authorize(identity, subject.deployment)
+            or _check_preset(cfg, caller.service_class)
+            or self._limiter.admit(identity.name, caller)
+        )
+        if refusal is not None:
+            return refusal
+        work = Work(
+            request=request.id,
+            target=Target(subject.deployment, subject.affinity),
+            template=self._template(identity, request, subject),
+            deadline_ms=request.arrived_ms + remaining_ms,
+        )
+        service_class = cfg.classes[caller.service_class]
+        return Admitted(request.arrived_ms, service_class, work)
+
+    def _template(
+        self, identity: Identity, request: CallerRequest, subject: _Subject
+    ) -> Attempt:
+        return Attempt(
+            id=AttemptId(request.id, 0, 0),
+            deployment=subject.deployment,
+            adapter=subject.adapter,
+            tenant=identity.caller.tenant,
+            caller=identity.name,
+            service_class=identity.caller.service_class,
+            revision=self._follower.revision,
+            remaining_ms=0,
+            stream=subject.stream,
+            method=request.method,
+            path=request.path,
+            content_type=request.content_type,
+            idempotency_key=request.idempotency_key,
+            body=request.body,
+        )
+
+    def _elapsed_ms(self, admitted: Admitted) -> int:
+        return self._timers.now_ms() - admitted.arrived_ms
+
+    def _note_answer(self, admitted: Admitted, elapsed_ms: int, met: bool) -> None:
+        template = admitted.work.template
+        self._metrics.answered(
+            template.tenant, template.service_class, elapsed_ms, met=met
+        )
+        logger.info(
+            "answered",
+            request=admitted.work.request,
+            caller=template.caller,
+            tenant=template.tenant,
+            revision=template.revision,
+            elapsed_ms=elapsed_ms,
+            met=met,
+        )
+
+
+def _check_preset(cfg: Configuration, service_class: str) -> Refusal | None:
+    admits = cfg.preset().admits
+    if not admits or service_class in admits:
+        return None
+    return Refusal(
+        RefusalReason.CLASS_NOT_ADMITTED,
+        Ran.NO,
+        f"preset {cfg.preset_in_force!r} does not admit class {service_class!r}",
+        NOT_ADMITTED_RETRY_AFTER_MS,
+    )
+
+
+def _not_ready() -> Refusal:
+    return Refusal(
+        RefusalReason.NOT_READY,
+        Ran.NO,
+        "this entry has no configuration yet",
+        NOT_READY_RETRY_AFTER_MS,
+    )
--- /dev/null
+++ b/src/copperrun/entry/process.py
@@ -0,0 +1,101 @@
+"""One entry process: its parts and its tasks."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Sequence
+from random import Random
+from typing import NamedTuple
+
+from copperrun.admission.limits import RateLimiter
+from copperrun.configuration.follower import Follower
+from copperrun.configuration.snapshots import Snapshotter
+from copperrun.entry.gateway import Gateway
+from copperrun.membership.directory import Directory
+from copperrun.membership.lifecycle import Lifecycle
+from copperrun.membership.lifecycle import State
+from copperrun.model import Instance
+from copperrun.model import Role
+from copperrun.ports.instances import Instances
+from copperrun.ports.log import Log
+from copperrun.ports.metrics import Metrics
+from copperrun.ports.sides import Sides
+from copperrun.ports.timers import Timers
+from copperrun.routing.dispatcher import Dispatcher
+from copperrun.routing.peers import PeerTable
+from copperrun.routing.router import Router
+
+
+class EntryPorts(NamedTuple):
+    """Everything outside an entry."""
+
+    log: Log
+    instances: Instances
+    sides: Sides
+    timers: Timers
+    metrics: Metrics
+
+
+class EntryProcess:
+    """Wires the parts of an entry and runs its tasks."""
+
+    def __init__(
+        self,
+        instance: str,
+        ports: EntryPorts,
+        *,
+        default_deadline_ms: int,
+        random: Random | None = None,
+    ) -> None:
+        self.instance = instance
+        self.lifecycle = Lifecycle(instance)
+        self.follower = Follower(ports.log, ports.timers, ports.metrics)
+        self.directory = Directory(ports.instances, ports.timers)
+        self.peers = PeerTable(ports.sides, ports.timers)
+        router = Router(self.peers, random or Random())
+        limiter = RateLimiter(ports.timers)
+        dispatcher = Dispatcher(
+            router, self.peers, ports.sides, ports.timers, ports.metrics
+        )
+        self.gateway = Gateway(
+            self.follower,
+            limiter,
+            dispatcher,
+            ports.timers,
+            ports.metrics,
+            default_deadline_ms,
+        )
+        self._snapshotter = Snapshotter(
+            instance, ports.log, self.follower.fold, self.directory, ports.timers
+        )
+        self._limiter = limiter
+        self._router = router
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether the balancer may send new requests."""
+        return self.lifecycle.accepts_work
+
+    async def run(self) -> None:
+        """Follow the log and the instance list until cancelled."""
+        self.directory.subscribe(self._set_instances)
+        self.follower.subscribe(self._router.set_configuration)
+        async with asyncio.TaskGroup() as tasks:
+            tasks.create_task(self.follower.run())
+            tasks.create_task(self.directory.run())
+            tasks.create_task(self._snapshotter.run())
+            await self.follower.wait_for_configuration()
+            if self.lifecycle.state is State.STARTING:
+                self.lifecycle.serve()
+
+    def close(self) -> None:
+        """Stop following the sides."""
+        self.peers.close()
+
+    def _set_instances(self, instances: Sequence[Instance]) -> None:
+        self.peers.set_instances(instances)
+        self._router.set_instances(instances)
+        self._limiter.entries = max(1, len(self.directory.live(Role.ENTRY)))
+        own = self.directory.find(self.instance)
+        if own is not None and own.leaving:
+            self.lifecycle.leave()
--- /dev/null
+++ b/src/copperrun/gen/__init__.py
@@ -0,0 +1,1 @@
+__all__ = ['ttypes', 'constants']
--- /dev/null
+++ b/src/copperrun/membership/__init__.py
@@ -0,0 +1,3 @@
+"""Instances, incarnations and lifecycles."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/copperrun/once/__init__.py
@@ -0,0 +1,3 @@
+"""At-most-once execution of unrepeatable calls."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/copperrun/once/journal.py
@@ -0,0 +1,289 @@
+"""At-most-once execution of one service's unrepeatable calls.
+
+A side appends an intent, reads the stream back to it, and executes only when no
+earlier intent holds the key. The first intent in log order wins whatever any process
+believes about the others.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Coroutine
+from typing import NamedTuple
+from uuid import uuid4
+
+from loguru import logger
+
+from copperrun.model import Answer
+from copperrun.model import Ran
+from copperrun.model import Refusal
+from copperrun.model import RefusalReason
+from copperrun.once.budget import AppendBudget
+from copperrun.once.index import KeyState
+from copperrun.once.keys import CLOCK_SKEW_MS
+from copperrun.once.keys import check_window
+from copperrun.once.keys import key_time_ms
+from copperrun.once.keys import partition_of
+from copperrun.once.partition import CommitError
+from copperrun.once.partition import CommitErrorReason
+from copperrun.once.partition import Partition
+from copperrun.once.records import Abandonment
+from copperrun.once.records import Intent
+from copperrun.once.records import Mark
+from copperrun.once.records import Outcome
+from copperrun.ports.log import Log
+from copperrun.ports.metrics import Metrics
+from copperrun.ports.timers import Timers
+
+PARTITIONS = 4  # the same at every side; a change loses the keys of the window
+MAX_RECORDED_BYTES = 64 * 1024
+POLL_MS = 10_000
+RETRY_MS = 1_000
+LOG_RETRY_AFTER_MS = 2_000
+UNKNOWN_RETRY_AFTER_MS = 1_000
+
+
+class Call(NamedTuple):
+    """An unrepeatable call.
+
+    Attributes:
+        tenant: Tenant that owns the key.
+        key: Idempotency key.
+        digest: Digest of method, path and body.
+    """
+
+    tenant: str
+    key: str
+    digest: str
+
+    @property
+    def scoped_key(self) -> str:
+        """Key within the tenant, so that tenants cannot meet in one key."""
+        return f"{self.tenant}/{self.key}"
+
+
+class Permit(NamedTuple):
+    """Right to execute a call once.
+
+    Attributes:
+        call: The call.
+        attempt: Name of the winning intent.
+    """
+
+    call: Call
+    attempt: str
+
+
+class Journal:
+    """Intents and outcomes of one service, over a fixed number of streams."""
+
+    def __init__(
+        self,
+        service: str,
+        log: Log,
+        timers: Timers,
+        metrics: Metrics,
+        *,
+        window_ms: int,
+        appends_per_second: float,
+    ) -> None:
+        self.window_ms = window_ms
+        self._timers = timers
+        budget = AppendBudget(timers, appends_per_second)
+        self._partitions = [
+            Partition(f"once/{service}/{number}", log, timers, budget, metrics)
+            for number in range(PARTITIONS)
+        ]
+        self._here: dict[str, asyncio.Future[Answer | None]] = {}
+        self._closing: set[asyncio.Task[None]] = set()
+
+    async def run(self) -> None:
+        """Read and commit until cancelled."""
+        async with asyncio.TaskGroup() as tasks:
+            for partition in self._partitions:
+                tasks.create_task(partition.run())
+                tasks.create_task(self._follow(partition))
+
+    async def begin(self, call: Call) -> Permit | Answer | Refusal:
+        """Ask for the right to execute a call.
+
+        Returns:
+            A permit, the recorded answer of the call that had the key, or a refusal.
+        """
+        partition = self._partition(call)
+        refusal = self._check_key(call, partition)
+        if refusal is not None:
+            return refusal
+        state = partition.index.get(call.scoped_key)
+        if state is not None:
+            return await self._follow_up(call, state)
+        if partition.log_is_down:
+            return _log_down()
+        return await self._claim_key(call, partition)
+
+    def finish(self, permit: Permit, answer: Answer) -> None:
+        """Record an outcome; the append goes on in the background."""
+        recorded = answer if len(answer.body) <= MAX_RECORDED_BYTES else None
+        record = Outcome(
+            permit.call.scoped_key, permit.attempt, self._timers.wall_ms(), recorded
+        )
+        # Callers that come back before the append see the outcome at this side.
+        self._partition(permit.call).index.apply(record)
+        self._release_key(permit, recorded)
+        self._in_background(self._append_surely(permit, record))
+
+    def abandon(self, permit: Permit) -> None:
+        """Give a call up that was certainly not executed, so that it may run later."""
+        self._release_key(permit, None)
+        record = Abandonment(
+            permit.call.scoped_key, permit.attempt, self._timers.wall_ms()
+        )
+        self._in_background(self._append_surely(permit, record))
+
+    def lose(self, permit: Permit) -> None:
+        """Note that nobody knows whether the call was executed."""
+        self._release_key(permit, None)
+
+    async def drain(self) -> None:
+        """Wait until what was given to the background is in the log."""
+        while self._closing:
+            await asyncio.gather(*self._closing, return_exceptions=True)
+
+    def _partition(self, call: Call) -> Partition:
+        return self._partitions[partition_of(call.scoped_key, PARTITIONS)]
+
+    def _check_key(self, call: Call, partition: Partition) -> Refusal | None:
+        key_ms = key_time_ms(call.key)
+        if isinstance(key_ms, Refusal):
+            return key_ms
+        refusal = check_window(key_ms, self._timers.wall_ms(), self.window_ms)
+        if refusal is not None:
+            return refusal
+        if partition.covered_from_ms is None:
+            return Refusal(
+                RefusalReason.LOG_UNAVAILABLE,
+                Ran.NO,
+                "the records of earlier calls have not been read yet",
+                LOG_RETRY_AFTER_MS,
+            )
+        if partition.covered_from_ms > 0 and (
+            key_ms < partition.covered_from_ms + CLOCK_SKEW_MS
+        ):
+            return Refusal(
+                RefusalReason.IDEMPOTENCY_KEY_EXPIRED,
+                Ran.UNKNOWN,
+                "records of the time of this Idempotency-Key have expired",
+            )
+        return None
+
+    async def _claim_key(
+        self, call: Call, partition: Partition
+    ) -> Permit | Answer | Refusal:
+        permit = Permit(call, uuid4().hex)
+        intent = Intent(
+            call.scoped_key, permit.attempt, call.digest, self._timers.wall_ms()
+        )
+        try:
+            error = await partition.commit(intent)
+        except asyncio.CancelledError:
+            self.abandon(permit)
+            raise
+        if error is not None:
+            return self._give_up(permit, error)
+        # Records may have expired unread while the intent was under way.
+        refusal = self._check_key(call, partition)
+        if refusal is not None:
+            self.abandon(permit)
+            return refusal
+        state = partition.index.get(call.scoped_key)
+        if state is None or state.attempt != permit.attempt:
+            return await self._follow_up(call, state)
+        self._here[call.scoped_key] = asyncio.get_running_loop().create_future()
+        return permit
+
+    def _give_up(self, permit: Permit, error: CommitError) -> Refusal:
+        if error.reason is CommitErrorReason.UNSETTLED:
+            # The intent may yet arrive; only this side could execute under it, and
+            # it will not. The abandonment frees the key for the caller's retry.
+            self.abandon(permit)
+        return _log_down()
+
+    async def _follow_up(self, call: Call, state: KeyState | None) -> Answer | Refusal:
+        """Answer a call whose key another attempt holds."""
+        if state is None:
+            return _unknown("an earlier call of this key was given up just now")
+        if state.digest != call.digest:
+            return Refusal(
+                RefusalReason.IDEMPOTENCY_KEY_REUSED,
+                Ran.NO,
+                "this Idempotency-Key was used with another request",
+            )
+        if state.executed:
+            return _recorded(state.answer)
+        running = self._here.get(call.scoped_key)
+        if running is None:
+            return _unknown("an earlier call of this key has no outcome yet")
+        answer = await asyncio.shield(running)
+        if answer is None:
+            return _unknown("the call of this key ended without a recorded answer")
+        return answer._replace(recorded=True)
+
+    def _release_key(self, permit: Permit, answer: Answer | None) -> None:
+        running = self._here.pop(permit.call.scoped_key, None)
+        if running is not None and not running.done():
+            running.set_result(answer)
+
+    async def _append_surely(
+        self, permit: Permit, record: Outcome | Abandonment
+    ) -> None:
+        partition = self._partition(permit.call)
+        while await partition.commit(record) is not None:
+            await self._timers.sleep_ms(RETRY_MS)
+
+    def _in_background(self, work: Coroutine[None, None, None]) -> None:
+        task = asyncio.create_task(work)
+        self._closing.add(task)
+        task.add_done_callback(self._closing.discard)
+
+    async def _follow(self, partition: Partition) -> None:
+        """Keep up with the stream, and keep it from running empty."""
+        while True:
+            answered = await partition.catch_up()
+            if answered:
+                await self._keep_marked(partition)
+                horizon = self.window_ms + 2 * CLOCK_SKEW_MS
+                partition.index.prune(self._timers.wall_ms() - horizon)
+            await self._timers.sleep_ms(POLL_MS if answered else RETRY_MS)
+
+    async def _keep_marked(self, partition: Partition) -> None:
+        now = self._timers.wall_ms()
+        if now - partition.index.last_at_ms < self.window_ms // 4:
+            return
+        error = await partition.commit(Mark(now))
+        if error is not None:
+            logger.warning("mark not appended", detail=error.detail)
+
+
+def _recorded(answer: Answer | None) -> Answer | Refusal:
+    if answer is not None:
+        return answer._replace(recorded=True)
+    return Refusal(
+        RefusalReason.OUTCOME_UNKNOWN,
+        Ran.UNKNOWN,
+        "the call was executed; its answer was too large to record",
+    )
+
+
+def _unknown(detail: str) -> Refusal:
+    return Refusal(
+        RefusalReason.OUTCOME_UNKNOWN, Ran.UNKNOWN, detail, UNKNOWN_RETRY_AFTER_MS
+    )
+
+
+def _log_down() -> Refusal:
+    return Refusal(
+        RefusalReason.LOG_UNAVAILABLE,
+        Ran.NO,
+        "unrepeatable calls wait for the platform's log",
+        LOG_RETRY_AFTER_MS,
+    )
--- /dev/null
+++ b/src/copperrun/once/keys.py
@@ -0,0 +1,55 @@
+"""Idempotency keys: UUID version 7, whose time bounds how long they are kept."""
+
+from __future__ import annotations
+
+from uuid import UUID
+
+import xxhash
+
+from copperrun.model import Ran
+from copperrun.model import Refusal
+from copperrun.model import RefusalReason
+
+CLOCK_SKEW_MS = 300_000  # by which a caller's clock may be off
+
+
+def key_time_ms(key: str) -> int | Refusal:
+    """Return the Unix time in a key, in milliseconds, or why it is no key."""
+    try:
+        parsed = UUID(key)
+    except ValueError:
+        return _invalid(key)
+    if parsed.version != 7 or str(parsed) != key.lower():
+        return _invalid(key)
+    return parsed.int >> 80
+
+
+def check_window(key_ms: int, now_ms: int, window_ms: int) -> Refusal | None:
+    """Refuse a key that is older than the window or from the future."""
+    if key_ms > now_ms + CLOCK_SKEW_MS:
+        return Refusal(
+            RefusalReason.IDEMPOTENCY_KEY_INVALID,
+            Ran.NO,
+            "the time in the Idempotency-Key is in the future; set the clock",
+        )
+    if key_ms >= now_ms - window_ms:
+        return None
+    # An older request of this key may have run; that record may be gone.
+    return Refusal(
+        RefusalReason.IDEMPOTENCY_KEY_EXPIRED,
+        Ran.UNKNOWN,
+        f"the Idempotency-Key is older than {window_ms} ms; look the order up",
+    )
+
+
+def partition_of(key: str, partitions: int) -> int:
+    """Return the partition of a tenant's key."""
+    return int(xxhash.xxh64_intdigest(key.encode())) % partitions
+
+
+def _invalid(key: str) -> Refusal:
+    return Refusal(
+        RefusalReason.IDEMPOTENCY_KEY_INVALID,
+        Ran.NO,
+        f"Idempotency-Key {key[:64]!r} is not a UUID version 7",
+    )
--- /dev/null
+++ b/src/copperrun/once/partition.py
@@ -0,0 +1,183 @@
+"""One partition stream: reading, group commit and the settling of lost answers."""
+
+from __future__ import annotations
+
+import asyncio
+from enum import Enum
+from typing import NamedTuple
+
+from loguru import logger
+
+from copperrun.model import LogRecord
+from copperrun.once.budget import AppendBudget
+from copperrun.once.index import Index
+from copperrun.once.records import Record
+from copperrun.once.records import RecordError
+from copperrun.once.records import decode
+from copperrun.once.records import encode
+from copperrun.ports.log import Log
+from copperrun.ports.log import LogError
+from copperrun.ports.log import LogErrorReason
+from copperrun.ports.metrics import Metrics
+from copperrun.ports.timers import Timers
+
+SETTLE_MS = 2_000
+SETTLE_POLL_MS = 50
+MAX_BATCH = 500
+PROBE_MS = 500
+
+
+class CommitErrorReason(Enum):
+    """Why a record was not seen in the stream."""
+
+    LOG_DOWN = "log_down"
+    UNSETTLED = "unsettled"
+
+
+class CommitError(NamedTuple):
+    """A record that was not read back; returned, not raised.
+
+    Attributes:
+        reason: ``LOG_DOWN`` when it was not appended, ``UNSETTLED`` when it may yet
+            arrive.
+        detail: One line for the operator's log.
+    """
+
+    reason: CommitErrorReason
+    detail: str
+
+
+class _Pending(NamedTuple):
+    data: str
+    record: Record
+    fut: asyncio.Future[CommitError | None]
+
+
+class Partition:
+    """Appends records and reads them back in log order."""
+
+    def __init__(
+        self,
+        stream: str,
+        log: Log,
+        timers: Timers,
+        budget: AppendBudget,
+        metrics: Metrics,
+    ) -> None:
+        self.index = Index()
+        self.covered_from_ms: int | None = None
+        self.log_is_down = False
+        self._stream = stream
+        self._log = log
+        self._timers = timers
+        self._budget = budget
+        self._metrics = metrics
+        self._next_offset = 0
+        self._pending: list[_Pending] = []
+        self._more = asyncio.Event()
+        self._read_lock = asyncio.Lock()
+        self._awaited: set[str] = set()
+
+    @property
+    def is_loaded(self) -> bool:
+        """Whether the stream has been read once to its end."""
+        return self.covered_from_ms is not None
+
+    async def run(self) -> None:
+        """Commit records in groups until cancelled."""
+        while True:
+            await self._more.wait()
+            await self._budget.take()
+            batch, self._pending = (
+                self._pending[:MAX_BATCH],
+                self._pending[MAX_BATCH:],
+            )
+            if not self._pending:
+                self._more.clear()
+            await self._commit(batch)
+
+    async def commit(self, record: Record) -> CommitError | None:
+        """Append a record and return once it was read back."""
+        fut = asyncio.get_running_loop().create_future()
+        self._pending.append(_Pending(encode(record), record, fut))
+        self._more.set()
+        return await asyncio.shield(fut)
+
+    async def catch_up(self) -> bool:
+        """Read to the end of the stream; return whether the log answered."""
+        async with self._read_lock:
+            while True:
+                page = await self._log.read(self._stream, self._next_offset)
+                if isinstance(page, LogError):
+                    if page.reason is not LogErrorReason.TRIMMED:
+                        self.log_is_down = True
+                        return False
+                    self._skip_gap(page.start)
+                    continue
+                self.log_is_down = False
+                for record in page.records:
+                    self._fold(record)
+                if self._next_offset >= page.end:
+                    self._note_loaded(page.start)
+                    return True
+
+    def _note_loaded(self, start: int) -> None:
+        if self.covered_from_ms is not None:
+            return
+        # An emptied stream shows nothing of what was in it.
+        self.covered_from_ms = 0 if start == 0 else self._timers.wall_ms()
+
+    def _skip_gap(self, start: int) -> None:
+        """Go on after records that were dropped before they were read."""
+        logger.warning("records expired unread", stream=self._stream, up_to=start)
+        self._next_offset = start
+        self.covered_from_ms = None
+
+    def _fold(self, entry: LogRecord) -> None:
+        self._next_offset = entry.offset + 1
+        record = decode(entry.data)
+        if isinstance(record, RecordError):
+            logger.error(
+                "record skipped",
+                stream=self._stream,
+                offset=entry.offset,
+                detail=record.detail,
+            )
+            return
+        if self.covered_from_ms is None and entry.offset > 0:
+            self.covered_from_ms = record.at_ms
+        elif self.covered_from_ms is None:
+            self.covered_from_ms = 0
+        self.index.apply(record)
+        self._awaited.discard(entry.data)
+
+    async def _commit(self, batch: list[_Pending]) -> None:
+        if not batch:
+            return
+        self._awaited = {item.data for item in batch}
+        self._metrics.appended("once")
+        result = await self._log.append(self._stream, [item.data for item in batch])
+        if isinstance(result, LogError) and result.reason is LogErrorReason.UNAVAILABLE:
+            self.log_is_down = True
+            _resolve(batch, CommitError(CommitErrorReason.LOG_DOWN, result.detail))
+            return
+        await self._read_back(batch)
+
+    async def _read_back(self, batch: list[_Pending]) -> None:
+        """Wait until the records show in the stream, for a bounded time."""
+        deadline = self._timers.now_ms() + SETTLE_MS
+        while True:
+            await self.catch_up()
+            missing = [item for item in batch if item.data in self._awaited]
+            _resolve([item for item in batch if item.data not in self._awaited], None)
+            if not missing or self._timers.now_ms() >= deadline:
+                break
+            await self._timers.sleep_ms(SETTLE_POLL_MS)
+        detail = f"not in the stream after {SETTLE_MS} ms"
+        _resolve(missing, CommitError(CommitErrorReason.UNSETTLED, detail))
+
+
+def _resolve(batch: list[_Pending], result: CommitError | None) -> None:
+    for item in batch:
+        if not item.fut.done():
+            item.fut.set_result(result)
--- /dev/null
+++ b/src/copperrun/placement/orders.py
@@ -0,0 +1,172 @@
+"""Orders to one engine, each settled before the next is given."""
+
+from __future__ import annotations
+
+import asyncio
+from enum import Enum
+from typing import NamedTuple
+
+from loguru import logger
+
+from copperrun.placement.ledger import Ledger
+from copperrun.ports.engine import Engine
+from copperrun.ports.engine import EngineError
+from copperrun.ports.engine import EngineErrorReason
+from copperrun.ports.engine import EngineState
+from copperrun.ports.engine import Order
+from copperrun.ports.engine import OrderKind
+from copperrun.ports.engine import OrderNumber
+from copperrun.ports.timers import Timers
+
+SETTLE_POLL_MS = 200
+ORDER_LIFETIME_MS = 120_000  # after which an unanswered order cannot arrive
+
+
+class OrderErrorReason(Enum):
+    """Why an order had no effect."""
+
+    NO_EPOCH = "no_epoch"
+    NO_ROOM = "no_room"
+    REFUSED = "refused"
+    SUPERSEDED = "superseded"
+
+
+class OrderError(NamedTuple):
+    """An order without effect; returned, not raised.
+
+    Attributes:
+        reason: The cause.
+        detail: One line for the operator's log.
+    """
+
+    reason: OrderErrorReason
+    detail: str
+
+
+class OrderDesk:
+    """Gives numbered orders to one engine and keeps its ledger true."""
+
+    def __init__(self, engine: Engine, ledger: Ledger, timers: Timers) -> None:
+        self.checks_orders = False
+        self._engine = engine
+        self._ledger = ledger
+        self._timers = timers
+        self._epoch: int | None = None
+        self._sequence = 0
+        self._lock = asyncio.Lock()
+
+    @property
+    def may_order(self) -> bool:
+        """Whether this side holds an epoch."""
+        return self._epoch is not None
+
+    def set_epoch(self, epoch: int) -> None:
+        """Allow orders under the offset of this side's claim."""
+        self._epoch = epoch
+        self._sequence = 0
+
+    async def load(self, name: str, size_bytes: int) -> OrderError | None:
+        """Load an object; return once the engine's state shows the outcome."""
+        async with self._lock:
+            if self._epoch is None:
+                return _no_epoch()
+            if name in self._ledger.resident():
+                return None
+            if not self._ledger.reserve(name, size_bytes):
+                detail = f"{name} needs {size_bytes} B, {self._ledger.free_bytes} free"
+                return OrderError(OrderErrorReason.NO_ROOM, detail)
+            return await self._carry_out(OrderKind.LOAD, name, size_bytes)
+
+    async def unload(self, name: str) -> OrderError | None:
+        """Unload an object; its memory counts until the engine confirms."""
+        async with self._lock:
+            if self._epoch is None:
+                return _no_epoch()
+            size_bytes = self._ledger.size_bytes(name)
+            if not self._ledger.begin_release(name):
+                return OrderError(OrderErrorReason.REFUSED, f"{name} is not resident")
+            return await self._carry_out(OrderKind.UNLOAD, name, size_bytes)
+
+    async def adopt(self) -> EngineError | None:
+        """Take the engine's state into the ledger when no order is under way."""
+        async with self._lock:
+            state = await self._engine.state()
+            if isinstance(state, EngineError):
+                return state
+            self._ledger.adopt(state)
+            self._step_down_if_superseded(state)
+            return None
+
+    async def _carry_out(
+        self, kind: OrderKind, name: str, size_bytes: int
+    ) -> OrderError | None:
+        sent_ms = self._timers.now_ms()
+        order = self._number(kind, name, size_bytes)
+        result = await self._engine.order(order)
+        while not isinstance(result, EngineState):
+            match result.reason:
+                case EngineErrorReason.STALE_ORDER:
+                    self._epoch = None
+                    return await self._give_up(order, "a later side has claimed")
+                case EngineErrorReason.REFUSED | EngineErrorReason.UNREACHABLE:
+                    return await self._give_up(order, result.detail)
+                case EngineErrorReason.ANSWER_LOST:
+                    logger.warning("order unsettled", name=name, detail=result.detail)
+                    result = await self._settle(order, sent_ms)
+        self._ledger.settle(name, result)
+        return None if _has_effect(order, result) else _refused(order, "no effect")
+
+    async def _settle(self, order: Order, sent_ms: int) -> EngineState | EngineError:
+        """Find out what became of an order whose answer was lost.
+
+        An engine that checks numbers gets the order again under the next number,
+        after which the first one can have no effect. One that ignores numbers gets
+        no second order: a late first copy could otherwise undo a later order.
+        """
+        await self._timers.sleep_ms(SETTLE_POLL_MS)
+        state = await self._engine.state()
+        if isinstance(state, EngineState):
+            expired = self._timers.now_ms() - sent_ms >= ORDER_LIFETIME_MS
+            if _has_effect(order, state) or (expired and not state.busy):
+                return state
+            if self.checks_orders and not state.busy:
+                renumbered = self._number(order.kind, order.name, order.size_bytes)
+                return await self._engine.order(renumbered)
+        return EngineError(EngineErrorReason.ANSWER_LOST, "not settled yet")
+
+    async def _give_up(self, order: Order, detail: str) -> OrderError:
+        """Settle the ledger after an order that the engine did not take."""
+        state = await self._engine.state()
+        while isinstance(state, EngineError):
+            await self._timers.sleep_ms(SETTLE_POLL_MS)
+            state = await self._engine.state()
+        self._ledger.settle(order.name, state)
+        self._step_down_if_superseded(state)
+        if self._epoch is None:
+            return OrderError(OrderErrorReason.SUPERSEDED, detail)
+        return _refused(order, detail)
+
+    def _step_down_if_superseded(self, state: EngineState) -> None:
+        if self._epoch is not None and state.last_order.epoch > self._epoch:
+            logger.error("a later side has claimed this server; no more orders")
+            self._epoch = None
+
+    def _number(self, kind: OrderKind, name: str, size_bytes: int) -> Order:
+        self._sequence += 1
+        number = OrderNumber(self._epoch or 0, self._sequence)
+        return Order(number, kind, name, size_bytes)
+
+
+def _has_effect(order: Order, state: EngineState) -> bool:
+    resident = any(name == order.name for name, _ in state.resident)
+    return resident == (order.kind is OrderKind.LOAD)
+
+
+def _refused(order: Order, detail: str) -> OrderError:
+    message = f"{order.kind.value} {order.name}: {detail}"
+    return OrderError(OrderErrorReason.REFUSED, message)
+
+
+def _no_epoch() -> OrderError:
+    detail = "no claim in the log yet; resident models are served"
+    return OrderError(OrderErrorReason.NO_EPOCH, detail)
--- /dev/null
+++ b/src/copperrun/ports/sides.py
@@ -0,0 +1,87 @@
+"""How an entry reaches the sides."""
+
+from __future__ import annotations
+
+from collections.abc import AsyncIterator
+from enum import Enum
+from typing import NamedTuple
+from typing import Protocol
+
+from copperrun.model import Answer
+from copperrun.model import Attempt
+from copperrun.model import AttemptId
+from copperrun.model import Chunk
+from copperrun.model import Load
+from copperrun.model import Refusal
+from copperrun.model import StreamEnd
+
+
+class SideErrorReason(Enum):
+    """Why a side gave no result."""
+
+    UNREACHABLE = "unreachable"
+    ANSWER_LOST = "answer_lost"
+
+
+class SideError(NamedTuple):
+    """A side that gave no result; returned, not raised.
+
+    Attributes:
+        reason: ``UNREACHABLE`` when nothing was sent, ``ANSWER_LOST`` when the
+            attempt may have reached the side.
+        detail: One line for the operator's log.
+    """
+
+    reason: SideErrorReason
+    detail: str
+
+
+class SideStatus(NamedTuple):
+    """What a side says of itself.
+
+    Attributes:
+        instance: Instance name.
+        incarnation: Number of this start of the process.
+        state: Lifecycle state.
+        revision: Configuration offset in force.
+        load: Present load.
+        resident: Objects in accelerator memory.
+    """
+
+    instance: str
+    incarnation: int
+    state: str
+    revision: int
+    load: Load
+    resident: tuple[str, ...]
+
+
+class SideReply(NamedTuple):
+    """Outcome of a whole-answer attempt with the side's load.
+
+    Attributes:
+        outcome: Answer, refusal or transport error.
+        load: Load reported by the side, if any.
+    """
+
+    outcome: Answer | Refusal | SideError
+    load: Load | None = None
+
+
+StreamItem = Chunk | StreamEnd | Refusal | SideError
+
+
+class Sides(Protocol):
+    """Calls from an entry to a side, by address."""
+
+    async def submit(self, address: str, attempt: Attempt) -> SideReply:
+        """Send an attempt and wait for its whole answer."""
+
+    def stream(self, address: str, attempt: Attempt) -> AsyncIterator[StreamItem]:
+        """Send an attempt and yield its chunks; the last item is not a chunk."""
+
+    async def cancel(self, address: str, attempt_id: AttemptId) -> bool | SideError:
+        """Cancel an attempt; return whether it had started."""
+
+    async def hello(self, address: str) -> SideStatus | SideError:
+        """Ask a side for its status."""
--- /dev/null
+++ b/src/copperrun/routing/dispatcher.py
@@ -0,0 +1,331 @@
+"""Attempts of one request until it has a whole answer or a true refusal."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import AsyncIterator
+from typing import Any
+from typing import NamedTuple
+
+import xxhash
+
+from copperrun.model import Answer
+from copperrun.model import Attempt
+from copperrun.model import AttemptId
+from copperrun.model import Chunk
+from copperrun.model import Ran
+from copperrun.model import Refusal
+from copperrun.model import RefusalReason
+from copperrun.model import StreamEnd
+from copperrun.ports.metrics import Metrics
+from copperrun.ports.sides import SideError
+from copperrun.ports.sides import SideErrorReason
+from copperrun.ports.sides import Sides
+from copperrun.ports.sides import StreamItem
+from copperrun.ports.timers import Timers
+from copperrun.routing.peers import Peer
+from copperrun.routing.peers import PeerTable
+from copperrun.routing.retries import RetryBudget
+from copperrun.routing.router import Router
+from copperrun.routing.router import Target
+
+MAX_ATTEMPTS = 4
+DEADLINE_GRACE_MS = 250  # for the side's own deadline to answer first
+STALL_MS = 10_000  # without a chunk, after which a stream counts as cut
+NO_SERVER_RETRY_AFTER_MS = 1_000
+
+# Refusals after which another side may do better.
+_TRY_ELSEWHERE = frozenset(
+    {
+        RefusalReason.NOT_RESIDENT,
+        RefusalReason.NOT_READY,
+        RefusalReason.LEAVING,
+        RefusalReason.WRONG_INCARNATION,
+        RefusalReason.QUEUE_FULL,
+        RefusalReason.SERVER_FAILED,
+        RefusalReason.UNKNOWN_DEPLOYMENT,
+        RefusalReason.LOG_UNAVAILABLE,
+    }
+)
+
+
+class Work(NamedTuple):
+    """An admitted request.
+
+    Attributes:
+        request: Request id.
+        target: What it needs from a side.
+        template: Attempt to send, with the id and remaining time left open.
+        deadline_ms: Deadline on the timer service's clock, in milliseconds.
+    """
+
+    request: str
+    target: Target
+    template: Attempt
+    deadline_ms: int
+
+
+class _Progress:
+    """What the attempts of one request have come to so far."""
+
+    def __init__(self) -> None:
+        self.tried: list[str] = []
+        self.uncertain = False
+        self.refusal: Refusal | None = None
+        self.redirect = ""
+        self.attempts = 0
+        self.chunks: list[str] = []
+
+    def note(self, refusal: Refusal) -> None:
+        """Keep a refusal; an attempt that may have run stays in the verdict."""
+        self.uncertain = self.uncertain or refusal.ran is Ran.UNKNOWN
+        if self.refusal is None or refusal.retry_after_ms <= _retry_after(self.refusal):
+            self.refusal = refusal
+        self.redirect = refusal.redirect
+
+    def verdict(self) -> Refusal:
+        """Return the final refusal, true over all attempts."""
+        refusal = self.refusal or Refusal(
+            RefusalReason.NO_SERVER,
+            Ran.NO,
+            "no backend server can take the request now",
+            NO_SERVER_RETRY_AFTER_MS,
+        )
+        ran = Ran.UNKNOWN if self.uncertain else Ran.NO
+        return refusal._replace(ran=ran, redirect="")
+
+
+class Dispatcher:
+    """Sends attempts to sides."""
+
+    def __init__(
+        self,
+        router: Router,
+        peers: PeerTable,
+        sides: Sides,
+        timers: Timers,
+        metrics: Metrics,
+    ) -> None:
+        self._router = router
+        self._peers = peers
+        self._sides = sides
+        self._timers = timers
+        self._metrics = metrics
+        self._budget = RetryBudget()
+
+    async def submit(self, work: Work) -> Answer | Refusal:
+        """Return the whole answer of a request, or a true refusal."""
+        progress = _Progress()
+        while (peer := self._next_peer(work, progress)) is not None:
+            attempt = self._attempt(work, peer, progress)
+            outcome = await self._submit_once(peer, attempt)
+            if isinstance(outcome, Answer):
+                self._budget.earn()
+                return outcome
+            progress.note(outcome)
+            if not _may_go_on(outcome):
+                break
+        return progress.verdict()
+
+    async def stream(self, work: Work) -> AsyncIterator[str | Refusal]:
+        """Yield the payloads of a whole stream; a refusal ends a cut one."""
+        progress = _Progress()
+        while (peer := self._next_peer(work, progress)) is not None:
+            attempt = self._attempt(work, peer, progress)
+            outcome: Refusal | None = None
+            async for item in self._stream_once(peer, attempt):
+                if isinstance(item, Refusal):
+                    outcome = item
+                    break
+                progress.chunks.append(item)
+                yield item
+            if outcome is None or _is_finished(progress.chunks):
+                self._budget.earn()
+                return
+            progress.note(outcome)
+            if not _may_go_on(outcome):
+                break
+        yield _stream_verdict(progress)
+
+    def _next_peer(self, work: Work, progress: _Progress) -> Peer | None:
+        if progress.attempts >= MAX_ATTEMPTS:
+            return None
+        if self._timers.now_ms() >= work.deadline_ms:
+            if progress.refusal is None:
+                progress.note(_expired())
+            return None
+        peer = self._redirected(progress) or self._router.choose(
+            work.target, progress.tried
+        )
+        if peer is None:
+            return None
+        if progress.attempts > 0:
+            if not self._budget.spend():
+                return None
+            if progress.refusal is not None:
+                self._metrics.retried(progress.refusal.reason.value)
+        return peer
+
+    def _redirected(self, progress: _Progress) -> Peer | None:
+        if not progress.redirect or progress.redirect in progress.tried:
+            return None
+        peer = self._peers.find(progress.redirect)
+        if peer is None or not peer.usable or peer.incarnation is None:
+            return None
+        return peer
+
+    def _attempt(self, work: Work, peer: Peer, progress: _Progress) -> Attempt:
+        progress.attempts += 1
+        progress.tried.append(peer.instance.id)
+        texts = [text for text in map(chunk_text, progress.chunks) if text]
+        return work.template._replace(
+            id=AttemptId(work.request, progress.attempts, peer.incarnation or 0),
+            remaining_ms=work.deadline_ms - self._timers.now_ms(),
+            resume_chunks=len(texts),
+            resume_text="".join(texts),
+        )
+
+    async def _submit_once(self, peer: Peer, attempt: Attempt) -> Answer | Refusal:
+        limit_ms = attempt.remaining_ms + DEADLINE_GRACE_MS
+        started = self._timers.now_ms()
+        try:
+            async with self._timers.timeout_ms(limit_ms) as scope:
+                with peer.watch(scope):
+                    reply = await self._sides.submit(peer.address, attempt)
+        except TimeoutError:
+            lost = self._timers.now_ms() - started < limit_ms
+            refusal = _failed("the side was lost") if lost else _expired()
+            return await self._settle(peer, attempt.id, refusal)
+        peer.note_load(reply.load)
+        match reply.outcome:
+            case SideError() as error:
+                return await self._settle_error(peer, attempt.id, error)
+            case Refusal(reason=RefusalReason.LEAVING) as refusal:
+                peer.stop_using()
+                return refusal
+            case outcome:
+                return outcome
+
+    async def _stream_once(
+        self, peer: Peer, attempt: Attempt
+    ) -> AsyncIterator[str | Refusal]:
+        """Yield payloads in order; a refusal last unless the stream was whole."""
+        digest = xxhash.xxh64()
+        expected = 0
+        items = self._sides.stream(peer.address, attempt)
+        peer.streams += 1
+        try:
+            while True:
+                match await self._next_item(peer, items):
+                    case Chunk(sequence, data) if sequence == expected:
+                        digest.update(data.encode())
+                        expected += 1
+                        yield data
+                    case StreamEnd(chunks, checksum) if (
+                        chunks == expected and checksum == digest.intdigest() - 2**63
+                    ):
+                        return
+                    case Refusal() as refusal:
+                        yield refusal
+                        return
+                    case SideError() as error:
+                        yield await self._settle_error(peer, attempt.id, error)
+                        return
+                    case _:
+                        yield await self._settle(
+                            peer, attempt.id, _failed("chunks are missing")
+                        )
+                        return
+        finally:
+            peer.streams -= 1
+            # Closes the connection, which cancels the generation at the side.
+            await items.aclose()  # type: ignore[attr-defined]
+
+    async def _next_item(
+        self, peer: Peer, items: AsyncIterator[StreamItem]
+    ) -> StreamItem:
+        try:
+            async with self._timers.timeout_ms(STALL_MS) as scope:
+                with peer.watch(scope):
+                    return await anext(items)
+        except TimeoutError:
+            return SideError(SideErrorReason.ANSWER_LOST, "the stream stalled")
+        except StopAsyncIteration:
+            return SideError(SideErrorReason.ANSWER_LOST, "the stream was cut")
+
+    async def _settle_error(
+        self, peer: Peer, attempt_id: AttemptId, error: SideError
+    ) -> Refusal:
+        match error.reason:
+            case SideErrorReason.UNREACHABLE:
+                peer.stop_using()
+                return _failed(error.detail)
+            case SideErrorReason.ANSWER_LOST:
+                return await self._settle(peer, attempt_id, _failed(error.detail))
+
+    async def _settle(
+        self, peer: Peer, attempt_id: AttemptId, refusal: Refusal
+    ) -> Refusal:
+        """Say ``ran: no`` only when the side confirms that it will not run."""
+        started = await self._sides.cancel(peer.address, attempt_id)
+        if isinstance(started, SideError):
+            peer.note_missed()
+        ran = Ran.NO if started is False else Ran.UNKNOWN
+        return refusal._replace(ran=ran)
+
+
+def chunk_text(payload: str) -> str:
+    """Return the generated text in one payload of a stream."""
+    choice = _first_choice(payload)
+    text = choice.get("text")
+    if text is None:
+        text = (choice.get("delta") or {}).get("content")
+    return text if isinstance(text, str) else ""
+
+
+def _is_finished(chunks: list[str]) -> bool:
+    """Return whether only the end marker of a stream is missing."""
+    return bool(chunks) and _first_choice(chunks[-1]).get("finish_reason") is not None
+
+
+def _first_choice(payload: str) -> dict[str, Any]:
+    try:
+        choice = json.loads(payload)["choices"][0]
+    except (ValueError, KeyError, IndexError, TypeError):
+        return {}
+    return choice if isinstance(choice, dict) else {}
+
+
+def _may_go_on(refusal: Refusal) -> bool:
+    """Return whether another side may do better.
+
+    That holds for unrepeatable calls too: the journal lets the second attempt find
+    the outcome of the first, or run when the first one never did.
+    """
+    return refusal.reason in _TRY_ELSEWHERE
+
+
+def _stream_verdict(progress: _Progress) -> Refusal:
+    refusal = progress.verdict()
+    if not progress.chunks:
+        return refusal
+    return Refusal(
+        RefusalReason.STREAM_CUT,
+        Ran.UNKNOWN,
+        f"the answer is not whole: {refusal.detail}",
+        refusal.retry_after_ms,
+    )
+
+
+def _retry_after(refusal: Refusal) -> float:
+    return refusal.retry_after_ms or float("inf")
+
+
+def _failed(detail: str) -> Refusal:
+    return Refusal(
+        RefusalReason.SERVER_FAILED, Ran.NO, detail, NO_SERVER_RETRY_AFTER_MS
+    )
+
+
+def _expired() -> Refusal:
+    return Refusal(RefusalReason.DEADLINE_EXPIRED, Ran.NO, "the deadline passed")
--- /dev/null
+++ b/src/copperrun/side/agent.py
@@ -0,0 +1,196 @@
+"""The side's decisions on each attempt: may it run, when, and what became of it."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from typing import NamedTuple
+
+from loguru import logger
+
+from copperrun.admission.attempts import AttemptTable
+from copperrun.admission.queue import AdmissionQueue
+from copperrun.admission.queue import Slot
+from copperrun.admission.queue import Ticket
+from copperrun.configuration.follower import Follower
+from copperrun.configuration.schema import Configuration
+from copperrun.membership.lifecycle import Lifecycle
+from copperrun.membership.lifecycle import State
+from copperrun.model import Answer
+from copperrun.model import Attempt
+from copperrun.model import AttemptId
+from copperrun.model import Load
+from copperrun.model import Ran
+from copperrun.model import Refusal
+from copperrun.model import RefusalReason
+from copperrun.ports.metrics import Metrics
+from copperrun.ports.timers import Timers
+from copperrun.side.model_server import ModelServer
+from copperrun.side.plain_server import PlainServer
+
+Server = ModelServer | PlainServer
+
+NOT_READY_RETRY_AFTER_MS = 500
+DRAIN_POLL_MS = 20
+
+
+class _Admitted(NamedTuple):
+    cfg: Configuration
+    remaining_ms: int
+
+
+class Agent:
+    """Admits attempts to one backend server."""
+
+    def __init__(
+        self,
+        instance: str,
+        incarnation: int,
+        server: Server,
+        follower: Follower,
+        queue: AdmissionQueue,
+        timers: Timers,
+        metrics: Metrics,
+    ) -> None:
+        self.instance = instance
+        self.incarnation = incarnation
+        self.lifecycle = Lifecycle(instance)
+        self._server = server
+        self._follower = follower
+        self._queue = queue
+        self._timers = timers
+        self._metrics = metrics
+        self._attempts = AttemptTable(timers, incarnation)
+        self._in_flight = 0
+
+    def load(self) -> Load:
+        """Return the present load."""
+        return self._queue.load()
+
+    async def submit(self, attempt: Attempt) -> Answer | Refusal:
+        """Run an attempt and return its whole answer."""
+        async with self._admit(attempt) as admitted:
+            if isinstance(admitted, Refusal):
+                return admitted
+            cfg, remaining_ms = admitted
+            match self._server:
+                case ModelServer() as server:
+                    return await server.complete(attempt, cfg, remaining_ms)
+                case PlainServer() as server:
+                    return await server.call(attempt, cfg, remaining_ms)
+
+    async def stream(self, attempt: Attempt) -> AsyncIterator[str | Refusal]:
+        """Run an attempt and yield its payloads; a refusal ends a cut stream."""
+        async with self._admit(attempt) as admitted:
+            if isinstance(admitted, Refusal):
+                yield admitted
+                return
+            if isinstance(self._server, PlainServer):
+                yield Refusal(
+                    RefusalReason.BAD_REQUEST, Ran.NO, "plain services do not stream"
+                )
+                return
+            cfg, remaining_ms = admitted
+            async for item in self._server.stream(attempt, cfg, remaining_ms):
+                yield item
+
+    def cancel(self, attempt_id: AttemptId) -> bool:
+        """Cancel an attempt and return whether it had started."""
+        return self._attempts.cancel(attempt_id)
+
+    async def drain(self) -> None:
+        """Refuse new attempts and wait until the running ones have ended."""
+        self.lifecycle.leave()
+        while self._in_flight:
+            await self._timers.sleep_ms(DRAIN_POLL_MS)
+        await self._server.drain()
+        if self.lifecycle.state is State.LEAVING:
+            self.lifecycle.finish()
+
+    @asynccontextmanager
+    async def _admit(self, attempt: Attempt) -> AsyncIterator[_Admitted | Refusal]:
+        arrived = self._timers.now_ms()
+        cfg = self._check(attempt)
+        if isinstance(cfg, Refusal):
+            yield cfg
+            return
+        self._in_flight += 1
+        try:
+            slot = await self._wait_for_slot(attempt, cfg)
+            if isinstance(slot, Refusal):
+                yield slot
+                return
+            with slot:
+                refusal = self._attempts.start(attempt.id)
+                left_ms = attempt.remaining_ms - (self._timers.now_ms() - arrived)
+                self._log_start(attempt, slot)
+                yield refusal or _Admitted(cfg, left_ms)
+        finally:
+            self._attempts.on_cancel(attempt.id, None)
+            self._in_flight -= 1
+
+    def _check(self, attempt: Attempt) -> Configuration | Refusal:
+        match self.lifecycle.state:
+            case State.SERVING:
+                pass
+            case State.STARTING:
+                return _not_ready("this side is starting")
+            case _:
+                return Refusal(
+                    RefusalReason.LEAVING, Ran.NO, f"{self.instance} is leaving"
+                )
+        cfg = self._follower.configuration
+        if cfg is None:
+            return _not_ready("this side has no configuration yet")
+        return self._attempts.enter(attempt.id) or cfg
+
+    async def _wait_for_slot(
+        self, attempt: Attempt, cfg: Configuration
+    ) -> Slot | Refusal:
+        fut: asyncio.Future[Refusal | None] = asyncio.get_running_loop().create_future()
+        self._attempts.on_cancel(attempt.id, lambda: _withdraw(fut))
+        slot = await self._queue.acquire(_ticket(attempt, cfg), fut)
+        task = asyncio.current_task()
+        self._attempts.on_cancel(attempt.id, task.cancel if task else None)
+        return slot
+
+    def _log_start(self, attempt: Attempt, slot: Slot) -> None:
+        self._metrics.queued(attempt.tenant, attempt.service_class, slot.queued_ms)
+        logger.debug(
+            "attempt started",
+            request=attempt.id.request,
+            attempt=attempt.id.attempt,
+            caller=attempt.caller,
+            tenant=attempt.tenant,
+            revision=attempt.revision,
+        )
+
+
+def _ticket(attempt: Attempt, cfg: Configuration) -> Ticket:
+    service_class = cfg.classes.get(attempt.service_class)
+    tenant = cfg.tenants.get(attempt.tenant)
+    if service_class is None:
+        # The class was removed after the entry admitted the request.
+        return Ticket(
+            attempt.tenant, 1, 9, 0, attempt.remaining_ms, attempt.remaining_ms
+        )
+    return Ticket(
+        tenant=attempt.tenant,
+        weight=tenant.weight if tenant else 1,
+        priority=service_class.priority,
+        target_ms=service_class.first_token,
+        remaining_ms=attempt.remaining_ms,
+        queue_bound_ms=service_class.queue_bound,
+    )
+
+
+def _withdraw(fut: asyncio.Future[Refusal | None]) -> None:
+    if not fut.done():
+        fut.set_result(
+            Refusal(RefusalReason.CANCELLED, Ran.NO, "the attempt was cancelled")
+        )
+
+
+def _not_ready(detail: str) -> Refusal:
+    return Refusal(RefusalReason.NOT_READY, Ran.NO, detail, NOT_READY_RETRY_AFTER_MS)
--- /dev/null
+++ b/src/copperrun/side/daemon.py
@@ -0,0 +1,125 @@
+"""Runs a side: its listener, outside adapters and an orderly leave."""
+
+from __future__ import annotations
+
+import asyncio
+from contextlib import suppress
+
+from copperrun.adapters.client import HttpClient
+from copperrun.adapters.client import open_session
+from copperrun.adapters.engine import HttpEngine
+from copperrun.adapters.metrics import Metrics
+from copperrun.adapters.operations import Operations
+from copperrun.adapters.operations import ProcessStatus
+from copperrun.adapters.platform import HttpInstances
+from copperrun.adapters.platform import HttpLog
+from copperrun.adapters.platform import HttpWeights
+from copperrun.adapters.server import HttpServer
+from copperrun.adapters.server import ServerLimits
+from copperrun.adapters.service import HttpService
+from copperrun.membership.lifecycle import State
+from copperrun.ports.engine import Engine
+from copperrun.ports.service import Service
+from copperrun.ports.timers import Timers
+from copperrun.settings import SideSettings
+from copperrun.side.process import SideIdentity
+from copperrun.side.process import SidePorts
+from copperrun.side.process import SideProcess
+from copperrun.side.server import MAX_MESSAGE_BYTES
+from copperrun.side.server import build_application
+
+MAX_CONNECTIONS = 8_192
+IDLE_MS = 60_000
+LATE_ATTEMPTS_MS = 500  # during which a drained side still answers refusals
+
+
+class SideDaemon:
+    """A side with its listener."""
+
+    def __init__(
+        self, settings: SideSettings, timers: Timers, metrics: Metrics
+    ) -> None:
+        self._settings = settings
+        self._timers = timers
+        self._metrics = metrics
+        self._stop = asyncio.Event()
+
+    def leave(self) -> None:
+        """Begin an orderly leave."""
+        self._stop.set()
+
+    async def run(self) -> None:
+        """Serve until ``leave`` is called and every attempt has ended."""
+        async with open_session() as session:
+            process = self._build_process(HttpClient(session, self._timers))
+            server = self._build_server(process)
+            task = asyncio.create_task(process.run())
+            try:
+                listener = self._settings.internal
+                await server.start(listener.host, listener.port)
+                stop = asyncio.create_task(self._stop.wait())
+                await asyncio.wait({stop, task}, return_when=asyncio.FIRST_COMPLETED)
+                if not stop.done():
+                    stop.cancel()
+                    task.result()
+                await process.drain()
+                await self._timers.sleep_ms(LATE_ATTEMPTS_MS)
+            finally:
+                task.cancel()
+                with suppress(asyncio.CancelledError):
+                    await task
+                await server.close()
+
+    def _build_process(self, client: HttpClient) -> SideProcess:
+        settings = self._settings
+        is_engine = settings.backend.kind == "engine"
+        backend: Engine | Service = (
+            HttpEngine(client, settings.backend.url)
+            if is_engine
+            else HttpService(client, settings.backend.url)
+        )
+        identity = SideIdentity(
+            settings.instance,
+            settings.backend.pool,
+            is_engine,
+            settings.appends_per_second,
+        )
+        ports = SidePorts(
+            log=HttpLog(client, settings.platform.log),
+            instances=HttpInstances(client, settings.platform.instances),
+            weights=HttpWeights(client, settings.platform.weights),
+            backend=backend,
+            timers=self._timers,
+            metrics=self._metrics,
+        )
+        return SideProcess(identity, ports)
+
+    def _build_server(self, process: SideProcess) -> HttpServer:
+        app = build_application(process, self._settings.shared_keys)
+        operations = Operations(
+            self._metrics,
+            lambda: _status(process),
+            lambda: process.agent.lifecycle.state is State.SERVING,
+            self.leave,
+        )
+        operations.add_health_routes(app)
+        operations.add_operator_routes(app)
+        limits = ServerLimits(MAX_CONNECTIONS, MAX_MESSAGE_BYTES, IDLE_MS)
+        return HttpServer(app, limits, self._timers)
+
+
+def _status(process: SideProcess) -> ProcessStatus:
+    status = process.status()
+    cfg = process.follower.configuration
+    return ProcessStatus(
+        instance=status.instance,
+        role="side",
+        state=status.state,
+        revision=status.revision,
+        preset=cfg.preset_in_force if cfg else "",
+        pool=process.identity.pool,
+        queued=status.load.queued,
+        running=status.load.running,
+        resident=sorted(status.resident),
+        free_bytes=process.ledger.free_bytes,
+    )
--- /dev/null
+++ b/testing/run.py
@@ -0,0 +1,40 @@
+"""Runs pytest, passing over just the failures that KNOWN-RED.txt lists."""
+
+from __future__ import annotations
+
+import sys
+from pathlib import Path
+
+import pytest
+
+KNOWN_RED = Path(__file__).parent.parent / "KNOWN-RED.txt"
+PREFIX = "test: "
+
+
+class KnownRed:
+    """Marks listed tests as expected to fail and prints their names."""
+
+    def __init__(self, listed: list[str]) -> None:
+        self.listed = listed
+
+    def pytest_collection_modifyitems(self, items: list[pytest.Item]) -> None:
+        for item in items:
+            if item.nodeid in self.listed:
+                reason = "listed in KNOWN-RED.txt"
+                item.add_marker(pytest.mark.xfail(reason=reason, strict=False))
+
+    def pytest_terminal_summary(
+        self, terminalreporter: pytest.TerminalReporter
+    ) -> None:
+        for name in self.listed:
+            terminalreporter.write_line(f"known red: {name}")
+
+
+def main() -> int:
+    lines = KNOWN_RED.read_text(encoding="utf-8").splitlines()
+    listed = [line.removeprefix(PREFIX) for line in lines if line.startswith(PREFIX)]
+    return int(pytest.main(sys.argv[1:], plugins=[KnownRed(listed)]))
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/testing/test_acceptance.py
@@ -0,0 +1,210 @@
+"""Runs the real programs as separate processes and reads what callers get."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+from pathlib import Path
+from typing import Any
+
+import callers
+from cluster import TIMERS
+from cluster import Cluster
+from cluster import create_uuid7
+from testtools.assertions import assert_that
+from testtools.matchers import AllMatch
+from testtools.matchers import Contains
+from testtools.matchers import Equals
+from testtools.matchers import GreaterThan
+from testtools.matchers import LessThan
+
+STREAMS = 12
+TOKENS = 80
+CHUNKS_BEFORE_FAULT = 8
+
+
+def small_configuration() -> dict[str, Any]:
+    return {
+        "preset_in_force": "ordinary",
+        "presets": {"ordinary": {}, "peak": {"copies": {"allowances": 2}}},
+        "pools": {
+            "assistant": {"memory": "320 GiB", "kv_reserve": "80 GiB", "slots": 16},
+            "ledger": {"slots": 8},
+        },
+        "classes": {
+            "crew": {
+                "priority": 1,
+                "first_token": "840 ms",
+                "between_tokens": "66 ms",
+                "whole": "10 s",
+                "queue_bound": "10 s",
+            }
+        },
+        "models": {"allowances": {"versions": {"1": {"weights": "16 GiB"}}}},
+        "adapters": {"jadran": {"model": "allowances", "weights": "256 MiB"}},
+        "deployments": {
+            "allowances": {
+                "pool": "assistant",
+                "model": "allowances",
+                "version": "1",
+                "adapters": ["jadran"],
+                "copies": 2,
+            }
+        },
+        "services": {
+            "ledger": {
+                "pool": "ledger",
+                "unrepeatable": [{"methods": ["POST"], "path": "/payouts"}],
+            }
+        },
+        "tenants": {"jadran": {"uses": ["allowances", "ledger"]}},
+        "callers": {
+            "rigger": {"tenant": "jadran", "service_class": "crew", "key_hashes": []}
+        },
+    }
+
+
+async def start_installation(cluster: Cluster) -> None:
+    await cluster.start_platform()
+    for number in range(2):
+        await cluster.start_engine(f"engine-{number}")
+        await cluster.start_side(
+            f"assistant-{number}", "assistant", "engine", f"engine-{number}"
+        )
+    await cluster.start_service("ledger")
+    await cluster.start_side("ledger-0", "ledger", "service", "ledger")
+    for number in range(2):
+        await cluster.start_entry(f"entry-{number}")
+    await cluster.publish(small_configuration())
+    for number in range(2):
+        entry = f"entry-{number}"
+        await cluster.wait_for_model("rigger", "allowances", entry)
+        await cluster.wait_for_path("rigger", entry, "/services/ledger/balances")
+    await wait_for_copies(cluster, "allowances@1", 2)
+
+
+async def wait_for_copies(cluster: Cluster, name: str, copies: int) -> None:
+    for _ in range(200):
+        resident = [
+            dict((await cluster.get_json(f"{cluster.url(engine)}/state"))["resident"])
+            for engine in ("engine-0", "engine-1")
+        ]
+        if sum(name in item for item in resident) == copies:
+            return
+        await TIMERS.sleep_ms(50)
+    raise AssertionError(f"{name} has no {copies} copies")
+
+
+def test_killed_side_and_leaving_entry_cost_no_caller_its_answer(
+    tmp_path: Path,
+) -> None:
+    asyncio.run(_kill_side_and_stop_entry(tmp_path))
+
+
+async def _kill_side_and_stop_entry(folder: Path) -> None:
+    async with Cluster(folder) as cluster:
+        await start_installation(cluster)
+        await _wait_for_both_copies_at_entries(cluster)
+        streaming = asyncio.Event()
+        ready: set[int] = set()
+
+        def note(number: int, chunks: int) -> None:
+            if chunks >= CHUNKS_BEFORE_FAULT:
+                ready.add(number)
+            if len(ready) == STREAMS:
+                streaming.set()
+
+        requests = [
+            {
+                "model": "allowances:jadran" if number % 2 else "allowances",
+                "messages": [{"role": "user", "content": f"allowance {number}?"}],
+                "max_tokens": TOKENS,
+            }
+            for number in range(STREAMS)
+        ]
+        streams = [
+            asyncio.create_task(
+                callers.stream_chat(
+                    cluster.session,
+                    cluster.url(f"entry-{number % 2}"),
+                    cluster.keys["rigger"],
+                    request,
+                    on_chunk=lambda chunks, number=number: note(number, chunks),
+                )
+            )
+            for number, request in enumerate(requests)
+        ]
+        payouts = asyncio.create_task(_send_payouts(cluster, 40))
+        async with TIMERS.timeout_ms(30_000):
+            await streaming.wait()
+        cluster.signal("assistant-0", signal.SIGKILL)
+        cluster.signal("entry-0", signal.SIGTERM)
+        replies = await asyncio.gather(*streams)
+        for request, reply in zip(requests, replies, strict=True):
+            assert_that(reply.error, Equals(None))
+            assert_that(reply.text, Equals(callers.whole_text(request)))
+        await _check_payouts(cluster, await payouts)
+        assert_that(await cluster.wait_for_exit("entry-0"), Equals(0))
+        logged = [line["message"] for line in cluster.log_lines("entry-1")]
+        assert_that(logged, Contains("answered"))
+
+
+async def _wait_for_both_copies_at_entries(cluster: Cluster) -> None:
+    """Wait for the next hello, so that both copies get streams."""
+    for _ in range(200):
+        started = [
+            (await cluster.get_json(f"{cluster.url(engine)}/records"))["started"]
+            for engine in ("engine-0", "engine-1")
+        ]
+        if all(started):
+            return
+        for entry in ("entry-0", "entry-1"):
+            await cluster.wait_for_model("rigger", "allowances", entry)
+            await cluster.wait_for_model("rigger", "allowances:jadran", entry)
+    raise AssertionError("one copy gets no requests")
+
+
+async def _send_payouts(cluster: Cluster, count: int) -> dict[str, list[callers.Reply]]:
+    """Send each payout twice at once, as an anxious caller does.
+
+    The balancer's part is played here: only entries that are ready get requests.
+    """
+    replies: dict[str, list[callers.Reply]] = {}
+    for number in range(count):
+        key = create_uuid7()
+        ready = await cluster.ready_entries(("entry-0", "entry-1"))
+        replies[key] = await asyncio.gather(
+            *(
+                callers.call_service(
+                    cluster.session,
+                    f"{cluster.url(entry)}/services/ledger/payouts",
+                    cluster.keys["rigger"],
+                    key,
+                    {"payout": number},
+                )
+                for entry in (ready[0], ready[-1])
+            )
+        )
+    return replies
+
+
+async def _check_payouts(
+    cluster: Cluster, replies: dict[str, list[callers.Reply]]
+) -> None:
+    executions = await cluster.get_json(f"{cluster.url('ledger')}/executions")
+    assert_that(list(executions.values()), AllMatch(Equals(1)))
+    answered = 0
+    for key, pair in replies.items():
+        answers = {reply.text for reply in pair if reply.answered}
+        assert_that(len(answers), LessThan(2))
+        answered += any(reply.answered for reply in pair)
+        for reply in pair:
+            if reply.answered:
+                assert_that(executions.get(key), Equals(1))
+        if all(_not_run(reply) for reply in pair):
+            assert_that(executions.get(key, 0), Equals(0))
+    assert_that(answered, GreaterThan(0))
+
+
+def _not_run(reply: callers.Reply) -> bool:
+    return reply.status == 0 or (reply.error or {}).get("ran") == "no"
