--- /dev/null
+++ b/testing/installation.py
@@ -0,0 +1,358 @@
+"""The roles' own code on a manual clock, joined to stand-ins through the ports."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import AsyncIterator
+from collections.abc import Awaitable
+from collections.abc import Callable
+from dataclasses import dataclass
+from random import Random
+from typing import Any
+from typing import TypeVar
+from uuid import UUID
+
+from copperrun.adapters.wire import checksum
+from copperrun.configuration.changes import STREAM
+from copperrun.configuration.changes import Change
+from copperrun.configuration.changes import encode_record
+from copperrun.configuration.changes import objects_of
+from copperrun.embedded.clock import ManualTimers
+from copperrun.embedded.clock import run_until
+from copperrun.embedded.engine import EngineStandIn
+from copperrun.embedded.engine import TokenTimes
+from copperrun.embedded.instances import InstancesStandIn
+from copperrun.embedded.log import LogStandIn
+from copperrun.embedded.service import ServiceStandIn
+from copperrun.embedded.weights import OpenWeights
+from copperrun.entry.callers import create_key
+from copperrun.entry.callers import hash_key
+from copperrun.entry.gateway import CallerRequest
+from copperrun.entry.gateway import new_request_id
+from copperrun.entry.process import EntryPorts
+from copperrun.entry.process import EntryProcess
+from copperrun.entry.requests import COMPLETIONS_PATH
+from copperrun.model import Answer
+from copperrun.model import Attempt
+from copperrun.model import AttemptId
+from copperrun.model import Chunk
+from copperrun.model import Instance
+from copperrun.model import Refusal
+from copperrun.model import Role
+from copperrun.model import StreamEnd
+from copperrun.ports.sides import SideError
+from copperrun.ports.sides import SideErrorReason
+from copperrun.ports.sides import SideReply
+from copperrun.ports.sides import SideStatus
+from copperrun.ports.sides import StreamItem
+from copperrun.side.agent import Agent
+from copperrun.side.process import SideIdentity
+from copperrun.side.process import SidePorts
+from copperrun.side.process import SideProcess
+
+GIB = 2**30
+T = TypeVar("T")
+
+
+class NullMetrics:
+    """Takes every measurement and keeps none."""
+
+    def __getattr__(self, name: str) -> Callable[..., None]:
+        return lambda *_, **__: None
+
+
+@dataclass
+class LinkFaults:
+    """Faults on the way to one side.
+
+    Attributes:
+        cut: Nothing gets through.
+        lose_requests: Next attempts lost on the way, of which nothing is heard.
+        lose_answers: Next attempts whose answers are lost.
+        cut_streams_after: Chunks after which the next stream breaks; 0 for never.
+        delay_ms: Time that an attempt takes on the way.
+    """
+
+    cut: bool = False
+    lose_requests: int = 0
+    lose_answers: int = 0
+    cut_streams_after: int = 0
+    delay_ms: int = 0
+
+
+class DirectSides:
+    """Calls the sides of the same process, with faults on the way."""
+
+    def __init__(self, timers: ManualTimers) -> None:
+        self.processes: dict[str, SideProcess] = {}
+        self.faults: dict[str, LinkFaults] = {}
+        self._timers = timers
+
+    async def submit(self, address: str, attempt: Attempt) -> SideReply:
+        agent = self._agent(address)
+        if agent is None:
+            return SideReply(SideError(SideErrorReason.UNREACHABLE, "refused"))
+        faults = self.faults[address]
+        if faults.delay_ms:
+            await self._timers.sleep_ms(faults.delay_ms)
+        if faults.lose_requests > 0:
+            faults.lose_requests -= 1
+            return SideReply(SideError(SideErrorReason.ANSWER_LOST, "reset"))
+        outcome = await agent.submit(attempt)
+        if faults.cut or faults.lose_answers > 0:
+            faults.lose_answers -= 1
+            return SideReply(SideError(SideErrorReason.ANSWER_LOST, "reset"))
+        return SideReply(outcome, agent.load())
+
+    async def stream(self, address: str, attempt: Attempt) -> AsyncIterator[StreamItem]:
+        agent = self._agent(address)
+        if agent is None:
+            yield SideError(SideErrorReason.UNREACHABLE, "refused")
+            return
+        faults = self.faults[address]
+        parts: list[bytes] = []
+        items = agent.stream(attempt)
+        try:
+            async for item in items:
+                if isinstance(item, Refusal):
+                    yield item
+                    return
+                yield Chunk(len(parts), item)
+                parts.append(item.encode())
+                if faults.cut or 0 < faults.cut_streams_after <= len(parts):
+                    faults.cut_streams_after = 0
+                    yield SideError(SideErrorReason.ANSWER_LOST, "reset")
+                    return
+            yield StreamEnd(len(parts), checksum(parts))
+        finally:
+            await items.aclose()  # type: ignore[attr-defined]
+
+    async def cancel(self, address: str, attempt_id: AttemptId) -> bool | SideError:
+        agent = self._agent(address)
+        if agent is None:
+            return SideError(SideErrorReason.UNREACHABLE, "refused")
+        return agent.cancel(attempt_id)
+
+    async def hello(self, address: str) -> SideStatus | SideError:
+        if self._agent(address) is None:
+            return SideError(SideErrorReason.UNREACHABLE, "refused")
+        return self.processes[address].status()
+
+    def _agent(self, address: str) -> Agent | None:
+        process = self.processes.get(address)
+        if process is None or self.faults[address].cut:
+            return None
+        return process.agent
+
+
+class TestInstallation:
+    """Entries and sides with stand-ins; every task ends on leaving the context."""
+
+    __test__ = False
+
+    def __init__(self, *, seed: int = 1) -> None:
+        self.timers = ManualTimers()
+        self.log = LogStandIn(self.timers)
+        self.instances = InstancesStandIn(self.timers)
+        self.weights = OpenWeights(self.timers, load_ms=100)
+        self.service = ServiceStandIn(self.timers)
+        self.sides = DirectSides(self.timers)
+        self.engines: dict[str, EngineStandIn] = {}
+        self.entries: dict[str, EntryProcess] = {}
+        self.keys: dict[str, str] = {}
+        self._random = Random(seed)
+        self._tasks: dict[str, asyncio.Task[None]] = {}
+        self._key_count = 0
+
+    async def __aenter__(self) -> TestInstallation:
+        return self
+
+    async def __aexit__(self, *exc_info: object) -> None:
+        for entry in self.entries.values():
+            entry.close()
+        others = asyncio.all_tasks() - {asyncio.current_task()}
+        for task in others:
+            task.cancel()
+        await asyncio.gather(*others, return_exceptions=True)
+
+    def add_engine(
+        self, name: str, *, memory_gib: int = 320, checks_orders: bool = True
+    ) -> EngineStandIn:
+        engine = EngineStandIn(
+            self.timers,
+            self.weights,
+            memory_bytes=memory_gib * GIB,
+            kv_reserve_bytes=80 * GIB,
+            checks_orders=checks_orders,
+            times=TokenTimes(prefill_ms=0.1, step_ms=10.0),
+        )
+        self.engines[name] = engine
+        return engine
+
+    def start_engine_side(self, name: str, **engine: Any) -> SideProcess:
+        if name not in self.engines:
+            self.add_engine(name, **engine)
+        return self._start_side(name, "assistant", self.engines[name])
+
+    def start_service_side(self, name: str) -> SideProcess:
+        return self._start_side(name, "ledger", self.service)
+
+    def stop_side(self, name: str) -> None:
+        """End a side at once, as SIGKILL does; its backend server goes on."""
+        del self.sides.processes[name]
+        self._tasks.pop(name).cancel()
+
+    def start_entry(self, name: str) -> EntryProcess:
+        ports = EntryPorts(
+            self.log, self.instances, self.sides, self.timers, NullMetrics()
+        )
+        entry = EntryProcess(
+            name, ports, default_deadline_ms=30_000, random=self._random
+        )
+        self.entries[name] = entry
+        self.instances.put(Instance(name, name, "z1", "r1", Role.ENTRY))
+        self._tasks[name] = asyncio.create_task(entry.run())
+        return entry
+
+    async def publish(self, raw: dict[str, Any], *, base: int = -1) -> None:
+        for name, caller in raw["callers"].items():
+            self.keys.setdefault(name, create_key(name))
+            caller["key_hashes"] = [hash_key(self.keys[name])]
+        change = Change(f"change-{base}", "test", base, 0, objects_of(raw))
+        await self.wait(self.log.append(STREAM, [encode_record(change)]))
+
+    async def wait(self, work: Awaitable[T], *, limit_ms: int = 120_000) -> T:
+        """Turn the clock until ``work`` is done."""
+        fut = asyncio.ensure_future(work)
+        await run_until(self.timers, fut, limit_ms)
+        return await fut
+
+    def request(
+        self, body: bytes, *, path: str = COMPLETIONS_PATH, key: str = "", **fields: Any
+    ) -> CallerRequest:
+        return CallerRequest(
+            id=new_request_id(),
+            arrived_ms=self.timers.now_ms(),
+            authorization=f"Bearer {self.keys['rigger']}",
+            deadline=fields.get("deadline"),
+            idempotency_key=key,
+            method=fields.get("method", "POST"),
+            path=path,
+            content_type="application/json",
+            body=body,
+        )
+
+    async def call(
+        self, key: str, body: bytes = b"{}", *, entry: str = "entry-0", **fields: Any
+    ) -> Answer | Refusal:
+        """Send an unrepeatable call through an entry."""
+        gateway = self.entries[entry].gateway
+        request = self.request(body, path="/payouts", key=key, **fields)
+        admitted = gateway.admit_service(request, "ledger")
+        if isinstance(admitted, Refusal):
+            return admitted
+        return await gateway.submit(admitted)
+
+    async def complete(
+        self, body: bytes, *, entry: str = "entry-0", **fields: Any
+    ) -> Answer | Refusal:
+        """Send a completion through an entry."""
+        gateway = self.entries[entry].gateway
+        admitted = gateway.admit_model(self.request(body, **fields))
+        if isinstance(admitted, Refusal):
+            return admitted
+        return await gateway.submit(admitted)
+
+    async def stream(
+        self, body: bytes, *, entry: str = "entry-0"
+    ) -> list[str | Refusal]:
+        """Send a streamed completion and return everything that came."""
+        gateway = self.entries[entry].gateway
+        admitted = gateway.admit_model(self.request(body))
+        if isinstance(admitted, Refusal):
+            return [admitted]
+        return [item async for item in gateway.stream(admitted)]
+
+    def new_key(self, *, age_ms: int = 0) -> str:
+        """Return an idempotency key made ``age_ms`` ago."""
+        self._key_count += 1
+        time_ms = self.timers.wall_ms() - age_ms
+        return str(UUID(int=time_ms << 80 | 7 << 76 | 2 << 62 | self._key_count))
+
+    def _start_side(
+        self, name: str, pool: str, backend: EngineStandIn | ServiceStandIn
+    ) -> SideProcess:
+        identity = SideIdentity(name, pool, pool == "assistant", 100.0)
+        ports = SidePorts(
+            self.log,
+            self.instances,
+            self.weights,
+            backend,
+            self.timers,
+            NullMetrics(),
+        )
+        process = SideProcess(identity, ports)
+        self.sides.processes[name] = process
+        self.sides.faults.setdefault(name, LinkFaults())
+        number = int(name.rsplit("-", 1)[1])
+        zone, region = f"z{number % 2}", f"r{number % 2}"
+        self.instances.put(Instance(name, name, zone, region, Role.SIDE, pool))
+        self._tasks[name] = asyncio.create_task(process.run())
+        return process
+
+
+def small_configuration() -> dict[str, Any]:
+    """Return a configuration with one model, one adapter and one service."""
+    return {
+        "preset_in_force": "ordinary",
+        "presets": {"ordinary": {}, "peak": {"copies": {"allowances": 2}}},
+        "pools": {
+            "assistant": {
+                "memory": "320 GiB",
+                "kv_reserve": "80 GiB",
+                "slots": 16,
+                "checks_orders": True,
+            },
+            "ledger": {"slots": 8},
+        },
+        "classes": {
+            "crew": {
+                "priority": 1,
+                "first_token": "840 ms",
+                "between_tokens": "66 ms",
+                "whole": "10 s",
+                "queue_bound": "10 s",
+            }
+        },
+        "models": {"allowances": {"versions": {"1": {"weights": "16 GiB"}}}},
+        "adapters": {"jadran": {"model": "allowances", "weights": "256 MiB"}},
+        "deployments": {
+            "allowances": {
+                "pool": "assistant",
+                "model": "allowances",
+                "version": "1",
+                "adapters": ["jadran"],
+                "copies": 2,
+            }
+        },
+        "services": {
+            "ledger": {
+                "pool": "ledger",
+                "unrepeatable": [{"methods": ["POST"], "path": "/payouts"}],
+            }
+        },
+        "tenants": {"jadran": {"uses": ["allowances", "ledger"]}},
+        "callers": {
+            "rigger": {"tenant": "jadran", "service_class": "crew", "key_hashes": []}
+        },
+    }
+
+
+async def start_small(installation: TestInstallation) -> None:
+    """Start two engines, two service sides and an entry, and settle."""
+    for number in range(2):
+        installation.start_engine_side(f"assistant-{number}")
+        installation.start_service_side(f"ledger-{number}")
+    installation.start_entry("entry-0")
+    await installation.publish(small_configuration())
+    await installation.timers.advance(5_000)
--- a/testing/test_acceptance.py
+++ b/testing/test_acceptance.py
@@ -5,12 +5,12 @@
 import asyncio
 import signal
 from pathlib import Path
-from typing import Any
 
 import callers
 from cluster import TIMERS
 from cluster import Cluster
 from cluster import create_uuid7
+from installation import small_configuration
 from testtools.assertions import assert_that
 from testtools.matchers import AllMatch
 from testtools.matchers import Contains
@@ -23,47 +23,6 @@
 CHUNKS_BEFORE_FAULT = 8
 
 
-def small_configuration() -> dict[str, Any]:
-    return {
-        "preset_in_force": "ordinary",
-        "presets": {"ordinary": {}, "peak": {"copies": {"allowances": 2}}},
-        "pools": {
-            "assistant": {"memory": "320 GiB", "kv_reserve": "80 GiB", "slots": 16},
-            "ledger": {"slots": 8},
-        },
-        "classes": {
-            "crew": {
-                "priority": 1,
-                "first_token": "840 ms",
-                "between_tokens": "66 ms",
-                "whole": "10 s",
-                "queue_bound": "10 s",
-            }
-        },
-        "models": {"allowances": {"versions": {"1": {"weights": "16 GiB"}}}},
-        "adapters": {"jadran": {"model": "allowances", "weights": "256 MiB"}},
-        "deployments": {
-            "allowances": {
-                "pool": "assistant",
-                "model": "allowances",
-                "version": "1",
-                "adapters": ["jadran"],
-                "copies": 2,
-            }
-        },
-        "services": {
-            "ledger": {
-                "pool": "ledger",
-                "unrepeatable": [{"methods": ["POST"], "path": "/payouts"}],
-            }
-        },
-        "tenants": {"jadran": {"uses": ["allowances", "ledger"]}},
-        "callers": {
-            "rigger": {"tenant": "jadran", "service_class": "crew", "key_hashes": []}
-        },
-    }
-
-
 async def start_installation(cluster: Cluster) -> None:
     await cluster.start_platform()
     for number in range(2):
