--- a/src/copperrun/once/keys.py
+++ b/src/copperrun/once/keys.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import os
 from uuid import UUID
 
 import xxhash
@@ -13,6 +14,13 @@
 CLOCK_SKEW_MS = 300_000  # by which a caller's clock may be off
 
 
+def create_idempotency_key(now_ms: int) -> str:
+    """Return a new key for a Unix time in milliseconds."""
+    number = now_ms << 80 | int.from_bytes(os.urandom(10))
+    number = number & ~(0xF << 76) | 7 << 76
+    return str(UUID(int=number & ~(3 << 62) | 2 << 62))
+
+
 def key_time_ms(key: str) -> int | Refusal:
     """Return the Unix time in a key, in milliseconds, or why it is no key."""
     try:
--- a/testing/cluster.py
+++ b/testing/cluster.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import json
-import os
 import signal
 import socket
 import subprocess
@@ -12,7 +11,6 @@
 from collections.abc import Sequence
 from pathlib import Path
 from typing import Any
-from uuid import UUID
 
 import aiohttp
 import yaml
@@ -28,13 +26,6 @@
 BIN = Path(sys.executable).parent
 
 
-def create_uuid7() -> str:
-    """Return a new idempotency key."""
-    number = TIMERS.wall_ms() << 80 | int.from_bytes(os.urandom(10))
-    number = number & ~(0xF << 76) | 7 << 76
-    return str(UUID(int=number & ~(3 << 62) | 2 << 62))
-
-
 def free_ports(count: int) -> list[int]:
     """Return ports that were free a moment ago."""
     sockets = [socket.socket() for _ in range(count)]
--- a/testing/test_acceptance.py
+++ b/testing/test_acceptance.py
@@ -9,7 +9,6 @@
 import callers
 from cluster import TIMERS
 from cluster import Cluster
-from cluster import create_uuid7
 from installation import small_configuration
 from testtools.assertions import assert_that
 from testtools.matchers import AllMatch
@@ -18,6 +17,8 @@
 from testtools.matchers import GreaterThan
 from testtools.matchers import LessThan
 
+from copperrun.once.keys import create_idempotency_key
+
 STREAMS = 12
 TOKENS = 80
 CHUNKS_BEFORE_FAULT = 8
@@ -130,7 +131,7 @@
     """
     replies: dict[str, list[callers.Reply]] = {}
     for number in range(count):
-        key = create_uuid7()
+        key = create_idempotency_key(TIMERS.wall_ms())
         ready = await cluster.ready_entries(("entry-0", "entry-1"))
         replies[key] = await asyncio.gather(
             *(
