Check the callers' and operators' interfaces on real processes

Cause: the interface was checked by hand only. Found: metrics carried three empty scope labels on each sample (now off); the engine stand-in did not note generations cut by a closed connection (now it does).

--- a/src/copperrun/adapters/metrics.py
+++ b/src/copperrun/adapters/metrics.py
@@ -30,7 +30,7 @@
             aggregation=ExplicitBucketHistogramAggregation(BUCKETS_S),
         )
         provider = MeterProvider(
-            [PrometheusMetricReader()],
+            [PrometheusMetricReader(scope_info_enabled=False)],
             exemplar_filter=AlwaysOffExemplarFilter(),
             views=[view],
         )
--- a/src/copperrun/configuration/schema.py
+++ b/src/copperrun/configuration/schema.py
@@ -188,7 +188,7 @@
 
     tenant: str
     service_class: str
-    key_hashes: tuple[KeyHash, ...]
+    key_hashes: tuple[KeyHash, ...] = ()
     requests_per_second: Annotated[float, Field(gt=0)] = 100.0
     burst: Annotated[int, Field(ge=1)] = 100
 
--- a/src/copperrun/embedded/engine.py
+++ b/src/copperrun/embedded/engine.py
@@ -119,7 +119,7 @@
     ) -> None:
         self.faults = EngineFaults()
         self.started: list[EngineRecord] = []
-        self.cancelled: list[str] = []
+        self.unfinished: list[str] = []
         self.memory_high_water = kv_reserve_bytes
         self._timers = timers
         self._weights = weights
@@ -153,7 +153,7 @@
         request = json.loads(call.body)
         async for token in self._generate(call, request):
             parts.append(token)
-        if call.request_id in self.cancelled:
+        if call.request_id in self.unfinished:
             return EngineError(EngineErrorReason.ANSWER_LOST, "cancelled")
         body = _completion(call, request, "".join(parts), len(parts))
         return Answer(200, "application/json", json.dumps(body).encode())
@@ -172,7 +172,7 @@
             if 0 < self.faults.cut_streams_after <= sent:
                 yield EngineError(EngineErrorReason.ANSWER_LOST, "stream cut")
                 return
-        if call.request_id in self.cancelled:
+        if call.request_id in self.unfinished:
             yield EngineError(EngineErrorReason.ANSWER_LOST, "cancelled")
             return
         yield json.dumps(_chunk(call, request, "", "stop"))
@@ -184,7 +184,6 @@
         stop = self._running.get(request_id)
         if stop is not None:
             stop.set()
-            self.cancelled.append(request_id)
         return None
 
     async def order(self, order: Order) -> EngineState | EngineError:
@@ -251,6 +250,7 @@
         self, call: EngineCall, request: dict[str, Any]
     ) -> AsyncIterator[str]:
         stop = self._running.setdefault(call.request_id, asyncio.Event())
+        finished = False
         try:
             await self._pause(self._prefill_ms(call, request))
             for index, token in enumerate(_tokens(call, request)):
@@ -260,7 +260,10 @@
                     return
                 await self._pause(self._step_ms())
                 yield token
+            finished = True
         finally:
+            if not finished:
+                self.unfinished.append(call.request_id)
             self._running.pop(call.request_id, None)
 
     async def _pause(self, delay_ms: float) -> None:
--- a/src/copperrun/embedded/http.py
+++ b/src/copperrun/embedded/http.py
@@ -199,7 +199,7 @@
         return json_response(
             {
                 "started": [list(record) for record in self._engine.started],
-                "cancelled": self._engine.cancelled,
+                "unfinished": self._engine.unfinished,
                 "running": self._engine.running,
                 "memory_high_water": self._engine.memory_high_water,
                 "memory_bytes": self._engine.memory_bytes,
--- a/testing/cluster.py
+++ b/testing/cluster.py
@@ -124,6 +124,13 @@
             subprocess.run, command, capture_output=True, text=True, check=False
         )
 
+    async def run_daemon_once(self, path: Path) -> subprocess.CompletedProcess[str]:
+        """Run ``copperrund`` with settings that it must refuse."""
+        command = [str(BIN / "copperrund"), f"--settings={path}"]
+        return await asyncio.to_thread(
+            subprocess.run, command, capture_output=True, text=True, check=False
+        )
+
     def signal(self, name: str, number: signal.Signals) -> None:
         self._processes[name].send_signal(number)
 
