Show that each promise's tests notice a broken mechanism

Cause: tests that passed the first time prove nothing; make mutants breaks one mechanism at a time in a scratch copy and runs the test named for it. Found: 4 of 16 broken mechanisms passed. Three were weak tests: the resumed stream never met the cut side, the delayed message died with its sender, the drain was shorter than the connections' own closing time. One was a test that looked at the entry's choice in place of the side's refusal. The stand-in for the network now gives every message a task of its own, so that a message arrives when its sender has given up. Also: a server closes 0.1 s after its drain (1 s before), since the roles drain first.

--- a/src/copperrun/adapters/server.py
+++ b/src/copperrun/adapters/server.py
@@ -19,6 +19,7 @@
 
 MAX_HEADER_BYTES = 16 * 1024
 SWEEP_MS = 1_000
+SHUTDOWN_S = 0.1  # the roles drain their requests before they close a server
 OPEN_PATHS = frozenset({"/healthz", "/readyz"})
 
 Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
@@ -55,7 +56,7 @@
             access_log=None,
             max_line_size=MAX_HEADER_BYTES,
             max_field_size=MAX_HEADER_BYTES,
-            shutdown_timeout=1.0,
+            shutdown_timeout=SHUTDOWN_S,
         )
         self._site: web.BaseSite | None = None
         self._sweep: Subscription | None = None
--- a/src/copperrun/embedded/clock.py
+++ b/src/copperrun/embedded/clock.py
@@ -72,6 +72,11 @@
             await settle()
         self._now_ms = end
 
+    async def advance_to_next(self, limit_ms: float) -> None:
+        """Move the clock to the next thing due, at most by ``limit_ms``."""
+        due = self._waiting[0][0] if self._waiting else self._now_ms + limit_ms
+        await self.advance(min(limit_ms, max(0.0, due - self._now_ms)))
+
     def _call_later(self, delay_ms: float, callback: Callable[[], None]) -> None:
         due = self._now_ms + delay_ms
         heapq.heappush(self._waiting, (due, next(self._order), callback))
@@ -109,7 +114,8 @@
         TimeoutError: It was not done after ``limit_ms``.
     """
     end = timers.now_ms() + limit_ms
+    await settle()
     while not fut.done():
         if timers.now_ms() >= end:
             raise TimeoutError(f"not done after {limit_ms} ms")
-        await timers.advance(1)
+        await timers.advance_to_next(limit_ms)
--- a/src/copperrun/embedded/log.py
+++ b/src/copperrun/embedded/log.py
@@ -29,6 +29,7 @@
         late_appends: Next appends that fail with a lost answer and take effect
             ``late_ms`` later.
         late_ms: Delay of late appends.
+        late_match: Text in the records that are late; any when empty.
     """
 
     down: bool = False
@@ -36,6 +37,7 @@
     lose_answers: int = 0
     late_appends: int = 0
     late_ms: int = 1_000
+    late_match: str = ""
 
 
 class _Kept(NamedTuple):
@@ -75,7 +77,7 @@
         if self.faults.down:
             return LogError(LogErrorReason.UNAVAILABLE, "log is down")
         await self._wait_for_rate()
-        if self.faults.late_appends > 0:
+        if self.faults.late_appends > 0 and self.faults.late_match in records[0]:
             self.faults.late_appends -= 1
             task = asyncio.create_task(self._append_late(stream, list(records)))
             self._late.add(task)
--- a/testing/installation.py
+++ b/testing/installation.py
@@ -93,12 +93,14 @@
         if agent is None:
             return SideReply(SideError(SideErrorReason.UNREACHABLE, "refused"))
         faults = self.faults[address]
-        if faults.delay_ms:
-            await self._timers.sleep_ms(faults.delay_ms)
         if faults.lose_requests > 0:
             faults.lose_requests -= 1
             return SideReply(SideError(SideErrorReason.ANSWER_LOST, "reset"))
-        outcome = await agent.submit(attempt)
+        handler = asyncio.create_task(self._deliver(agent, attempt, faults))
+        if faults.delay_ms:
+            # A message on its way arrives even when its sender gives up.
+            return SideReply(await asyncio.shield(handler))
+        outcome = await handler
         if faults.cut or faults.lose_answers > 0:
             faults.lose_answers -= 1
             return SideReply(SideError(SideErrorReason.ANSWER_LOST, "reset"))
@@ -109,23 +111,19 @@
         if agent is None:
             yield SideError(SideErrorReason.UNREACHABLE, "refused")
             return
-        faults = self.faults[address]
-        parts: list[bytes] = []
-        items = agent.stream(attempt)
+        items: asyncio.Queue[StreamItem] = asyncio.Queue()
+        handler = asyncio.create_task(
+            _stream_into(items, agent, attempt, self.faults[address])
+        )
         try:
-            async for item in items:
-                if isinstance(item, Refusal):
-                    yield item
-                    return
-                yield Chunk(len(parts), item)
-                parts.append(item.encode())
-                if faults.cut or 0 < faults.cut_streams_after <= len(parts):
-                    faults.cut_streams_after = 0
-                    yield SideError(SideErrorReason.ANSWER_LOST, "reset")
+            while True:
+                item = await items.get()
+                yield item
+                if not isinstance(item, Chunk):
                     return
-            yield StreamEnd(len(parts), checksum(parts))
         finally:
-            await items.aclose()  # type: ignore[attr-defined]
+            # The end of a connection ends its handler at the side.
+            handler.cancel()
 
     async def cancel(self, address: str, attempt_id: AttemptId) -> bool | SideError:
         agent = self._agent(address)
@@ -138,6 +136,13 @@
             return SideError(SideErrorReason.UNREACHABLE, "refused")
         return self.processes[address].status()
 
+    async def _deliver(
+        self, agent: Agent, attempt: Attempt, faults: LinkFaults
+    ) -> Answer | Refusal:
+        if faults.delay_ms:
+            await self._timers.sleep_ms(faults.delay_ms)
+        return await agent.submit(attempt)
+
     def _agent(self, address: str) -> Agent | None:
         process = self.processes.get(address)
         if process is None or self.faults[address].cut:
@@ -145,6 +150,23 @@
         return process.agent
 
 
+async def _stream_into(
+    items: asyncio.Queue[StreamItem], agent: Agent, attempt: Attempt, faults: LinkFaults
+) -> None:
+    parts: list[bytes] = []
+    async for item in agent.stream(attempt):
+        if isinstance(item, Refusal):
+            items.put_nowait(item)
+            return
+        items.put_nowait(Chunk(len(parts), item))
+        parts.append(item.encode())
+        if faults.cut or 0 < faults.cut_streams_after <= len(parts):
+            faults.cut_streams_after = 0
+            items.put_nowait(SideError(SideErrorReason.ANSWER_LOST, "reset"))
+            return
+    items.put_nowait(StreamEnd(len(parts), checksum(parts)))
+
+
 class TestInstallation:
     """Entries and sides with stand-ins; every task ends on leaving the context."""
 
--- /dev/null
+++ b/testing/mutants.py
@@ -0,0 +1,202 @@
+"""Breaks each promise's mechanism in a scratch copy and shows that a test notices.
+
+Prints a table; exits 1 when a broken mechanism passed its tests.
+"""
+
+from __future__ import annotations
+
+import os
+import shutil
+import subprocess
+import sys
+import tempfile
+from pathlib import Path
+from typing import NamedTuple
+
+ROOT = Path(__file__).parent.parent
+TEST_LIMIT_S = 120
+
+
+class Mutant(NamedTuple):
+    """One mechanism broken.
+
+    Attributes:
+        promise: Promise that the mechanism keeps.
+        file: Module below ``src/copperrun``.
+        old: Text of the mechanism.
+        new: Text that breaks it.
+        test: Test that must fail.
+    """
+
+    promise: str
+    file: str
+    old: str
+    new: str
+    test: str
+
+
+MUTANTS = (
+    Mutant(
+        "memory",
+        "placement/ledger.py",
+        "if size_bytes > self.free_bytes:",
+        "if size_bytes > self.capacity_bytes:",
+        "test_placement.py::test_load_without_room_is_refused_before_it_is_ordered",
+    ),
+    Mutant(
+        "memory",
+        "placement/orders.py",
+        "if _has_effect(order, state) or (expired and not state.busy):",
+        "if not state.busy:",
+        "test_placement.py::test_unsettled_order_keeps_its_reservation",
+    ),
+    Mutant(
+        "reachable",
+        "placement/homes.py",
+        "    for index in range(max(copies.values(), default=0)):\n"
+        "        for name in by_size:\n",
+        "    for name in reversed(by_size):\n"
+        "        for index in range(max(copies.values()) * 5):\n"
+        "            copies[name] = 6\n",
+        "test_placement.py::test_every_deployment_has_its_copies_within_memory",
+    ),
+    Mutant(
+        "reachable",
+        "routing/router.py",
+        "            [peer for peer in pool if peer.instance.id in homes],\n",
+        "",
+        "test_routing.py::test_home_that_has_not_reported_the_model_is_tried_after_"
+        "known_holders",
+    ),
+    Mutant(
+        "whole answer",
+        "adapters/sides.py",
+        "if not event.id.startswith(prefix):",
+        "if False:",
+        "test_sides.py::test_chunks_of_another_attempt_never_reach_the_caller",
+    ),
+    Mutant(
+        "whole answer",
+        "routing/dispatcher.py",
+        "            resume_chunks=len(texts),",
+        "            resume_chunks=0,",
+        "test_installation.py::test_stream_cut_midway_is_resumed_whole_on_another_side",
+    ),
+    Mutant(
+        "not run",
+        "admission/attempts.py",
+        "            self._add(attempt_id, _Entry(AttemptState.CANCELLED))\n",
+        "",
+        "test_installation.py::test_late_copy_of_a_cancelled_attempt_does_not_run",
+    ),
+    Mutant(
+        "not run",
+        "routing/dispatcher.py",
+        "ran = Ran.NO if started is False else Ran.UNKNOWN",
+        "ran = Ran.NO",
+        "test_installation.py::test_lost_answer_of_an_unrepeatable_call_is_not_"
+        "executed_again",
+    ),
+    Mutant(
+        "at most once",
+        "once/index.py",
+        "if key not in self._keys and attempt not in self._abandoned:",
+        "if attempt not in self._abandoned:",
+        "test_installation.py::test_unrepeatable_call_sent_at_once_through_both_sides_"
+        "runs_once",
+    ),
+    Mutant(
+        "at most once",
+        "once/journal.py",
+        "        if state is None or state.attempt != permit.attempt:",
+        "        if state is None:",
+        "test_installation.py::test_unrepeatable_call_sent_at_once_through_both_sides_"
+        "runs_once",
+    ),
+    Mutant(
+        "at most once",
+        "once/index.py",
+        "if key not in self._keys and attempt not in self._abandoned:",
+        "if key not in self._keys:",
+        "test_installation.py::test_intent_that_arrives_after_its_sender_gave_up_"
+        "never_runs",
+    ),
+    Mutant(
+        "at most once",
+        "once/partition.py",
+        "self.covered_from_ms = 0 if start == 0 else self._timers.wall_ms()",
+        "self.covered_from_ms = 0",
+        "test_installation.py::test_new_side_after_an_early_retention_cut_refuses_"
+        "keys_of_the_gap",
+    ),
+    Mutant(
+        "leaving",
+        "side/process.py",
+        "            self.agent.lifecycle.leave()",
+        "            pass",
+        "test_installation.py::test_side_marked_leaving_in_the_list_refuses_work_"
+        "within_three_seconds",
+    ),
+    Mutant(
+        "shutdown",
+        "entry/daemon.py",
+        "            if public.busy:",
+        "            if False:",
+        "test_acceptance.py",
+    ),
+    Mutant(
+        "configuration",
+        "configuration/fold.py",
+        "        if record.offset < self.next_offset:\n",
+        "        if False:\n",
+        "test_fold.py::test_record_read_again_changes_nothing",
+    ),
+    Mutant(
+        "configuration",
+        "configuration/fold.py",
+        "and entry.offset > change.base",
+        "and entry.offset > change.base + 10",
+        "test_fold.py::test_first_of_two_racing_changes_of_one_object_wins",
+    ),
+)
+
+
+def kill(mutant: Mutant) -> bool:
+    """Return whether the test fails on the broken copy."""
+    with tempfile.TemporaryDirectory() as folder:
+        scratch = Path(folder)
+        for name in ("src", "testing", "examples", "pyproject.toml"):
+            source = ROOT / name
+            copy = shutil.copytree if source.is_dir() else shutil.copy
+            copy(source, scratch / name)
+        path = scratch / "src" / "copperrun" / mutant.file
+        text = path.read_text(encoding="utf-8")
+        if mutant.old not in text:
+            raise SystemExit(f"{mutant.file} no longer has the text to break")
+        path.write_text(text.replace(mutant.old, mutant.new), encoding="utf-8")
+        command = [sys.executable, "-m", "pytest", "-x", f"testing/{mutant.test}"]
+        result = subprocess.run(
+            command,
+            cwd=scratch,
+            env={**os.environ, "PYTHONPATH": str(scratch / "src")},
+            capture_output=True,
+            timeout=TEST_LIMIT_S,
+            check=False,
+        )
+    # Exit code 1 means failed tests; others mean that none ran.
+    return result.returncode == 1
+
+
+def main() -> int:
+    survived = 0
+    for mutant in MUTANTS:
+        noticed = kill(mutant)
+        survived += not noticed
+        verdict = "noticed" if noticed else "SURVIVED"
+        print(f"{verdict:9} {mutant.promise:14} {mutant.file:24} {mutant.test}")
+    print(f"{len(MUTANTS) - survived} noticed, {survived} survived")
+    return min(survived, 1)
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/testing/test_acceptance.py
+++ b/testing/test_acceptance.py
@@ -20,7 +20,7 @@
 from copperrun.once.keys import create_idempotency_key
 
 STREAMS = 12
-TOKENS = 80
+TOKENS = 300  # longer than the entry keeps accepting, so that it must drain
 CHUNKS_BEFORE_FAULT = 8
 
 
--- /dev/null
+++ b/testing/test_fold.py
@@ -0,0 +1,212 @@
+"""The configuration fold: verdicts, races, snapshots and what cannot be read."""
+
+from __future__ import annotations
+
+import copy
+import json
+from typing import Any
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+from installation import small_configuration
+from testtools.assertions import assert_that
+from testtools.matchers import Contains
+from testtools.matchers import Equals
+from testtools.matchers import Is
+
+from copperrun.configuration.changes import Change
+from copperrun.configuration.changes import difference
+from copperrun.configuration.changes import encode_record
+from copperrun.configuration.changes import objects_of
+from copperrun.configuration.fold import Fold
+from copperrun.configuration.fold import Outcome
+from copperrun.configuration.fold import Verdict
+from copperrun.model import LogRecord
+
+
+def first_change() -> Change:
+    return Change("first", "ana", -1, 0, objects_of(small_configuration()))
+
+
+def put(name: str, base: int, **objects: Any) -> Change:
+    keyed = {key.replace("__", "/"): value for key, value in objects.items()}
+    return Change(name, "ana", base, 0, keyed)
+
+
+def fold_of(*records: Change | str) -> tuple[Fold, list[Verdict]]:
+    fold = Fold()
+    verdicts = []
+    for offset, record in enumerate(records):
+        data = record if isinstance(record, str) else encode_record(record)
+        verdicts.append(fold.apply(LogRecord(offset, data)))
+    return fold, verdicts
+
+
+def test_first_of_two_racing_changes_of_one_object_wins() -> None:
+    tenant = {"uses": ["ledger"], "weight": 2}
+    fold, verdicts = fold_of(
+        first_change(),
+        put("a", 0, tenants__jadran=tenant),
+        put("b", 0, tenants__jadran={**tenant, "weight": 3}),
+    )
+    assert_that(
+        [item.outcome for item in verdicts],
+        Equals([Outcome.ACCEPTED, Outcome.ACCEPTED, Outcome.CONFLICT]),
+    )
+    assert_that(verdicts[2].detail, Contains("tenants/jadran changed after"))
+    assert_that(fold.configuration.tenants["jadran"].weight, Equals(2))
+    assert_that(fold.revision, Equals(1))
+
+
+def test_changes_of_different_objects_do_not_conflict() -> None:
+    _, verdicts = fold_of(
+        first_change(),
+        put("a", 0, preset_in_force="peak"),
+        put("b", 0, tenants__jadran={"uses": ["ledger"]}),
+    )
+    assert_that({item.outcome for item in verdicts}, Equals({Outcome.ACCEPTED}))
+
+
+def test_change_made_against_a_removed_object_conflicts() -> None:
+    remove = Change("a", "ana", 0, 0, {}, ("callers/rigger",))
+    rigger = {"tenant": "jadran", "service_class": "crew"}
+    fold, verdicts = fold_of(
+        first_change(), remove, put("b", 0, callers__rigger=rigger)
+    )
+    assert_that(verdicts[2].outcome, Is(Outcome.CONFLICT))
+    assert_that("rigger" in fold.configuration.callers, Is(False))
+
+
+@pytest.mark.parametrize(
+    ("change", "detail"),
+    [
+        (put("a", 0, preset_in_force="holiday"), "no preset 'holiday'"),
+        (put("a", 0, pools__assistant={"memory": "1 GB"}), "give a size"),
+        (put("a", 0, pools__assistant={"slots": 0}), "slots"),
+        (put("a", 0, plans__x={}), "unknown object"),
+        (put("a", 0, pools={}), "unknown object"),
+        (Change("a", "ana", 0, 0, {}, ("preset_in_force",)), "required key"),
+        (Change("a", "ana", 0, 0, {}, ("models/allowances",)), "no model"),
+    ],
+)
+def test_change_that_leaves_no_valid_configuration_is_rejected(
+    change: Change, detail: str
+) -> None:
+    fold, verdicts = fold_of(first_change(), change)
+    assert_that(verdicts[1].outcome, Is(Outcome.INVALID))
+    assert_that(verdicts[1].detail, Contains(detail))
+    assert_that(fold.revision, Equals(0))
+
+
+def test_change_appended_twice_applies_once() -> None:
+    change = put("a", 0, preset_in_force="peak")
+    back = put("b", 1, preset_in_force="ordinary")
+    fold, verdicts = fold_of(first_change(), change, back, change)
+    assert_that(verdicts[3].outcome, Is(Outcome.DUPLICATE))
+    assert_that(fold.configuration.preset_in_force, Equals("ordinary"))
+
+
+def test_corrupt_record_is_skipped_and_unknown_one_is_kept() -> None:
+    later = json.dumps({"version": 2, "kind": "change"})
+    fold, verdicts = fold_of(first_change(), "{", '{"version": 1}', later, "[]")
+    assert_that(
+        [item.outcome for item in verdicts[1:]],
+        Equals([Outcome.CORRUPT, Outcome.UNKNOWN, Outcome.UNKNOWN, Outcome.CORRUPT]),
+    )
+    assert_that([item.data for item in fold.unknown], Contains(later))
+    assert_that(fold.revision, Equals(0))
+
+
+@given(st.text() | st.binary().map(repr) | st.recursive(
+    st.none() | st.integers() | st.text(),
+    lambda inner: st.dictionaries(st.text(), inner),
+).map(json.dumps))  # fmt: skip
+def test_any_text_as_a_record_leaves_the_configuration_in_force(text: str) -> None:
+    fold, _ = fold_of(first_change(), text)
+    assert_that(fold.revision, Equals(0))
+
+
+def test_reader_that_starts_after_trimming_waits_for_the_snapshot() -> None:
+    whole, _ = fold_of(first_change(), put("a", 0, preset_in_force="peak"))
+    snapshot = encode_record(whole.snapshot(0))
+    records = [
+        encode_record(put("b", 1, tenants__jadran={"uses": ["ledger"]})),
+        snapshot,
+        encode_record(put("c", 2, tenants__jadran={"uses": ["allowances"]})),
+    ]
+    late = Fold()
+    late.begin(2)
+    verdicts = []
+    for offset, data in enumerate(records, start=2):
+        whole.apply(LogRecord(offset, data))
+        verdicts.append(late.apply(LogRecord(offset, data)).outcome)
+        assert_that(late.revision <= whole.revision, Is(True))
+    assert_that(verdicts, Equals([Outcome.PENDING, Outcome.SNAPSHOT, Outcome.ACCEPTED]))
+    assert_that(late.configuration, Equals(whole.configuration))
+    assert_that(late.objects(), Equals(whole.objects()))
+
+
+def test_snapshot_that_does_not_cover_the_gap_is_not_taken() -> None:
+    whole, _ = fold_of(first_change())
+    snapshot = whole.snapshot(0)
+    late = Fold()
+    late.begin(5)
+    assert_that(late.apply(LogRecord(5, encode_record(snapshot))).outcome, Is(
+        Outcome.SNAPSHOT
+    ))  # fmt: skip
+    assert_that((late.configuration, late.is_whole()), Equals((None, False)))
+
+
+@given(
+    st.lists(
+        st.tuples(
+            st.sampled_from(["presets", "tenants", "callers"]),
+            st.integers(0, 3),
+            st.integers(-1, 8),
+        ),
+        max_size=8,
+    ),
+    st.integers(1, 8),
+)
+def test_every_reader_gives_the_same_verdicts_wherever_it_starts(
+    edits: list[tuple[str, int, int]], cut: int
+) -> None:
+    values: dict[str, Any] = {
+        "presets": {"description": "x"},
+        "tenants": {"uses": ["ledger"]},
+        "callers": {"tenant": "t1", "service_class": "crew"},
+    }
+    records: list[Change] = [first_change()]
+    for number, (section, which, base) in enumerate(edits):
+        key = f"{section}/t{which}"
+        records.append(Change(f"c{number}", "ana", base, 0, {key: values[section]}))
+    cut = min(cut, len(records))
+    before, _ = fold_of(*records[:cut])
+    encoded = [encode_record(record) for record in records]
+    encoded.insert(cut, encode_record(before.snapshot(0)))
+    whole, verdicts = fold_of(*encoded)
+    late = Fold()
+    late.begin(cut)
+    again = [
+        late.apply(LogRecord(offset, data))
+        for offset, data in enumerate(encoded[cut:], start=cut)
+    ]
+    assert_that(again[1:], Equals(verdicts[cut + 1 :]))
+    assert_that(late.objects(), Equals(whole.objects()))
+    assert_that(late.revision, Equals(whole.revision))
+
+
+def test_record_read_again_changes_nothing() -> None:
+    change = put("a", 0, preset_in_force="peak")
+    fold, _ = fold_of(first_change(), change)
+    verdict = fold.apply(LogRecord(0, encode_record(first_change())))
+    assert_that(verdict.outcome, Is(Outcome.OLD))
+    assert_that(fold.next_offset, Equals(2))
+    assert_that(fold.configuration.preset_in_force, Equals("peak"))
+
+
+def test_difference_of_equal_documents_is_nothing() -> None:
+    objects = objects_of(small_configuration())
+    same = copy.deepcopy(objects)
+    assert_that(difference(objects, same, base=0, author="a", at_ms=0), Is(None))
--- a/testing/test_installation.py
+++ b/testing/test_installation.py
@@ -19,7 +19,9 @@
 from testtools.matchers import IsInstance
 from testtools.matchers import LessThan
 
+from copperrun.entry.gateway import Admitted
 from copperrun.model import Answer
+from copperrun.model import AttemptId
 from copperrun.model import Ran
 from copperrun.model import Refusal
 from copperrun.model import RefusalReason
@@ -66,13 +68,15 @@
 @pytest.mark.parametrize("chunks", [1, 7, 20, 21])
 def test_stream_cut_midway_is_resumed_whole_on_another_side(chunks: int) -> None:
     async def scenario(installation: TestInstallation) -> None:
-        for faults in installation.sides.faults.values():
-            faults.cut_streams_after = chunks
-        installation.sides.faults["assistant-1"].cut_streams_after = 0
-        for _ in range(4):
-            items = await installation.wait(installation.stream(STREAM_BODY))
-            assert_that(refusals_in(items), Equals([]))
-            assert_that(text_of(items), Equals(callers.whole_text(PROMPT)))
+        await installation.wait(installation.stream(STREAM_BODY))
+        (favourite,) = [
+            name for name, engine in installation.engines.items() if engine.started
+        ]
+        installation.sides.faults[favourite].cut_streams_after = chunks
+        items = await installation.wait(installation.stream(STREAM_BODY))
+        assert_that(refusals_in(items), Equals([]))
+        assert_that(text_of(items), Equals(callers.whole_text(PROMPT)))
+        assert_that(installation.sides.faults[favourite].cut_streams_after, Equals(0))
 
     run(scenario)
 
@@ -209,6 +213,7 @@
     async def scenario(installation: TestInstallation) -> None:
         installation.log.faults.late_appends = 2
         installation.log.faults.late_ms = 6_000
+        installation.log.faults.late_match = '"intent"'
         key = installation.new_key()
         refusal = await installation.wait(installation.call(key))
         assert_that(refusal, IsInstance(Refusal))
@@ -311,16 +316,30 @@
     run(scenario)
 
 
-def test_side_marked_leaving_in_the_list_gets_no_work_within_three_seconds() -> None:
+def test_side_marked_leaving_in_the_list_refuses_work_within_three_seconds() -> None:
     async def scenario(installation: TestInstallation) -> None:
         installation.instances.faults.lag_ms = 1_500
         installation.instances.mark_leaving("assistant-0")
         await installation.timers.advance(3_000)
-        before = len(installation.engines["assistant-0"].started)
-        for _ in range(6):
-            await installation.wait(installation.complete(BODY))
-        after = len(installation.engines["assistant-0"].started)
-        assert_that(after, Equals(before))
+        process = installation.sides.processes["assistant-0"]
+        admitted = installation.entries["entry-0"].gateway.admit_model(
+            installation.request(BODY)
+        )
+        assert isinstance(admitted, Admitted)
+        # An entry that has not heard of it sends all the same.
+        attempt = admitted.work.template._replace(
+            id=AttemptId("late", 1, process.incarnation), remaining_ms=1_000
+        )
+        reply = await installation.wait(
+            installation.sides.submit("assistant-0", attempt)
+        )
+        assert isinstance(reply.outcome, Refusal)
+        assert_that(reply.outcome.reason, Is(RefusalReason.LEAVING))
+        assert_that(reply.outcome.ran, Is(Ran.NO))
+        for _ in range(3):
+            answer = await installation.wait(installation.complete(BODY))
+            assert_that(answer, IsInstance(Answer))
+        assert_that(installation.engines["assistant-0"].started, Equals([]))
 
     run(scenario)
 
--- /dev/null
+++ b/testing/test_placement.py
@@ -0,0 +1,272 @@
+"""Homes, the memory ledger and orders to engines."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
+from pathlib import Path
+
+import pytest
+from hypothesis import given
+from hypothesis import settings
+from hypothesis import strategies as st
+from installation import GIB
+from installation import NullMetrics
+from testtools.assertions import assert_that
+from testtools.matchers import AllMatch
+from testtools.matchers import Equals
+from testtools.matchers import GreaterThan
+from testtools.matchers import Is
+from testtools.matchers import LessThan
+
+from copperrun.configuration.schema import Configuration
+from copperrun.ctl.publishing import load_configuration
+from copperrun.embedded.clock import ManualTimers
+from copperrun.embedded.clock import run_until
+from copperrun.embedded.engine import EngineStandIn
+from copperrun.embedded.weights import OpenWeights
+from copperrun.model import Instance
+from copperrun.model import Role
+from copperrun.placement.homes import assign_homes
+from copperrun.placement.homes import object_of
+from copperrun.placement.keeper import Keeper
+from copperrun.placement.ledger import Ledger
+from copperrun.placement.orders import OrderDesk
+from copperrun.placement.orders import OrderErrorReason
+from copperrun.ports.engine import OrderKind
+from copperrun.ports.engine import OrderNumber
+
+EXAMPLES = Path(__file__).parent.parent / "examples"
+
+
+def example(name: str) -> Configuration:
+    document = load_configuration(EXAMPLES / name / "configuration.yaml")
+    cfg: Configuration = document.value  # type: ignore[union-attr]
+    return cfg
+
+
+def runners(count: int) -> list[Instance]:
+    return [
+        Instance(f"run-{n}", f"h:{n}", f"z{n % 3}", f"r{n % 3}", Role.SIDE, "assistant")
+        for n in range(count)
+    ]
+
+
+@pytest.mark.parametrize(("name", "count"), [("turneja", 6), ("terrain", 9)])
+def test_every_deployment_has_its_copies_within_memory(name: str, count: int) -> None:
+    cfg = example(name)
+    homes = assign_homes(cfg, runners(count))
+    used = dict.fromkeys((item.id for item in runners(count)), 0)
+    for deployment, owners in homes.items():
+        assert_that(len(set(owners)), Equals(cfg.copies(deployment)))
+        for owner in owners:
+            used[owner] += object_of(cfg, deployment)[1]
+    room = (320 - 80 - 16) * GIB
+    assert_that(list(used.values()), AllMatch(LessThan(room + 1)))
+
+
+def test_copies_of_one_deployment_are_in_different_zones() -> None:
+    cfg = example("turneja")
+    zones = {item.id: item.zone for item in runners(6)}
+    for owners in assign_homes(cfg, runners(6)).values():
+        assert_that(len({zones[owner] for owner in owners}), Equals(len(owners)))
+
+
+def test_homes_do_not_depend_on_the_order_of_the_list() -> None:
+    cfg = example("turneja")
+    listed = runners(6)
+    again = assign_homes(cfg, listed[::-1])
+    assert_that(again, Equals(assign_homes(cfg, listed)))
+
+
+def test_loss_of_one_runner_keeps_every_deployment_reachable_and_moves_few() -> None:
+    cfg = example("terrain")
+    before = assign_homes(cfg, runners(9))
+    for lost in range(9):
+        left = [item for item in runners(9) if item.id != f"run-{lost}"]
+        after = assign_homes(cfg, left)
+        assert_that([len(owners) for owners in after.values()], AllMatch(
+            GreaterThan(0)
+        ))  # fmt: skip
+        moved = sum(len(set(after[name]) - set(before[name])) for name in before)
+        orphaned = sum(f"run-{lost}" in owners for owners in before.values())
+        assert_that(moved, LessThan(orphaned + 4), f"run-{lost}")
+
+
+def test_deployment_that_fits_nowhere_has_no_home_and_others_do() -> None:
+    cfg = example("turneja")
+    homes = assign_homes(cfg, runners(1))
+    assert_that(sum(not owners for owners in homes.values()), GreaterThan(0))
+    assert_that(sum(bool(owners) for owners in homes.values()), GreaterThan(0))
+
+
+class Desk:
+    """An order desk before an engine stand-in."""
+
+    def __init__(self, *, checks_orders: bool = True) -> None:
+        self.timers = ManualTimers()
+        self.engine = EngineStandIn(
+            self.timers,
+            OpenWeights(self.timers, load_ms=100),
+            memory_bytes=100 * GIB,
+            kv_reserve_bytes=20 * GIB,
+            checks_orders=checks_orders,
+        )
+        self.ledger = Ledger(80 * GIB)
+        self.desk = OrderDesk(self.engine, self.ledger, self.timers)
+        self.desk.checks_orders = checks_orders
+        self.desk.set_epoch(7)
+
+    async def load(self, name: str, size_gib: int, limit_ms: int = 300_000) -> object:
+        work = self.desk.load(name, size_gib * GIB)
+        return await self._run(work, limit_ms)
+
+    async def unload(self, name: str) -> object:
+        return await self._run(self.desk.unload(name), 300_000)
+
+    async def _run(self, work: Awaitable[object], limit_ms: int) -> object:
+        fut = asyncio.ensure_future(work)
+        await run_until(self.timers, fut, limit_ms)
+        return fut.result()
+
+    def check(self) -> None:
+        assert_that(self.engine.memory_high_water, LessThan(100 * GIB + 1))
+        assert_that(self.ledger.used_bytes, LessThan(80 * GIB + 1))
+
+
+Scenario = Callable[[Desk], Awaitable[None]]
+
+
+@pytest.fixture(params=[True, False], ids=["checks", "ignores"])
+def run_desk(request: pytest.FixtureRequest) -> Callable[[Scenario], None]:
+    def run(scenario: Scenario) -> None:
+        async def started() -> None:
+            bench = Desk(checks_orders=request.param)
+            await scenario(bench)
+            bench.check()
+
+        asyncio.run(started())
+
+    return run
+
+
+def test_load_without_room_is_refused_before_it_is_ordered(run_desk) -> None:  # type: ignore[no-untyped-def]
+    async def scenario(bench: Desk) -> None:
+        assert_that(await bench.load("a", 60), Is(None))
+        error = await bench.load("b", 30)
+        assert_that(error.reason, Is(OrderErrorReason.NO_ROOM))  # type: ignore[attr-defined]
+        await bench.unload("a")
+        assert_that(await bench.load("b", 30), Is(None))
+
+    run_desk(scenario)
+
+
+@pytest.mark.parametrize("fault", ["lose_order_answers", "drop_orders"])
+def test_lost_order_is_settled_by_the_engines_state(run_desk, fault: str) -> None:  # type: ignore[no-untyped-def]
+    async def scenario(bench: Desk) -> None:
+        setattr(bench.engine.faults, fault, 1)
+        error = await bench.load("a", 60)
+        dropped_for_good = fault == "drop_orders" and not bench.desk.checks_orders
+        assert_that(error is None, Equals(not dropped_for_good))
+        assert_that("a" in bench.ledger.resident(), Equals(not dropped_for_good))
+
+    run_desk(scenario)
+
+
+def test_unsettled_order_keeps_its_reservation(run_desk) -> None:  # type: ignore[no-untyped-def]
+    async def scenario(bench: Desk) -> None:
+        bench.engine.faults.drop_orders = 1_000
+        fut = asyncio.ensure_future(bench.desk.load("a", 60 * GIB))
+        await bench.timers.advance(100_000)
+        assert_that(fut.done(), Is(False))
+        assert_that(bench.ledger.free_bytes, Equals(20 * GIB))
+        fut.cancel()
+
+    run_desk(scenario)
+
+
+def test_late_order_of_an_earlier_side_is_refused_by_a_checking_engine() -> None:
+    async def scenario() -> None:
+        bench = Desk()
+        old = OrderDesk(bench.engine, Ledger(80 * GIB), bench.timers)
+        old.set_epoch(3)
+        assert_that(await bench.load("a", 60), Is(None))
+        fut = asyncio.ensure_future(old.load("b", 60 * GIB))
+        await run_until(bench.timers, fut, 10_000)
+        error = fut.result()
+        assert error is not None
+        assert_that(error.reason, Is(OrderErrorReason.SUPERSEDED))
+        assert_that(old.may_order, Is(False))
+        bench.check()
+
+    asyncio.run(scenario())
+
+
+def test_side_without_an_epoch_gives_no_orders() -> None:
+    async def scenario() -> None:
+        bench = Desk()
+        desk = OrderDesk(bench.engine, bench.ledger, bench.timers)
+        error = await desk.load("a", GIB)
+        assert error is not None
+        assert_that(error.reason, Is(OrderErrorReason.NO_EPOCH))
+        state = await bench.engine.state()
+        assert_that(state.last_order, Equals(OrderNumber(0, 0)))
+
+    asyncio.run(scenario())
+
+
+@settings(max_examples=60)
+@given(
+    st.lists(
+        st.tuples(
+            st.sampled_from([OrderKind.LOAD, OrderKind.UNLOAD]),
+            st.sampled_from("abcd"),
+            st.sampled_from(["", "lose_order_answers", "drop_orders"]),
+        ),
+        max_size=8,
+    ),
+    st.booleans(),
+)
+def test_memory_is_never_overcommitted_whatever_is_lost(
+    steps: list[tuple[OrderKind, str, str]], checks: bool
+) -> None:
+    async def scenario() -> None:
+        bench = Desk(checks_orders=checks)
+        sizes = {"a": 50, "b": 40, "c": 30, "d": 10}
+        for kind, name, fault in steps:
+            if fault:
+                setattr(bench.engine.faults, fault, 1)
+            if kind is OrderKind.LOAD:
+                await bench.load(name, sizes[name])
+            else:
+                await bench.unload(name)
+            bench.check()
+
+    asyncio.run(scenario())
+
+
+def test_adapters_make_room_for_each_other_but_not_while_in_use() -> None:
+    async def scenario() -> None:
+        bench = Desk()
+        weights = OpenWeights(bench.timers)
+        keeper = Keeper(
+            "a", bench.desk, bench.ledger, weights, bench.timers, NullMetrics()
+        )
+
+        async def ensure(name: str) -> object:
+            fut = asyncio.ensure_future(keeper.ensure_adapter(name, 30 * GIB))
+            await run_until(bench.timers, fut, 60_000)
+            return fut.result()
+
+        for name in ("x", "y"):
+            assert_that(await ensure(name), Is(None))
+        assert_that(keeper.begin_use("adapter/x"), Is(True))
+        assert_that(await ensure("z"), Is(None))
+        assert_that(set(bench.ledger.resident()), Equals({"adapter/x", "adapter/z"}))
+        assert_that(keeper.begin_use("adapter/z"), Is(True))
+        error = await ensure("y")
+        assert_that(error.reason, Is(OrderErrorReason.NO_ROOM))  # type: ignore[attr-defined]
+        bench.check()
+
+    asyncio.run(scenario())
