Compute homes in linear time, and measure the first slopes

Change: each deployment keeps a queue of runners it may still take, and forgets zones and runners that do not fit, since room only shrinks. Also: status shows wanted and resident copies; a failed attempt is logged with its ids.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN := $(VENV)/bin
 READY := $(VENV)/.ready
 
-.PHONY: demo test format mutants bench acceptance clean
+.PHONY: demo test format mutants slopes bench acceptance clean
 
 $(READY): requirements.txt constraints.txt pyproject.toml
 	$(PYTHON) -m venv $(VENV)
@@ -33,5 +33,8 @@
 bench: $(READY)
 	$(BIN)/python benchmarks/latency.py
 
+slopes: $(READY)
+	$(BIN)/python benchmarks/slopes.py
+
 clean:
 	rm -rf $(VENV) build src/*.egg-info
--- a/src/copperrun/ctl/commands.py
+++ b/src/copperrun/ctl/commands.py
@@ -6,12 +6,14 @@
 from collections import Counter
 from collections.abc import Sequence
 from pathlib import Path
+from typing import NamedTuple
 
 import yaml
 
 from copperrun.configuration.changes import Change
 from copperrun.configuration.document import DocumentError
 from copperrun.configuration.fold import Fold
+from copperrun.configuration.schema import Configuration
 from copperrun.ctl.errors import ToolError
 from copperrun.ctl.errors import ToolErrorReason
 from copperrun.ctl.installation import Installation
@@ -26,6 +28,7 @@
 from copperrun.ctl.publishing import publish as publish_change
 from copperrun.entry.callers import create_key
 from copperrun.entry.callers import hash_key
+from copperrun.placement.homes import object_of
 from copperrun.settings import ToolSettings
 from copperrun.settings import load_tool_settings
 
@@ -100,20 +103,26 @@
         return settings
     async with connect(settings) as installation:
         reports = await installation.reports()
+        fold = await installation.read_configuration()
     if isinstance(reports, ToolError):
         return reports
+    # The instances still answer when the log does not.
+    cfg = None if isinstance(fold, ToolError) else fold.configuration
     copies = _count_copies(reports)
+    deployments = _count_deployments(cfg, copies)
     value = {
         "instances": [
             {"instance": item.instance.id, "status": item.status} for item in reports
         ],
+        "deployments": [item._asdict() for item in deployments],
         "copies": copies,
     }
     lines = format_table(
         ("INSTANCE", "ROLE", "ZONE", "STATE", "REVISION", "QUEUED", "RUNNING"),
         [_status_row(item) for item in sorted(reports)],
     )
-    lines += ["", *format_table(("OBJECT", "COPIES"), sorted(copies.items()))]
+    header = ("DEPLOYMENT", "OBJECT", "WANTED", "RESIDENT")
+    lines += ["", *format_table(header, deployments)]
     output.emit(value, lines)
     return None
 
@@ -238,6 +247,27 @@
     )
 
 
+class _DeploymentCopies(NamedTuple):
+    deployment: str
+    weights: str
+    wanted: int
+    resident: int
+
+
+def _count_deployments(
+    cfg: Configuration | None, copies: dict[str, int]
+) -> list[_DeploymentCopies]:
+    if cfg is None:
+        return []
+    counted = []
+    for name in sorted(cfg.deployments):
+        weights, _ = object_of(cfg, name)
+        wanted = cfg.copies(name)
+        resident = copies.get(weights, 0)
+        counted.append(_DeploymentCopies(name, weights, wanted, resident))
+    return counted
+
+
 def _count_copies(reports: Sequence[InstanceReport]) -> dict[str, int]:
     counts: Counter[str] = Counter()
     for item in reports:
--- a/src/copperrun/placement/homes.py
+++ b/src/copperrun/placement/homes.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+from collections import deque
 from collections.abc import Iterator
 from collections.abc import Sequence
 from typing import NamedTuple
@@ -60,14 +61,60 @@
         },
         set(),
     )
-    chosen: dict[str, list[Instance]] = {name: [] for name in cfg.deployments}
+    queues = _open_queues(cfg, runners)
     for name in _placement_order(cfg):
-        candidates = runners.get(cfg.deployments[name].pool, [])
-        home = _pick(cfg, name, candidates, chosen[name], room)
-        if home is not None:
-            _take_room(cfg, name, home, room)
-            chosen[name].append(home)
-    return {name: tuple(item.id for item in homes) for name, homes in chosen.items()}
+        queues[name].take_next(room)
+    return {name: queue.chosen_ids() for name, queue in queues.items()}
+
+
+class _Queue:
+    """Runners that one deployment may still take, in rendezvous order."""
+
+    def __init__(self, weights: tuple[str, int], order: Sequence[Instance]) -> None:
+        self._weights = weights
+        self._order = deque(order)
+        self._new_zones = {item.zone for item in order}
+        self._chosen: list[Instance] = []
+
+    def chosen_ids(self) -> tuple[str, ...]:
+        """Return the instances taken so far."""
+        return tuple(item.id for item in self._chosen)
+
+    def take_next(self, room: _Room) -> None:
+        """Take the first fitting runner of a new zone, else the first fitting one."""
+        home = self._first_of_new_zone(room) or self._first(room)
+        if home is None:
+            return
+        self._chosen.append(home)
+        self._order.remove(home)
+        self._new_zones.discard(home.zone)
+        _take_room(self._weights, home, room)
+
+    def _first_of_new_zone(self, room: _Room) -> Instance | None:
+        if not self._new_zones:
+            return None
+        for item in self._order:
+            if item.zone in self._new_zones and _fits(self._weights, item, room):
+                return item
+        # Room only shrinks, so that these zones will not fit later either.
+        self._new_zones.clear()
+        return None
+
+    def _first(self, room: _Room) -> Instance | None:
+        while self._order and not _fits(self._weights, self._order[0], room):
+            self._order.popleft()
+        return self._order[0] if self._order else None
+
+
+def _open_queues(
+    cfg: Configuration, runners: dict[str, list[Instance]]
+) -> dict[str, _Queue]:
+    queues = {}
+    for name, spec in cfg.deployments.items():
+        weights = object_of(cfg, name)
+        order = rendezvous_order(weights[0], runners.get(spec.pool, []))
+        queues[name] = _Queue(weights, order)
+    return queues
 
 
 def _live_runners(
@@ -94,32 +141,15 @@
                 yield name
 
 
-def _pick(
-    cfg: Configuration,
-    name: str,
-    candidates: Sequence[Instance],
-    taken: Sequence[Instance],
-    room: _Room,
-) -> Instance | None:
-    object_name, size_bytes = object_of(cfg, name)
-    zones = {item.zone for item in taken}
-    fitting = [
-        item
-        for item in rendezvous_order(object_name, candidates)
-        if item not in taken
-        and (
-            (item.id, object_name) in room.objects
-            or size_bytes <= room.free_bytes[item.id]
-        )
-    ]
-    for item in fitting:
-        if item.zone not in zones:
-            return item
-    return fitting[0] if fitting else None
-
-
-def _take_room(cfg: Configuration, name: str, home: Instance, room: _Room) -> None:
-    object_name, size_bytes = object_of(cfg, name)
+def _fits(weights: tuple[str, int], runner: Instance, room: _Room) -> bool:
+    object_name, size_bytes = weights
+    if (runner.id, object_name) in room.objects:
+        return True
+    return size_bytes <= room.free_bytes[runner.id]
+
+
+def _take_room(weights: tuple[str, int], home: Instance, room: _Room) -> None:
+    object_name, size_bytes = weights
     if (home.id, object_name) in room.objects:
         return
     room.objects.add((home.id, object_name))
--- a/src/copperrun/routing/dispatcher.py
+++ b/src/copperrun/routing/dispatcher.py
@@ -8,6 +8,7 @@
 from typing import NamedTuple
 
 import xxhash
+from loguru import logger
 
 from copperrun.model import Answer
 from copperrun.model import Attempt
@@ -123,6 +124,7 @@
                 self._budget.earn()
                 return outcome
             progress.note(outcome)
+            _log_failure(attempt, outcome)
             if not _may_go_on(outcome):
                 break
         return progress.verdict()
@@ -143,6 +145,7 @@
                 self._budget.earn()
                 return
             progress.note(outcome)
+            _log_failure(attempt, outcome)
             if not _may_go_on(outcome):
                 break
         yield _stream_verdict(progress)
@@ -274,6 +277,19 @@
         return refusal._replace(ran=ran)
 
 
+def _log_failure(attempt: Attempt, refusal: Refusal) -> None:
+    logger.info(
+        "attempt without answer",
+        request=attempt.id.request,
+        attempt=attempt.id.attempt,
+        caller=attempt.caller,
+        tenant=attempt.tenant,
+        revision=attempt.revision,
+        reason=refusal.reason.value,
+        ran=refusal.ran.value,
+    )
+
+
 def chunk_text(payload: str) -> str:
     """Return the generated text in one payload of a stream."""
     choice = _first_choice(payload)
