Move copies without losing the last one, and fence off earlier sides

Cause: a version switch dropped the old version before the new one was loaded, a runner full of copies homed elsewhere could not load its own, and a new side's ledger knew nothing of orders that an earlier side had sent. Ruled out: leases on pins; a paused holder drops after its lease. Pins without expiry suffice, because a side that is about to drop refuses them, so that some holder is never dropping. Change: pins between sides before a drop; older versions answer meanwhile; the most asked for missing deployment loads first. A side first raises the fence at an engine that checks order numbers, and waits 30 s at one that ignores them when the log has an earlier claim. Found by the changed lifetime (30 s for 120 s): a repeated order to an engine that checks numbers could be under way when the first one's lifetime ended, and its reservation was freed. Such orders are now repeated until they are answered.

--- a/idl/copperrun.thrift
+++ b/idl/copperrun.thrift
@@ -68,6 +68,15 @@
   2: required bool started
 }
 
+// Asks a side whether it keeps an object, so that the asking side may drop its copy.
+struct Pin {
+  1: required string object
+}
+
+struct PinResult {
+  1: required bool granted
+}
+
 // Answers a peer's hello: who this process is now and what it holds.
 struct Hello {
   1: required string instance,
--- a/src/copperrun/adapters/sides.py
+++ b/src/copperrun/adapters/sides.py
@@ -30,10 +30,12 @@
 REFUSAL_EVENT = "refusal"
 HELLO_TIMEOUT_MS = 2_000
 CANCEL_TIMEOUT_MS = 1_000
+PIN_TIMEOUT_MS = 1_000
 
 ATTEMPTS_PATH = "/internal/attempts"
 CANCEL_PATH = "/internal/cancel"
 HELLO_PATH = "/internal/hello"
+PIN_PATH = "/internal/pin"
 
 _HEADERS = {"Content-Type": wire.CONTENT_TYPE}
 
@@ -93,6 +95,22 @@
             return SideError(SideErrorReason.ANSWER_LOST, "answer to another cancel")
         return bool(result.started)
 
+    async def pin(self, address: str, name: str) -> bool | SideError:
+        """Ask a side to keep an object resident; return whether it will."""
+        reply = await self._client.call(
+            "POST",
+            f"http://{address}{PIN_PATH}",
+            body=wire.encode(ttypes.Pin(name)),
+            headers=_HEADERS,
+            timeout_ms=PIN_TIMEOUT_MS,
+        )
+        if isinstance(reply, HttpFailure):
+            return _side_error(reply)
+        result = wire.decode(ttypes.PinResult, reply.body)
+        if reply.status != 200 or isinstance(result, wire.WireError):
+            return SideError(SideErrorReason.ANSWER_LOST, f"pin: {reply.status}")
+        return bool(result.granted)
+
     async def hello(self, address: str) -> SideStatus | SideError:
         """Ask a side for its status."""
         reply = await self._client.call(
--- a/src/copperrun/embedded/engine.py
+++ b/src/copperrun/embedded/engine.py
@@ -80,12 +80,16 @@
         down: Every call fails before it is sent.
         lose_order_answers: Next orders that take effect but whose answers are lost.
         drop_orders: Next orders that are lost on the way.
+        late_orders: Next orders that arrive ``late_ms`` later.
+        late_ms: Delay of late orders.
         cut_streams_after: Chunks after which streams break; 0 for never.
     """
 
     down: bool = False
     lose_order_answers: int = 0
     drop_orders: int = 0
+    late_orders: int = 0
+    late_ms: int = 5_000
     cut_streams_after: int = 0
 
 
@@ -132,6 +136,7 @@
         self._last_order = NO_ORDER
         self._order_lock = asyncio.Lock()
         self._running: dict[str, asyncio.Event] = {}
+        self._late: set[asyncio.Task[EngineState | EngineError]] = set()
         self._prefixes: dict[int, None] = {}
 
     @property
@@ -139,6 +144,11 @@
         """Accelerator memory in bytes."""
         return self._memory_bytes
 
+    @property
+    def resident(self) -> frozenset[str]:
+        """Loaded objects."""
+        return frozenset(self._resident)
+
     @property
     def running(self) -> int:
         """Generations in progress."""
@@ -193,6 +203,19 @@
         if self.faults.drop_orders > 0:
             self.faults.drop_orders -= 1
             return EngineError(EngineErrorReason.ANSWER_LOST, "order lost")
+        if self.faults.late_orders > 0:
+            self.faults.late_orders -= 1
+            # An order on its way arrives even when its sender is gone.
+            late = asyncio.create_task(self._receive_late(order))
+            self._late.add(late)
+            return await asyncio.shield(late)
+        return await self._receive(order)
+
+    async def _receive_late(self, order: Order) -> EngineState | EngineError:
+        await self._timers.sleep_ms(self.faults.late_ms)
+        return await self._receive(order)
+
+    async def _receive(self, order: Order) -> EngineState | EngineError:
         async with self._order_lock:
             if self._checks_orders and order.number < self._last_order:
                 return EngineError(EngineErrorReason.STALE_ORDER, "old order number")
--- a/src/copperrun/entry/daemon.py
+++ b/src/copperrun/entry/daemon.py
@@ -5,6 +5,7 @@
 import asyncio
 from contextlib import suppress
 
+import aiohttp
 from aiohttp import web
 
 from copperrun.adapters.client import HttpClient
@@ -64,10 +65,12 @@
                 await public.close()
                 await internal.close()
 
-    def _build_process(self, platform: HttpClient, session: object) -> EntryProcess:
+    def _build_process(
+        self, platform: HttpClient, session: aiohttp.ClientSession
+    ) -> EntryProcess:
         settings = self._settings
         internal = HttpClient(
-            session,  # type: ignore[arg-type]
+            session,
             self._timers,
             {SHARED_KEY_HEADER: settings.shared_keys[0]},
         )
--- a/src/copperrun/gen/ttypes.py
+++ b/src/copperrun/gen/ttypes.py
@@ -847,6 +847,124 @@
         return not (self == other)
 
 
+class Pin(object):
+    """
+    Attributes:
+     - object
+
+    """
+
+
+    def __init__(self, object=None,):
+        self.object = object
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.object = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('Pin')
+        if self.object is not None:
+            oprot.writeFieldBegin('object', TType.STRING, 1)
+            oprot.writeString(self.object.encode('utf-8') if sys.version_info[0] == 2 else self.object)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.object is None:
+            raise TProtocolException(message='Required field object is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class PinResult(object):
+    """
+    Attributes:
+     - granted
+
+    """
+
+
+    def __init__(self, granted=None,):
+        self.granted = granted
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.BOOL:
+                    self.granted = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('PinResult')
+        if self.granted is not None:
+            oprot.writeFieldBegin('granted', TType.BOOL, 1)
+            oprot.writeBool(self.granted)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.granted is None:
+            raise TProtocolException(message='Required field granted is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class Hello(object):
     """
     Attributes:
@@ -1045,6 +1163,16 @@
     (1, TType.STRUCT, 'id', [AttemptId, None], None, ),  # 1
     (2, TType.BOOL, 'started', None, None, ),  # 2
 )
+all_structs.append(Pin)
+Pin.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'object', 'UTF8', None, ),  # 1
+)
+all_structs.append(PinResult)
+PinResult.thrift_spec = (
+    None,  # 0
+    (1, TType.BOOL, 'granted', None, None, ),  # 1
+)
 all_structs.append(Hello)
 Hello.thrift_spec = (
     None,  # 0
--- a/src/copperrun/membership/claims.py
+++ b/src/copperrun/membership/claims.py
@@ -3,12 +3,13 @@
 from __future__ import annotations
 
 import json
-from uuid import uuid4
+from typing import NamedTuple
 
 from loguru import logger
 
 from copperrun.ports.log import Log
 from copperrun.ports.log import LogError
+from copperrun.ports.log import LogErrorReason
 from copperrun.ports.timers import Timers
 
 STREAM = "claims"
@@ -16,8 +17,20 @@
 FIRST_EPOCH = 1  # offset 0 must be greater than an engine's initial epoch
 
 
-async def claim(log: Log, timers: Timers, instance: str, incarnation: int) -> int:
-    """Append a claim, however long the log is down, and return its epoch.
+class Claim(NamedTuple):
+    """A claim in the log.
+
+    Attributes:
+        epoch: Fencing number of the claimant's orders.
+        had_earlier_side: Whether the log still has an earlier claim of the server.
+    """
+
+    epoch: int
+    had_earlier_side: bool
+
+
+async def claim(log: Log, timers: Timers, instance: str, incarnation: int) -> Claim:
+    """Append a claim, however long the log is down.
 
     A claim whose answer was lost is repeated: the later offset counts, and no order
     was given under the earlier one.
@@ -26,15 +39,51 @@
         {
             "version": 1,
             "kind": "claim",
-            "id": uuid4().hex,
             "instance": instance,
             "incarnation": incarnation,
         }
     )
     while True:
         offset = await log.append(STREAM, [record])
-        if not isinstance(offset, LogError):
-            logger.info("claimed", instance=instance, epoch=offset + FIRST_EPOCH)
-            return offset + FIRST_EPOCH
-        logger.warning("claim not appended", detail=offset.detail)
-        await timers.sleep_ms(RETRY_MS)
+        if isinstance(offset, LogError):
+            logger.warning("claim not appended", detail=offset.detail)
+            await timers.sleep_ms(RETRY_MS)
+            continue
+        epoch = offset + FIRST_EPOCH
+        had_earlier = await _had_earlier_side(
+            log, timers, offset, instance, incarnation
+        )
+        logger.info("claimed", instance=instance, epoch=epoch)
+        return Claim(epoch, had_earlier)
+
+
+async def _had_earlier_side(
+    log: Log, timers: Timers, own_offset: int, instance: str, incarnation: int
+) -> bool:
+    """Look for a claim of the same server by another incarnation."""
+    offset = 0
+    while offset < own_offset:
+        page = await log.read(STREAM, offset)
+        if isinstance(page, LogError):
+            if page.reason is LogErrorReason.TRIMMED:
+                offset = page.start
+            else:
+                await timers.sleep_ms(RETRY_MS)
+            continue
+        for record in page.records:
+            if record.offset < own_offset and _is_of_other(
+                record.data, instance, incarnation
+            ):
+                return True
+            offset = record.offset + 1
+    return False
+
+
+def _is_of_other(data: str, instance: str, incarnation: int) -> bool:
+    try:
+        fields = json.loads(data)
+        same_server = fields["instance"] == instance
+        return same_server and fields["incarnation"] != incarnation
+    except (ValueError, KeyError, TypeError):
+        # What cannot be read may be a claim of this server.
+        return True
--- a/src/copperrun/placement/homes.py
+++ b/src/copperrun/placement/homes.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 from collections import deque
+from collections.abc import Iterable
 from collections.abc import Iterator
 from collections.abc import Sequence
 from typing import NamedTuple
@@ -47,6 +48,12 @@
     return weights_name(spec.model, spec.version), version.weights
 
 
+def versions_in(resident: Iterable[str], model: str) -> list[str]:
+    """Return the resident versions of a model, in order of their names."""
+    prefix = weights_name(model, "")
+    return sorted(name for name in resident if name.startswith(prefix))
+
+
 def assign_homes(cfg: Configuration, instances: Sequence[Instance]) -> Homes:
     """Return the instance ids that keep each deployment resident.
 
--- a/src/copperrun/placement/ledger.py
+++ b/src/copperrun/placement/ledger.py
@@ -44,6 +44,10 @@
         entry = self._entries.get(name)
         return entry.holding if entry else None
 
+    def names(self) -> tuple[str, ...]:
+        """Return every object that is counted."""
+        return tuple(self._entries)
+
     def resident(self) -> tuple[str, ...]:
         """Return the objects that calls may use."""
         return tuple(
--- a/src/copperrun/placement/orders.py
+++ b/src/copperrun/placement/orders.py
@@ -19,7 +19,8 @@
 from copperrun.ports.timers import Timers
 
 SETTLE_POLL_MS = 200
-ORDER_LIFETIME_MS = 120_000  # after which an unanswered order cannot arrive
+ORDER_LIFETIME_MS = 30_000  # after which an unanswered order cannot arrive
+FENCE_OBJECT = "copperrun/fence"  # never loaded; unloading it only raises the number
 
 
 class OrderErrorReason(Enum):
@@ -60,10 +61,23 @@
         """Whether this side holds an epoch."""
         return self._epoch is not None
 
-    def set_epoch(self, epoch: int) -> None:
-        """Allow orders under the offset of this side's claim."""
-        self._epoch = epoch
-        self._sequence = 0
+    async def take_over(self, epoch: int, *, had_earlier_side: bool) -> None:
+        """Allow orders under a claim, once no earlier side's order can take effect.
+
+        An engine that checks numbers refuses earlier epochs after the first order of
+        this one. From one that ignores them, nothing is asked until every order that
+        an earlier side may have sent has arrived.
+        """
+        async with self._lock:
+            if self.checks_orders:
+                state = await self._raise_fence(epoch)
+            else:
+                if had_earlier_side:
+                    await self._timers.sleep_ms(ORDER_LIFETIME_MS)
+                state = await self._idle_state()
+            self._ledger.adopt(state)
+            self._epoch = epoch
+            self._step_down_if_superseded(state)
 
     async def load(self, name: str, size_bytes: int) -> OrderError | None:
         """Load an object; return once the engine's state shows the outcome."""
@@ -126,7 +140,11 @@
         await self._timers.sleep_ms(SETTLE_POLL_MS)
         state = await self._engine.state()
         if isinstance(state, EngineState):
-            expired = self._timers.now_ms() - sent_ms >= ORDER_LIFETIME_MS
+            # A repeated order may be under way however old the first one is.
+            expired = (
+                not self.checks_orders
+                and self._timers.now_ms() - sent_ms >= ORDER_LIFETIME_MS
+            )
             if _has_effect(order, state) or (expired and not state.busy):
                 return state
             if self.checks_orders and not state.busy:
@@ -146,6 +164,25 @@
             return OrderError(OrderErrorReason.SUPERSEDED, detail)
         return _refused(order, detail)
 
+    async def _raise_fence(self, epoch: int) -> EngineState:
+        order = Order(OrderNumber(epoch, 0), OrderKind.UNLOAD, FENCE_OBJECT, 0)
+        result = await self._engine.order(order)
+        while isinstance(result, EngineError):
+            if result.reason is EngineErrorReason.STALE_ORDER:
+                logger.error("a later side has claimed this server; no orders")
+                return await self._idle_state()
+            await self._timers.sleep_ms(SETTLE_POLL_MS)
+            result = await self._engine.order(order)
+        return result
+
+    async def _idle_state(self) -> EngineState:
+        """Return the engine's state once no order is under way in it."""
+        state = await self._engine.state()
+        while isinstance(state, EngineError) or state.busy:
+            await self._timers.sleep_ms(SETTLE_POLL_MS)
+            state = await self._engine.state()
+        return state
+
     def _step_down_if_superseded(self, state: EngineState) -> None:
         if self._epoch is not None and state.last_order.epoch > self._epoch:
             logger.error("a later side has claimed this server; no more orders")
--- a/src/copperrun/ports/sides.py
+++ b/src/copperrun/ports/sides.py
@@ -83,5 +83,8 @@
     async def cancel(self, address: str, attempt_id: AttemptId) -> bool | SideError:
         """Cancel an attempt; return whether it had started."""
 
+    async def pin(self, address: str, name: str) -> bool | SideError:
+        """Ask a side to keep an object resident; return whether it will."""
+
     async def hello(self, address: str) -> SideStatus | SideError:
         """Ask a side for its status."""
--- a/src/copperrun/routing/router.py
+++ b/src/copperrun/routing/router.py
@@ -14,6 +14,7 @@
 from copperrun.placement.homes import Homes
 from copperrun.placement.homes import assign_homes
 from copperrun.placement.homes import object_of
+from copperrun.placement.homes import versions_in
 from copperrun.routing.peers import Peer
 from copperrun.routing.peers import PeerTable
 from copperrun.routing.peers import PeerView
@@ -84,15 +85,17 @@
         return self._model_tiers(cfg, target.deployment)
 
     def _model_tiers(self, cfg: Configuration, deployment: str) -> list[list[Peer]]:
-        """Return the known holders of a model, then its homes.
+        """Return the known holders of a model version, of another one, then its homes.
 
         A home may hold the model without this entry having heard of it yet.
         """
         weights, _ = object_of(cfg, deployment)
+        model = cfg.deployments[deployment].model
         homes = self._homes.get(deployment, ())
         pool = self._peers.in_pool(cfg.deployments[deployment].pool)
         return [
             [peer for peer in pool if weights in peer.resident],
+            [peer for peer in pool if versions_in(peer.resident, model)],
             [peer for peer in pool if peer.instance.id in homes],
         ]
 
--- a/src/copperrun/side/daemon.py
+++ b/src/copperrun/side/daemon.py
@@ -5,6 +5,8 @@
 import asyncio
 from contextlib import suppress
 
+import aiohttp
+
 from copperrun.adapters.client import HttpClient
 from copperrun.adapters.client import open_session
 from copperrun.adapters.engine import HttpEngine
@@ -17,6 +19,8 @@
 from copperrun.adapters.server import HttpServer
 from copperrun.adapters.server import ServerLimits
 from copperrun.adapters.service import HttpService
+from copperrun.adapters.sides import SHARED_KEY_HEADER
+from copperrun.adapters.sides import HttpSides
 from copperrun.membership.lifecycle import State
 from copperrun.ports.engine import Engine
 from copperrun.ports.service import Service
@@ -51,7 +55,7 @@
     async def run(self) -> None:
         """Serve until ``leave`` is called and every attempt has ended."""
         async with open_session() as session:
-            process = self._build_process(HttpClient(session, self._timers))
+            process = self._build_process(session)
             server = self._build_server(process)
             task = asyncio.create_task(process.run())
             try:
@@ -70,8 +74,10 @@
                     await task
                 await server.close()
 
-    def _build_process(self, client: HttpClient) -> SideProcess:
+    def _build_process(self, session: aiohttp.ClientSession) -> SideProcess:
         settings = self._settings
+        client = HttpClient(session, self._timers)
+        headers = {SHARED_KEY_HEADER: settings.shared_keys[0]}
         is_engine = settings.backend.kind == "engine"
         backend: Engine | Service = (
             HttpEngine(client, settings.backend.url)
@@ -88,6 +94,7 @@
             log=HttpLog(client, settings.platform.log),
             instances=HttpInstances(client, settings.platform.instances),
             weights=HttpWeights(client, settings.platform.weights),
+            sides=HttpSides(HttpClient(session, self._timers, headers)),
             backend=backend,
             timers=self._timers,
             metrics=self._metrics,
--- a/src/copperrun/side/model_server.py
+++ b/src/copperrun/side/model_server.py
@@ -14,7 +14,6 @@
 from copperrun.model import Ran
 from copperrun.model import Refusal
 from copperrun.model import RefusalReason
-from copperrun.placement.homes import object_of
 from copperrun.placement.keeper import Keeper
 from copperrun.placement.keeper import adapter_object
 from copperrun.ports.engine import Engine
@@ -50,7 +49,7 @@
             return objects
         with self._in_use(objects) as held:
             if not held:
-                return self._not_resident(attempt, cfg)
+                return self._not_resident(attempt)
             call = _engine_call(attempt, cfg, objects)
             try:
                 async with self._timers.timeout_ms(remaining_ms):
@@ -73,7 +72,7 @@
             return
         with self._in_use(objects) as held:
             if not held:
-                yield self._not_resident(attempt, cfg)
+                yield self._not_resident(attempt)
                 return
             call = _engine_call(attempt, cfg, objects)
             async for item in self._stream_call(call, remaining_ms):
@@ -92,7 +91,9 @@
     ) -> _Objects | Refusal:
         if attempt.deployment not in cfg.deployments:
             return _unknown_deployment(attempt)
-        weights, _ = object_of(cfg, attempt.deployment)
+        weights = self._keeper.servable(cfg, attempt.deployment)
+        if weights is None:
+            return self._not_resident(attempt)
         if not attempt.adapter:
             return _Objects(weights, "")
         adapter = cfg.adapters.get(attempt.adapter)
@@ -154,7 +155,8 @@
         self._cancelling.add(task)
         task.add_done_callback(self._cancelling.discard)
 
-    def _not_resident(self, attempt: Attempt, cfg: Configuration) -> Refusal:
+    def _not_resident(self, attempt: Attempt) -> Refusal:
+        self._keeper.note_refused(attempt.deployment)
         return Refusal(
             RefusalReason.NOT_RESIDENT,
             Ran.NO,
--- a/src/copperrun/side/process.py
+++ b/src/copperrun/side/process.py
@@ -22,6 +22,7 @@
 from copperrun.placement.keeper import Keeper
 from copperrun.placement.ledger import Ledger
 from copperrun.placement.orders import OrderDesk
+from copperrun.placement.pins import Pins
 from copperrun.ports.engine import Engine
 from copperrun.ports.engine import EngineError
 from copperrun.ports.engine import EngineState
@@ -29,6 +30,7 @@
 from copperrun.ports.log import Log
 from copperrun.ports.metrics import Metrics
 from copperrun.ports.service import Service
+from copperrun.ports.sides import Sides
 from copperrun.ports.sides import SideStatus
 from copperrun.ports.timers import Timers
 from copperrun.ports.weights import Weights
@@ -46,6 +48,7 @@
     log: Log
     instances: Instances
     weights: Weights
+    sides: Sides
     backend: Engine | Service
     timers: Timers
     metrics: Metrics
@@ -81,7 +84,7 @@
         self.ledger = Ledger(0)
         self._ports = ports
         self._desk: OrderDesk | None = None
-        self._keeper: Keeper | None = None
+        self.keeper: Keeper | None = None
         self._plain: PlainServer | None = None
         server = self._build_engine() if identity.is_engine else self._build_service()
         self.agent = Agent(
@@ -100,10 +103,10 @@
             tasks.create_task(self.follower.run())
             tasks.create_task(self.directory.run())
             self.directory.subscribe(self._watch_own_entry)
-            if self._keeper is not None and self._desk is not None:
+            if self.keeper is not None and self._desk is not None:
                 await self._adopt_engine(self._desk)
                 tasks.create_task(self._claim(self._desk))
-                tasks.create_task(self._keeper.run())
+                tasks.create_task(self.keeper.run())
             self.follower.subscribe(self._configure)
             await self.follower.wait_for_configuration()
             if self.agent.lifecycle.state is State.STARTING:
@@ -115,6 +118,12 @@
         if self._plain is not None:
             self._plain.close()
 
+    def grant_pin(self, name: str) -> bool:
+        """Promise another side to keep an object, so that it may drop its copy."""
+        if self.keeper is None or not self.agent.lifecycle.accepts_work:
+            return False
+        return self.keeper.grant_pin(name)
+
     def status(self) -> SideStatus:
         """Return what this side says of itself."""
         return SideStatus(
@@ -130,16 +139,18 @@
         ports = self._ports
         engine: Engine = ports.backend  # type: ignore[assignment]
         self._desk = OrderDesk(engine, self.ledger, ports.timers)
-        self._keeper = Keeper(
+        self.keeper = Keeper(
             self.identity.instance,
+            self.identity.pool,
             self._desk,
             self.ledger,
             ports.weights,
+            Pins(ports.sides, self.directory),
             ports.timers,
             ports.metrics,
         )
-        self.directory.subscribe(self._keeper.set_instances)
-        return ModelServer(engine, self._keeper, ports.timers)
+        self.directory.subscribe(self.keeper.set_instances)
+        return ModelServer(engine, self.keeper, ports.timers)
 
     def _build_service(self) -> PlainServer:
         service: Service = self._ports.backend  # type: ignore[assignment]
@@ -162,9 +173,9 @@
             logger.error("pool is not configured", pool=self.identity.pool)
             return
         self.queue.set_slots(pool.slots)
-        if self._keeper is not None and self._desk is not None:
+        if self.keeper is not None and self._desk is not None:
             self._configure_engine(self._desk, pool)
-            self._keeper.set_configuration(cfg, revision)
+            self.keeper.set_configuration(cfg, revision)
         if self._plain is not None:
             self._plain.set_configuration(cfg, self.identity.pool)
 
@@ -189,13 +200,15 @@
 
     async def _claim(self, desk: OrderDesk) -> None:
         ports = self._ports
-        epoch = await claim(
+        claimed = await claim(
             ports.log, ports.timers, self.identity.instance, self.incarnation
         )
         ports.metrics.appended("claims")
-        desk.set_epoch(epoch)
-        if self._keeper is not None:
-            self._keeper.wake()
+        # The configuration says whether the engine checks order numbers.
+        await self.follower.wait_for_configuration()
+        await desk.take_over(claimed.epoch, had_earlier_side=claimed.had_earlier_side)
+        if self.keeper is not None:
+            self.keeper.wake()
 
     def _watch_own_entry(self, instances: Sequence[Instance]) -> None:
         own = self.directory.find(self.identity.instance)
--- a/src/copperrun/side/server.py
+++ b/src/copperrun/side/server.py
@@ -18,6 +18,7 @@
 from copperrun.adapters.sides import CANCEL_PATH
 from copperrun.adapters.sides import END_EVENT
 from copperrun.adapters.sides import HELLO_PATH
+from copperrun.adapters.sides import PIN_PATH
 from copperrun.adapters.sides import REFUSAL_EVENT
 from copperrun.gen import ttypes
 from copperrun.model import Answer
@@ -40,6 +41,7 @@
     app.router.add_post(ATTEMPTS_PATH, handlers.attempt)
     app.router.add_post(CANCEL_PATH, handlers.cancel)
     app.router.add_get(HELLO_PATH, handlers.hello)
+    app.router.add_post(PIN_PATH, handlers.pin)
     return app
 
 
@@ -70,6 +72,14 @@
         result = wire.encode(ttypes.CancelResult(message.id, started))
         return web.Response(body=result, content_type=wire.CONTENT_TYPE)
 
+    async def pin(self, request: web.Request) -> web.StreamResponse:
+        """Promise to keep an object, or not."""
+        message = wire.decode(ttypes.Pin, await request.read())
+        if isinstance(message, wire.WireError):
+            return json_response({"error": message.detail}, 400)
+        result = ttypes.PinResult(self._process.grant_pin(message.object))
+        return web.Response(body=wire.encode(result), content_type=wire.CONTENT_TYPE)
+
     async def hello(self, request: web.Request) -> web.StreamResponse:
         """Say who this process is."""
         status = wire.encode_status(self._process.status())
--- a/testing/installation.py
+++ b/testing/installation.py
@@ -131,6 +131,11 @@
             return SideError(SideErrorReason.UNREACHABLE, "refused")
         return agent.cancel(attempt_id)
 
+    async def pin(self, address: str, name: str) -> bool | SideError:
+        if self._agent(address) is None:
+            return SideError(SideErrorReason.UNREACHABLE, "refused")
+        return self.processes[address].grant_pin(name)
+
     async def hello(self, address: str) -> SideStatus | SideError:
         if self._agent(address) is None:
             return SideError(SideErrorReason.UNREACHABLE, "refused")
@@ -309,6 +314,7 @@
             self.log,
             self.instances,
             self.weights,
+            self.sides,
             backend,
             self.timers,
             NullMetrics(),
--- a/testing/mutants.py
+++ b/testing/mutants.py
@@ -50,6 +50,51 @@
         "if not state.busy:",
         "test_placement.py::test_unsettled_order_keeps_its_reservation",
     ),
+    Mutant(
+        "memory",
+        "placement/orders.py",
+        "                not self.checks_orders\n                and ",
+        "                True\n                and ",
+        "test_placement.py::test_unsettled_order_keeps_its_reservation",
+    ),
+    Mutant(
+        "memory",
+        "placement/orders.py",
+        "                if had_earlier_side:",
+        "                if False:",
+        "test_placement.py::test_new_side_waits_for_late_orders_to_an_engine_that_"
+        "ignores_numbers",
+    ),
+    Mutant(
+        "memory",
+        "placement/orders.py",
+        "                state = await self._raise_fence(epoch)",
+        "                state = await self._idle_state()",
+        "test_placement.py::test_order_of_an_earlier_side_is_refused_by_a_checking_"
+        "engine",
+    ),
+    Mutant(
+        "reachable",
+        "placement/keeper.py",
+        "return name in self._ledger.resident() and name not in self._dropping",
+        "return name in self._ledger.resident()",
+        "test_reachability.py::test_two_holders_that_want_to_drop_do_not_both_drop",
+    ),
+    Mutant(
+        "reachable",
+        "placement/keeper.py",
+        "        versions = versions_in(resident, cfg.deployments[deployment].model)",
+        "        versions: list[str] = []",
+        "test_reachability.py::test_version_switch_is_answered_throughout_and_the_old_"
+        "version_goes",
+    ),
+    Mutant(
+        "reachable",
+        "placement/keeper.py",
+        "return await self._pins.obtain(current, self._other_homes(deployment))",
+        "return True",
+        "test_reachability.py::test_list_that_drops_and_restores_runners_never_costs_a_last_copy",
+    ),
     Mutant(
         "reachable",
         "placement/homes.py",
--- a/testing/test_placement.py
+++ b/testing/test_placement.py
@@ -32,8 +32,10 @@
 from copperrun.placement.homes import object_of
 from copperrun.placement.keeper import Keeper
 from copperrun.placement.ledger import Ledger
+from copperrun.placement.orders import ORDER_LIFETIME_MS
 from copperrun.placement.orders import OrderDesk
 from copperrun.placement.orders import OrderErrorReason
+from copperrun.placement.pins import Pins
 from copperrun.ports.engine import OrderKind
 from copperrun.ports.engine import OrderNumber
 
@@ -116,7 +118,6 @@
         self.ledger = Ledger(80 * GIB)
         self.desk = OrderDesk(self.engine, self.ledger, self.timers)
         self.desk.checks_orders = checks_orders
-        self.desk.set_epoch(7)
 
     async def load(self, name: str, size_gib: int, limit_ms: int = 300_000) -> object:
         work = self.desk.load(name, size_gib * GIB)
@@ -125,6 +126,10 @@
     async def unload(self, name: str) -> object:
         return await self._run(self.desk.unload(name), 300_000)
 
+    async def take_over(self, epoch: int, *, had_earlier_side: bool = False) -> None:
+        work = self.desk.take_over(epoch, had_earlier_side=had_earlier_side)
+        await self._run(work, 300_000)
+
     async def _run(self, work: Awaitable[object], limit_ms: int) -> object:
         fut = asyncio.ensure_future(work)
         await run_until(self.timers, fut, limit_ms)
@@ -143,6 +148,7 @@
     def run(scenario: Scenario) -> None:
         async def started() -> None:
             bench = Desk(checks_orders=request.param)
+            await bench.take_over(7)
             await scenario(bench)
             bench.check()
 
@@ -178,7 +184,8 @@
     async def scenario(bench: Desk) -> None:
         bench.engine.faults.drop_orders = 1_000
         fut = asyncio.ensure_future(bench.desk.load("a", 60 * GIB))
-        await bench.timers.advance(100_000)
+        checks = bench.desk.checks_orders
+        await bench.timers.advance(100_000 if checks else ORDER_LIFETIME_MS - 1_000)
         assert_that(fut.done(), Is(False))
         assert_that(bench.ledger.free_bytes, Equals(20 * GIB))
         fut.cancel()
@@ -186,18 +193,40 @@
     run_desk(scenario)
 
 
-def test_late_order_of_an_earlier_side_is_refused_by_a_checking_engine() -> None:
+def test_order_of_an_earlier_side_is_refused_by_a_checking_engine() -> None:
     async def scenario() -> None:
         bench = Desk()
         old = OrderDesk(bench.engine, Ledger(80 * GIB), bench.timers)
-        old.set_epoch(3)
-        assert_that(await bench.load("a", 60), Is(None))
+        old.checks_orders = True
+        await old.take_over(3, had_earlier_side=False)
+        # The new side has given no order of its own yet.
+        await bench.take_over(7)
         fut = asyncio.ensure_future(old.load("b", 60 * GIB))
         await run_until(bench.timers, fut, 10_000)
         error = fut.result()
         assert error is not None
         assert_that(error.reason, Is(OrderErrorReason.SUPERSEDED))
         assert_that(old.may_order, Is(False))
+        assert_that(await bench.load("a", 60), Is(None))
+        bench.check()
+
+    asyncio.run(scenario())
+
+
+def test_new_side_waits_for_late_orders_to_an_engine_that_ignores_numbers() -> None:
+    async def scenario() -> None:
+        bench = Desk(checks_orders=False)
+        bench.engine.faults.late_orders = 1
+        bench.engine.faults.late_ms = 20_000
+        old = OrderDesk(bench.engine, Ledger(80 * GIB), bench.timers)
+        await old.take_over(3, had_earlier_side=False)
+        orphan = asyncio.ensure_future(old.load("b", 60 * GIB))
+        await bench.timers.advance(100)
+        orphan.cancel()
+        await bench.take_over(7, had_earlier_side=True)
+        error = await bench.load("a", 60)
+        assert_that(error.reason, Is(OrderErrorReason.NO_ROOM))  # type: ignore[attr-defined]
+        assert_that(bench.ledger.resident(), Equals(("b",)))
         bench.check()
 
     asyncio.run(scenario())
@@ -233,6 +262,7 @@
 ) -> None:
     async def scenario() -> None:
         bench = Desk(checks_orders=checks)
+        await bench.take_over(7)
         sizes = {"a": 50, "b": 40, "c": 30, "d": 10}
         for kind, name, fault in steps:
             if fault:
@@ -249,10 +279,13 @@
 def test_adapters_make_room_for_each_other_but_not_while_in_use() -> None:
     async def scenario() -> None:
         bench = Desk()
+        await bench.take_over(7)
         weights = OpenWeights(bench.timers)
+        pins = Pins(None, None)  # type: ignore[arg-type]  # adapters need none
         keeper = Keeper(
-            "a", bench.desk, bench.ledger, weights, bench.timers, NullMetrics()
-        )
+            "a", "p", bench.desk, bench.ledger, weights, pins, bench.timers,
+            NullMetrics(),
+        )  # fmt: skip
 
         async def ensure(name: str) -> object:
             fut = asyncio.ensure_future(keeper.ensure_adapter(name, 30 * GIB))
