Start from a peer's configuration while the log cannot give it

Cause: an instance replaced during an outage of the log stayed without a configuration until the log came back; the users replace instances at any time. Ruled out: keeping a copy on the instance (no disks). Before: no answer from an entry started during an outage. After: it answers, and a restarted side serves what its engine holds without giving orders.

--- a/src/copperrun/adapters/operations.py
+++ b/src/copperrun/adapters/operations.py
@@ -13,6 +13,7 @@
 
 STATUS_PATH = "/internal/status"
 DRAIN_PATH = "/internal/drain"
+SNAPSHOT_PATH = "/internal/configuration"
 
 
 class ProcessStatus(TypedDict):
@@ -52,11 +53,13 @@
         status: Callable[[], ProcessStatus],
         is_ready: Callable[[], bool],
         drain: Callable[[], None],
+        snapshot: Callable[[], str],
     ) -> None:
         self._metrics = metrics
         self._status = status
         self._is_ready = is_ready
         self._drain = drain
+        self._snapshot = snapshot
 
     def add_health_routes(self, app: web.Application) -> None:
         """Add what the balancer and the platform ask."""
@@ -68,6 +71,7 @@
         app.router.add_get("/metrics", self._exposition)
         app.router.add_get(STATUS_PATH, self._report)
         app.router.add_post(DRAIN_PATH, self._start_drain)
+        app.router.add_get(SNAPSHOT_PATH, self._give_snapshot)
 
     async def _healthz(self, request: web.Request) -> web.Response:
         return json_response({"status": "ok"})
@@ -86,6 +90,9 @@
     async def _report(self, request: web.Request) -> web.Response:
         return json_response(self._status())
 
+    async def _give_snapshot(self, request: web.Request) -> web.Response:
+        return web.Response(text=self._snapshot(), content_type="application/json")
+
     async def _start_drain(self, request: web.Request) -> web.Response:
         self._drain()
         return json_response(self._status())
--- a/src/copperrun/adapters/sides.py
+++ b/src/copperrun/adapters/sides.py
@@ -28,7 +28,7 @@
 SHARED_KEY_HEADER = "X-Copperrun-Shared-Key"
 END_EVENT = "end"
 REFUSAL_EVENT = "refusal"
-HELLO_TIMEOUT_MS = 2_000
+HELLO_TIMEOUT_MS = 500
 CANCEL_TIMEOUT_MS = 1_000
 PIN_TIMEOUT_MS = 1_000
 
--- a/src/copperrun/configuration/fold.py
+++ b/src/copperrun/configuration/fold.py
@@ -107,6 +107,25 @@
             return Verdict(Outcome.PENDING)
         return self._apply_decoded(decoded, record.offset)
 
+    def restore(self, snapshot: Snapshot) -> bool:
+        """Take a peer's snapshot when it is ahead and this fold has gaps or nothing.
+
+        Returns:
+            Whether the snapshot was taken; a lower offset never is.
+        """
+        if self.configuration is not None and self.is_whole():
+            return False
+        gap_end = self.next_offset if self._gap_end is None else self._gap_end
+        if snapshot.upto < gap_end - 1 or snapshot.revision < self.revision:
+            return False
+        previous = self._gap_end
+        self._gap_end = gap_end
+        if self._apply_snapshot(snapshot).outcome is not Outcome.SNAPSHOT:
+            self._gap_end = previous
+            return False
+        self.next_offset = max(self.next_offset, snapshot.upto + 1)
+        return self.configuration is not None
+
     def is_whole(self) -> bool:
         """Return whether no records are missing from the fold."""
         return self._gap_end is None
--- a/src/copperrun/configuration/follower.py
+++ b/src/copperrun/configuration/follower.py
@@ -7,11 +7,15 @@
 
 from loguru import logger
 
+from copperrun.configuration.changes import Snapshot
+from copperrun.configuration.changes import decode_record
+from copperrun.configuration.changes import encode_record
 from copperrun.configuration.fold import Fold
 from copperrun.configuration.reader import read_page
 from copperrun.configuration.schema import Configuration
 from copperrun.ports.log import Log
 from copperrun.ports.metrics import Metrics
+from copperrun.ports.peers import Peers
 from copperrun.ports.timers import Timers
 
 POLL_WAIT_MS = 2_000
@@ -23,10 +27,13 @@
 class Follower:
     """Reads the configuration stream and tells listeners of each new revision."""
 
-    def __init__(self, log: Log, timers: Timers, metrics: Metrics) -> None:
+    def __init__(
+        self, log: Log, peers: Peers, timers: Timers, metrics: Metrics
+    ) -> None:
         self.fold = Fold()
         self._metrics = metrics
         self._log = log
+        self._peers = peers
         self._timers = timers
         self._listeners: list[Listener] = []
         self._changed = asyncio.Event()
@@ -57,7 +64,10 @@
     async def run(self) -> None:
         """Follow the stream until cancelled."""
         while True:
-            if not await self.poll(wait_ms=POLL_WAIT_MS):
+            answered = await self.poll(wait_ms=POLL_WAIT_MS)
+            if not answered or not self.fold.is_whole():
+                await self.ask_peers()
+            if not answered:
                 await self._timers.sleep_ms(RETRY_DELAY_MS)
 
     async def poll(self, *, wait_ms: int = 0) -> bool:
@@ -71,6 +81,19 @@
             self._tell_listeners()
         return True
 
+    def encode_snapshot(self) -> str:
+        """Return the fold for a peer that starts."""
+        return encode_record(self.fold.snapshot(self._timers.wall_ms()))
+
+    async def ask_peers(self) -> None:
+        """Take the fold of a peer while the log cannot give the whole of it."""
+        if self.fold.configuration is not None and self.fold.is_whole():
+            return
+        data = await self._peers.fetch_snapshot()
+        snapshot = None if data is None else decode_record(data)
+        if isinstance(snapshot, Snapshot) and self.fold.restore(snapshot):
+            self._tell_listeners()
+
     def _tell_listeners(self) -> None:
         cfg = self.fold.configuration
         if cfg is None:
--- a/src/copperrun/embedded/engine.py
+++ b/src/copperrun/embedded/engine.py
@@ -124,6 +124,7 @@
         self.faults = EngineFaults()
         self.started: list[EngineRecord] = []
         self.unfinished: list[str] = []
+        self.order_count = 0
         self.memory_high_water = kv_reserve_bytes
         self._timers = timers
         self._weights = weights
@@ -220,6 +221,7 @@
             if self._checks_orders and order.number < self._last_order:
                 return EngineError(EngineErrorReason.STALE_ORDER, "old order number")
             self._last_order = max(self._last_order, order.number)
+            self.order_count += 1
             if not await self._carry_out(order):
                 return EngineError(EngineErrorReason.REFUSED, "weights not available")
         if self.faults.lose_order_answers > 0:
--- a/src/copperrun/entry/daemon.py
+++ b/src/copperrun/entry/daemon.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from contextlib import suppress
+from functools import partial
 
 import aiohttp
 from aiohttp import web
@@ -13,6 +14,7 @@
 from copperrun.adapters.metrics import Metrics
 from copperrun.adapters.operations import Operations
 from copperrun.adapters.operations import ProcessStatus
+from copperrun.adapters.peers import HttpPeers
 from copperrun.adapters.platform import HttpInstances
 from copperrun.adapters.platform import HttpLog
 from copperrun.adapters.server import HttpServer
@@ -80,6 +82,7 @@
             sides=HttpSides(internal),
             timers=self._timers,
             metrics=self._metrics,
+            open_peers=partial(HttpPeers, internal, settings.instance),
         )
         return EntryProcess(
             settings.instance, ports, default_deadline_ms=settings.default_deadline
@@ -94,6 +97,7 @@
             lambda: _status(settings, process),
             lambda: process.is_ready,
             self.leave,
+            process.follower.encode_snapshot,
         )
         public = web.Application(client_max_size=bounds.body)
         add_caller_routes(public, process.gateway, self._timers, bounds)
--- a/src/copperrun/entry/process.py
+++ b/src/copperrun/entry/process.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 from collections.abc import Sequence
 from random import Random
 from typing import NamedTuple
@@ -19,6 +20,7 @@
 from copperrun.ports.instances import Instances
 from copperrun.ports.log import Log
 from copperrun.ports.metrics import Metrics
+from copperrun.ports.peers import Peers
 from copperrun.ports.sides import Sides
 from copperrun.ports.timers import Timers
 from copperrun.routing.dispatcher import Dispatcher
@@ -34,6 +36,7 @@
     sides: Sides
     timers: Timers
     metrics: Metrics
+    open_peers: Callable[[Directory], Peers]
 
 
 class EntryProcess:
@@ -49,8 +52,13 @@
     ) -> None:
         self.instance = instance
         self.lifecycle = Lifecycle(instance)
-        self.follower = Follower(ports.log, ports.timers, ports.metrics)
         self.directory = Directory(ports.instances, ports.timers)
+        self.follower = Follower(
+            ports.log,
+            ports.open_peers(self.directory),
+            ports.timers,
+            ports.metrics,
+        )
         self.peers = PeerTable(ports.sides, ports.timers)
         router = Router(self.peers, random or Random())
         limiter = RateLimiter(ports.timers)
--- a/src/copperrun/side/daemon.py
+++ b/src/copperrun/side/daemon.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from contextlib import suppress
+from functools import partial
 
 import aiohttp
 
@@ -13,6 +14,7 @@
 from copperrun.adapters.metrics import Metrics
 from copperrun.adapters.operations import Operations
 from copperrun.adapters.operations import ProcessStatus
+from copperrun.adapters.peers import HttpPeers
 from copperrun.adapters.platform import HttpInstances
 from copperrun.adapters.platform import HttpLog
 from copperrun.adapters.platform import HttpWeights
@@ -78,6 +80,7 @@
         settings = self._settings
         client = HttpClient(session, self._timers)
         headers = {SHARED_KEY_HEADER: settings.shared_keys[0]}
+        internal = HttpClient(session, self._timers, headers)
         is_engine = settings.backend.kind == "engine"
         backend: Engine | Service = (
             HttpEngine(client, settings.backend.url)
@@ -94,10 +97,11 @@
             log=HttpLog(client, settings.platform.log),
             instances=HttpInstances(client, settings.platform.instances),
             weights=HttpWeights(client, settings.platform.weights),
-            sides=HttpSides(HttpClient(session, self._timers, headers)),
+            sides=HttpSides(internal),
             backend=backend,
             timers=self._timers,
             metrics=self._metrics,
+            open_peers=partial(HttpPeers, internal, settings.instance),
         )
         return SideProcess(identity, ports)
 
@@ -108,6 +112,7 @@
             lambda: _status(process),
             lambda: process.agent.lifecycle.state is State.SERVING,
             self.leave,
+            process.follower.encode_snapshot,
         )
         operations.add_health_routes(app)
         operations.add_operator_routes(app)
--- a/src/copperrun/side/process.py
+++ b/src/copperrun/side/process.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import secrets
+from collections.abc import Callable
 from collections.abc import Sequence
 from typing import NamedTuple
 
@@ -29,6 +30,7 @@
 from copperrun.ports.instances import Instances
 from copperrun.ports.log import Log
 from copperrun.ports.metrics import Metrics
+from copperrun.ports.peers import Peers
 from copperrun.ports.service import Service
 from copperrun.ports.sides import Sides
 from copperrun.ports.sides import SideStatus
@@ -52,6 +54,7 @@
     backend: Engine | Service
     timers: Timers
     metrics: Metrics
+    open_peers: Callable[[Directory], Peers]
 
 
 class SideIdentity(NamedTuple):
@@ -78,8 +81,13 @@
     def __init__(self, identity: SideIdentity, ports: SidePorts) -> None:
         self.identity = identity
         self.incarnation = secrets.randbits(INCARNATION_BITS)
-        self.follower = Follower(ports.log, ports.timers, ports.metrics)
         self.directory = Directory(ports.instances, ports.timers)
+        self.follower = Follower(
+            ports.log,
+            ports.open_peers(self.directory),
+            ports.timers,
+            ports.metrics,
+        )
         self.queue = AdmissionQueue(ports.timers, slots=1)
         self.ledger = Ledger(0)
         self._ports = ports
--- a/testing/installation.py
+++ b/testing/installation.py
@@ -231,7 +231,12 @@
 
     def start_entry(self, name: str) -> EntryProcess:
         ports = EntryPorts(
-            self.log, self.instances, self.sides, self.timers, NullMetrics()
+            self.log,
+            self.instances,
+            self.sides,
+            self.timers,
+            NullMetrics(),
+            lambda _: self,
         )
         entry = EntryProcess(
             name, ports, default_deadline_ms=30_000, random=self._random
@@ -241,6 +246,13 @@
         self._tasks[name] = asyncio.create_task(entry.run())
         return entry
 
+    async def fetch_snapshot(self) -> str | None:
+        """Answer a starting process as its peers would."""
+        for process in (*self.entries.values(), *self.sides.processes.values()):
+            if process.follower.configuration is not None:
+                return process.follower.encode_snapshot()
+        return None
+
     async def publish(self, raw: dict[str, Any], *, base: int = -1) -> None:
         for name, caller in raw["callers"].items():
             self.keys.setdefault(name, create_key(name))
@@ -318,6 +330,7 @@
             backend,
             self.timers,
             NullMetrics(),
+            lambda _: self,
         )
         process = SideProcess(identity, ports)
         self.sides.processes[name] = process
--- a/testing/test_fold.py
+++ b/testing/test_fold.py
@@ -210,3 +210,20 @@
     objects = objects_of(small_configuration())
     same = copy.deepcopy(objects)
     assert_that(difference(objects, same, base=0, author="a", at_ms=0), Is(None))
+
+
+def test_snapshot_of_a_peer_is_taken_only_when_it_is_ahead() -> None:
+    ahead, _ = fold_of(first_change(), put("a", 0, preset_in_force="peak"))
+    behind, _ = fold_of(first_change())
+    starting = Fold()
+    assert_that(starting.restore(ahead.snapshot(0)), Is(True))
+    assert_that(starting.configuration, Equals(ahead.configuration))
+    assert_that(starting.restore(behind.snapshot(0)), Is(False))
+    assert_that((starting.revision, starting.next_offset), Equals((1, 2)))
+    late = Fold()
+    late.begin(2)
+    assert_that(late.restore(behind.snapshot(0)), Is(False))
+    assert_that(late.restore(ahead.snapshot(0)), Is(True))
+    next_change = put("b", 1, preset_in_force="ordinary")
+    verdict = late.apply(LogRecord(2, encode_record(next_change)))
+    assert_that(verdict.outcome, Is(Outcome.ACCEPTED))
--- a/testing/test_installation.py
+++ b/testing/test_installation.py
@@ -386,3 +386,30 @@
         assert_that(took_ms, LessThan(3_000 + 1_000 + 2_000 * 11))
 
     run(scenario)
+
+
+def test_process_that_starts_while_the_log_is_down_takes_the_fold_of_a_peer() -> None:
+    async def scenario(installation: TestInstallation) -> None:
+        installation.log.faults.down = True
+        installation.start_entry("entry-1")
+        await installation.timers.advance(5_000)
+        answer = await installation.wait(installation.complete(BODY, entry="entry-1"))
+        assert_that(answer, IsInstance(Answer))
+        installation.stop_side("assistant-0")
+        restarted = installation.start_engine_side("assistant-0")
+        await installation.timers.advance(5_000)
+        # It serves what the engine holds, and gives no orders without a claim.
+        assert_that(restarted.agent.lifecycle.accepts_work, Is(True))
+        before = installation.engines["assistant-0"].order_count
+        raw = small_configuration()
+        installation.log.faults.down = False
+        await installation.publish(raw | {"preset_in_force": "peak"}, base=0)
+        await installation.timers.advance(5_000)
+        revisions = {
+            process.follower.revision
+            for process in (*installation.entries.values(), restarted)
+        }
+        assert_that(len(revisions), Equals(1))
+        assert_that(installation.engines["assistant-0"].order_count > before, Is(True))
+
+    run(scenario)
