--- a/src/copperrun/embedded/engine.py
+++ b/src/copperrun/embedded/engine.py
@@ -6,6 +6,7 @@
 import json
 from collections.abc import AsyncIterator
 from collections.abc import Iterator
+from contextvars import Context
 from dataclasses import dataclass
 from typing import Any
 from typing import NamedTuple
@@ -137,7 +138,7 @@
         self._last_order = NO_ORDER
         self._order_lock = asyncio.Lock()
         self._running: dict[str, asyncio.Event] = {}
-        self._late: set[asyncio.Task[EngineState | EngineError]] = set()
+        self._received: set[asyncio.Task[EngineState | EngineError]] = set()
         self._prefixes: dict[int, None] = {}
 
     @property
@@ -204,19 +205,22 @@
         if self.faults.drop_orders > 0:
             self.faults.drop_orders -= 1
             return EngineError(EngineErrorReason.ANSWER_LOST, "order lost")
+        delay_ms = 0
         if self.faults.late_orders > 0:
             self.faults.late_orders -= 1
-            # An order on its way arrives even when its sender is gone.
-            late = asyncio.create_task(self._receive_late(order))
-            self._late.add(late)
-            return await asyncio.shield(late)
-        return await self._receive(order)
-
-    async def _receive_late(self, order: Order) -> EngineState | EngineError:
-        await self._timers.sleep_ms(self.faults.late_ms)
-        return await self._receive(order)
+            delay_ms = self.faults.late_ms
+        # An order on its way is carried out even when its sender is gone; the
+        # engine's own context keeps it apart from the sender's tasks.
+        received = asyncio.create_task(
+            self._receive(order, delay_ms), context=Context()
+        )
+        self._received.add(received)
+        received.add_done_callback(self._received.discard)
+        return await asyncio.shield(received)
 
-    async def _receive(self, order: Order) -> EngineState | EngineError:
+    async def _receive(self, order: Order, delay_ms: int) -> EngineState | EngineError:
+        if delay_ms:
+            await self._timers.sleep_ms(delay_ms)
         async with self._order_lock:
             if self._checks_orders and order.number < self._last_order:
                 return EngineError(EngineErrorReason.STALE_ORDER, "old order number")
--- a/testing/installation.py
+++ b/testing/installation.py
@@ -6,11 +6,15 @@
 from collections.abc import AsyncIterator
 from collections.abc import Awaitable
 from collections.abc import Callable
+from contextvars import Context
+from contextvars import ContextVar
+from contextvars import copy_context
 from dataclasses import dataclass
 from random import Random
 from typing import Any
 from typing import TypeVar
 from uuid import UUID
+from weakref import WeakSet
 
 from copperrun.adapters.wire import checksum
 from copperrun.configuration.changes import STREAM
@@ -80,12 +84,42 @@
     delay_ms: int = 0
 
 
+OWNER: ContextVar[str] = ContextVar("owner", default="")
+
+
+class Owners:
+    """Tasks of each side process, so that a killed one does nothing more."""
+
+    def __init__(self) -> None:
+        self._tasks: dict[str, WeakSet[asyncio.Task[Any]]] = {}
+        self._dead: set[str] = set()
+
+    def create_task(
+        self, loop: asyncio.AbstractEventLoop, coro: Any, context: Any = None
+    ) -> asyncio.Task[Any]:
+        """Create a task for the event loop; one of a dead process never starts."""
+        owner = OWNER.get() if context is None else context.get(OWNER, "")
+        task: asyncio.Task[Any] = asyncio.Task(coro, loop=loop, context=context)
+        if owner:
+            self._tasks.setdefault(owner, WeakSet()).add(task)
+        if owner in self._dead:
+            task.cancel()
+        return task
+
+    def kill(self, owner: str) -> None:
+        """Cancel the tasks of a process; what they start after that never runs."""
+        self._dead.add(owner)
+        for task in list(self._tasks.pop(owner, ())):
+            task.cancel()
+
+
 class DirectSides:
     """Calls the sides of the same process, with faults on the way."""
 
     def __init__(self, timers: ManualTimers) -> None:
         self.processes: dict[str, SideProcess] = {}
         self.faults: dict[str, LinkFaults] = {}
+        self.owners: dict[str, str] = {}
         self._timers = timers
 
     async def submit(self, address: str, attempt: Attempt) -> SideReply:
@@ -96,11 +130,18 @@
         if faults.lose_requests > 0:
             faults.lose_requests -= 1
             return SideReply(SideError(SideErrorReason.ANSWER_LOST, "reset"))
-        handler = asyncio.create_task(self._deliver(agent, attempt, faults))
+        handler = asyncio.create_task(
+            self._deliver(agent, attempt, faults), context=self.context_of(address)
+        )
         if faults.delay_ms:
             # A message on its way arrives even when its sender gives up.
             return SideReply(await asyncio.shield(handler))
-        outcome = await handler
+        try:
+            outcome = await handler
+        except asyncio.CancelledError:
+            if not handler.cancelled() or _is_cancelled():
+                raise
+            return SideReply(SideError(SideErrorReason.ANSWER_LOST, "closed"))
         if faults.cut or faults.lose_answers > 0:
             faults.lose_answers -= 1
             return SideReply(SideError(SideErrorReason.ANSWER_LOST, "reset"))
@@ -113,7 +154,13 @@
             return
         items: asyncio.Queue[StreamItem] = asyncio.Queue()
         handler = asyncio.create_task(
-            _stream_into(items, agent, attempt, self.faults[address])
+            _stream_into(items, agent, attempt, self.faults[address]),
+            context=self.context_of(address),
+        )
+        handler.add_done_callback(
+            lambda _: items.put_nowait(
+                SideError(SideErrorReason.ANSWER_LOST, "connection closed")
+            )
         )
         try:
             while True:
@@ -148,6 +195,12 @@
             await self._timers.sleep_ms(faults.delay_ms)
         return await agent.submit(attempt)
 
+    def context_of(self, address: str) -> Context:
+        """Return a context whose tasks belong to a side."""
+        context = copy_context()
+        context.run(OWNER.set, self.owners[address])
+        return context
+
     def _agent(self, address: str) -> Agent | None:
         process = self.processes.get(address)
         if process is None or self.faults[address].cut:
@@ -155,6 +208,12 @@
         return process.agent
 
 
+def _is_cancelled() -> bool:
+    """Return whether the running task itself is being cancelled."""
+    task = asyncio.current_task()
+    return task is not None and task.cancelling() > 0
+
+
 async def _stream_into(
     items: asyncio.Queue[StreamItem], agent: Agent, attempt: Attempt, faults: LinkFaults
 ) -> None:
@@ -190,8 +249,10 @@
         self._random = Random(seed)
         self._tasks: dict[str, asyncio.Task[None]] = {}
         self._key_count = 0
+        self._owners = Owners()
 
     async def __aenter__(self) -> TestInstallation:
+        asyncio.get_running_loop().set_task_factory(self._owners.create_task)
         return self
 
     async def __aexit__(self, *exc_info: object) -> None:
@@ -226,8 +287,9 @@
 
     def stop_side(self, name: str) -> None:
         """End a side at once, as SIGKILL does; its backend server goes on."""
+        self._owners.kill(self.sides.owners[name])
         del self.sides.processes[name]
-        self._tasks.pop(name).cancel()
+        del self._tasks[name]
 
     def start_entry(self, name: str) -> EntryProcess:
         ports = EntryPorts(
@@ -338,7 +400,10 @@
         number = int(name.rsplit("-", 1)[1])
         zone, region = f"z{number % 2}", f"r{number % 2}"
         self.instances.put(Instance(name, name, zone, region, Role.SIDE, pool))
-        self._tasks[name] = asyncio.create_task(process.run())
+        self.sides.owners[name] = f"{name} {process.incarnation}"
+        self._tasks[name] = asyncio.create_task(
+            process.run(), context=self.sides.context_of(name)
+        )
         return process
 
 
--- /dev/null
+++ b/testing/oracle.py
@@ -0,0 +1,200 @@
+"""Checks the promises against what the stand-ins saw."""
+
+from __future__ import annotations
+
+import json
+from dataclasses import dataclass
+from dataclasses import field
+from typing import Any
+
+import callers
+from installation import TestInstallation
+
+from copperrun.model import Answer
+from copperrun.model import Ran
+from copperrun.model import Refusal
+from copperrun.routing.dispatcher import chunk_text
+
+SETTLE_MS = 45_000  # longer than any order, append or lost side is in doubt
+MEMORY = "memory"
+REACHABLE = "reachable"
+WHOLE = "whole answer"
+NOT_RUN = "not run"
+ONCE = "at most once"
+LEAVING = "leaving"
+SHUTDOWN = "shutdown"
+CONFIGURATION = "configuration"
+
+
+@dataclass
+class Call:
+    """One request and everything that came of it."""
+
+    request: dict[str, Any] | None = None
+    key: str = ""
+    items: list[str | Refusal | Answer] = field(default_factory=list)
+    request_id: str = ""
+
+    @property
+    def refusal(self) -> Refusal | None:
+        last = self.items[-1] if self.items else None
+        return last if isinstance(last, Refusal) else None
+
+    @property
+    def answer(self) -> Answer | None:
+        last = self.items[-1] if self.items else None
+        return last if isinstance(last, Answer) else None
+
+    @property
+    def text(self) -> str:
+        if self.answer is not None:
+            return str(json.loads(self.answer.body)["choices"][0]["text"])
+        parts = [chunk_text(item) for item in self.items if isinstance(item, str)]
+        return "".join(parts)
+
+    @property
+    def answered(self) -> bool:
+        return bool(self.items) and self.refusal is None
+
+
+class Oracle:
+    """Notes what happens to an installation and says which promises broke."""
+
+    def __init__(self, installation: TestInstallation) -> None:
+        self._installation = installation
+        self.calls: list[Call] = []
+        self.left: list[str] = []
+        self.stopped_cleanly: list[bool] = []
+        self._revisions: dict[int, int] = {}
+        self._reverted = False
+        self._starts_at_leaving: dict[str, int] = {}
+
+    def watch_revisions(self) -> None:
+        """Note that no process ever goes back to an earlier configuration."""
+        installation = self._installation
+        processes = (
+            *installation.entries.values(),
+            *installation.sides.processes.values(),
+        )
+        for process in processes:
+            seen = self._revisions.get(id(process), -1)
+            self._reverted |= process.follower.revision < seen
+            self._revisions[id(process)] = process.follower.revision
+
+    def note_left(self, side: str) -> None:
+        """Note that a side has been told to leave some seconds ago."""
+        engine = self._installation.engines.get(side)
+        if engine is not None:
+            self._starts_at_leaving[side] = len(engine.started)
+
+    def broken(self) -> list[str]:
+        """Return the promises that broke, each with what was seen."""
+        return [
+            *self._check_memory(),
+            *self._check_whole(),
+            *self._check_not_run(),
+            *self._check_once(),
+            *self._check_leaving(),
+            *self._check_configuration(),
+        ]
+
+    async def check_reachable(self, deployments: dict[str, str]) -> list[str]:
+        """Ask every deployment through every entry; a live runner must answer."""
+        installation = self._installation
+        broken = []
+        for deployment in deployments:
+            body = json.dumps({"model": deployment, "prompt": "?", "max_tokens": 1})
+            for entry in installation.entries:
+                outcome = await installation.wait(
+                    installation.complete(body.encode(), entry=entry)
+                )
+                if isinstance(outcome, Refusal):
+                    broken.append(f"{REACHABLE}: {deployment} at {entry}: {outcome}")
+        return broken
+
+    def _check_memory(self) -> list[str]:
+        return [
+            f"{MEMORY}: {name} held {engine.memory_high_water} B"
+            for name, engine in self._installation.engines.items()
+            if engine.memory_high_water > engine.memory_bytes
+        ]
+
+    def _check_whole(self) -> list[str]:
+        broken = []
+        for call in self.calls:
+            if call.request is None or not call.items:
+                continue
+            wanted = {
+                callers.whole_text(call.request, version=version)
+                for version in ("1", "2")
+            }
+            whole = call.text in wanted
+            part = any(text.startswith(call.text) for text in wanted)
+            if (call.answered and not whole) or not part:
+                broken.append(f"{WHOLE}: {call.request} got {call.text!r}")
+        return broken
+
+    def _check_not_run(self) -> list[str]:
+        broken = []
+        started = {
+            record.request_id.split(".")[0]
+            for engine in self._installation.engines.values()
+            for record in engine.started
+        }
+        for call in self.calls:
+            refusal = call.refusal
+            if call.request is None or refusal is None or refusal.ran is not Ran.NO:
+                continue
+            if call.request_id in started:
+                broken.append(f"{NOT_RUN}: {call.request_id} ran: {refusal}")
+        return broken + self._check_keys_not_run()
+
+    def _check_keys_not_run(self) -> list[str]:
+        executions = self._installation.service.executions
+        by_key: dict[str, list[Call]] = {}
+        for call in self.calls:
+            if call.key:
+                by_key.setdefault(call.key, []).append(call)
+        return [
+            f"{NOT_RUN}: {key} was executed: {calls[0].refusal}"
+            for key, calls in by_key.items()
+            if executions[key]
+            and all(call.refusal and call.refusal.ran is Ran.NO for call in calls)
+        ]
+
+    def _check_once(self) -> list[str]:
+        executions = self._installation.service.executions
+        broken = [
+            f"{ONCE}: {key} ran {count} times"
+            for key, count in executions.items()
+            if count > 1
+        ]
+        for call in self.calls:
+            if call.key and call.answered and executions[call.key] != 1:
+                broken.append(f"{ONCE}: {call.key} answered, never executed")
+        return broken
+
+    def _check_leaving(self) -> list[str]:
+        return [
+            f"{LEAVING}: {side} got new work"
+            for side, count in self._starts_at_leaving.items()
+            if len(self._installation.engines[side].started) > count
+        ] + [
+            f"{SHUTDOWN}: a drain ended with work in flight"
+            for clean in self.stopped_cleanly
+            if not clean
+        ]
+
+    def _check_configuration(self) -> list[str]:
+        broken = [f"{CONFIGURATION}: a revision went back"] if self._reverted else []
+        installation = self._installation
+        revisions = {
+            process.follower.revision
+            for process in (
+                *installation.entries.values(),
+                *installation.sides.processes.values(),
+            )
+        }
+        if len(revisions) > 1:
+            broken.append(f"{CONFIGURATION}: revisions {revisions} in force")
+        return broken
