Freeze a side in mid-stream in the acceptance test too

Cause: the acceptance test killed a side, whose broken connections tell the entry at once; a frozen one keeps them open and says nothing. Change: the test runs with SIGKILL and with SIGSTOP, and a frozen side must work again after SIGCONT.

--- a/testing/installation.py
+++ b/testing/installation.py
@@ -156,11 +156,12 @@
     ) -> asyncio.Task[Any]:
         """Create a task for the event loop; one of a dead process never starts."""
         owner = OWNER.get() if context is None else context.get(OWNER, "")
+        if owner in self._dead:
+            coro.close()
+            coro = _do_nothing()
         task: asyncio.Task[Any] = asyncio.Task(coro, loop=loop, context=context)
         if owner:
             self._tasks.setdefault(owner, WeakSet()).add(task)
-        if owner in self._dead:
-            task.cancel()
         return task
 
     def kill(self, owner: str) -> None:
@@ -170,6 +171,10 @@
             task.cancel()
 
 
+async def _do_nothing() -> None:
+    """Stand in for the work of a dead process."""
+
+
 class DirectSides:
     """Calls the sides of the same process, with faults on the way."""
 
--- a/testing/test_acceptance.py
+++ b/testing/test_acceptance.py
@@ -7,6 +7,7 @@
 from pathlib import Path
 
 import callers
+import pytest
 from cluster import TIMERS
 from cluster import Cluster
 from installation import small_configuration
@@ -55,13 +56,16 @@
     raise AssertionError(f"{name} has no {copies} copies")
 
 
-def test_killed_side_and_leaving_entry_cost_no_caller_its_answer(
-    tmp_path: Path,
+@pytest.mark.parametrize(
+    "fault", [signal.SIGKILL, signal.SIGSTOP], ids=lambda s: s.name
+)
+def test_lost_side_and_leaving_entry_cost_no_caller_its_answer(
+    tmp_path: Path, fault: signal.Signals
 ) -> None:
-    asyncio.run(_kill_side_and_stop_entry(tmp_path))
+    asyncio.run(_lose_side_and_stop_entry(tmp_path, fault))
 
 
-async def _kill_side_and_stop_entry(folder: Path) -> None:
+async def _lose_side_and_stop_entry(folder: Path, fault: signal.Signals) -> None:
     async with Cluster(folder) as cluster:
         await start_installation(cluster)
         await _wait_for_both_copies_at_entries(cluster)
@@ -97,7 +101,7 @@
         payouts = asyncio.create_task(_send_payouts(cluster, 40))
         async with TIMERS.timeout_ms(30_000):
             await streaming.wait()
-        cluster.signal("assistant-0", signal.SIGKILL)
+        cluster.signal("assistant-0", fault)
         cluster.signal("entry-0", signal.SIGTERM)
         replies = await asyncio.gather(*streams)
         for request, reply in zip(requests, replies, strict=True):
@@ -107,6 +111,9 @@
         assert_that(await cluster.wait_for_exit("entry-0"), Equals(0))
         logged = [line["message"] for line in cluster.log_lines("entry-1")]
         assert_that(logged, Contains("answered"))
+        # A side that wakes up again works as before.
+        cluster.signal("assistant-0", signal.SIGCONT)
+        await cluster.wait_for_model("rigger", "allowances", "entry-1")
 
 
 async def _wait_for_both_copies_at_entries(cluster: Cluster) -> None:
