Mend what a newcomer stumbles over

Change: one Departure for both daemons, log fields on the attempt, unused code removed, the test installation's links and gates in a module of their own. Behaviour and checks stay.

--- a/benchmarks/slopes.py
+++ b/benchmarks/slopes.py
@@ -16,8 +16,8 @@
 
 sys.path.insert(0, str(Path(__file__).parent.parent / "testing"))
 
-from installation import NullMetrics
 from installation import small_configuration
+from network import NullMetrics
 
 from copperrun.adapters import wire
 from copperrun.admission.attempts import AttemptTable
--- a/src/copperrun/adapters/server.py
+++ b/src/copperrun/adapters/server.py
@@ -30,13 +30,11 @@
 
     Attributes:
         max_connections: Connections open at once.
-        max_body_bytes: Largest request body.
         idle_ms: Time that a connection may be open without a whole request head,
             before its first request and between two.
     """
 
     max_connections: int
-    max_body_bytes: int
     idle_ms: int
 
 
--- a/src/copperrun/daemon.py
+++ b/src/copperrun/daemon.py
@@ -24,7 +24,6 @@
 from copperrun.settings import load_daemon_settings
 from copperrun.side.daemon import SideDaemon
 
-EXIT_OK = 0
 EXIT_FAILED = 1
 EXIT_USAGE = 2
 GC_THRESHOLD = 20_000  # allocations between collections of the youngest objects
--- a/src/copperrun/embedded/daemon.py
+++ b/src/copperrun/embedded/daemon.py
@@ -33,8 +33,7 @@
 from copperrun.settings import Zone
 from copperrun.side.daemon import SideDaemon
 
-STAND_IN_LIMITS = ServerLimits(8_192, 64 * 1024 * 1024, 600_000)
-STOP_POLL_MS = 50
+STAND_IN_LIMITS = ServerLimits(8_192, 600_000)
 
 
 class EmbeddedDaemon:
--- a/src/copperrun/entry/daemon.py
+++ b/src/copperrun/entry/daemon.py
@@ -25,6 +25,7 @@
 from copperrun.entry.process import EntryPorts
 from copperrun.entry.process import EntryProcess
 from copperrun.entry.server import add_caller_routes
+from copperrun.membership.departure import Departure
 from copperrun.ports.timers import Timers
 from copperrun.settings import EntrySettings
 
@@ -41,11 +42,11 @@
         self._settings = settings
         self._timers = timers
         self._metrics = metrics
-        self._stop = asyncio.Event()
+        self._departure = Departure()
 
     def leave(self) -> None:
         """Begin an orderly leave."""
-        self._stop.set()
+        self._departure.request()
 
     async def run(self) -> None:
         """Serve until ``leave`` is called and every request has ended."""
@@ -57,7 +58,7 @@
                 settings = self._settings
                 await public.start(settings.public.host, settings.public.port)
                 await internal.start(settings.internal.host, settings.internal.port)
-                await self._wait_for_leave(task)
+                await self._departure.wait(task)
                 await self._leave(process, public)
             finally:
                 task.cancel()
@@ -91,7 +92,7 @@
     def _build_servers(self, process: EntryProcess) -> tuple[HttpServer, HttpServer]:
         settings = self._settings
         bounds = settings.limits
-        limits = ServerLimits(bounds.connections, bounds.body, bounds.idle)
+        limits = ServerLimits(bounds.connections, bounds.idle)
         operations = Operations(
             self._metrics,
             lambda: _status(settings, process),
@@ -110,13 +111,6 @@
             HttpServer(internal, limits, self._timers),
         )
 
-    async def _wait_for_leave(self, task: asyncio.Task[None]) -> None:
-        stop = asyncio.create_task(self._stop.wait())
-        await asyncio.wait({stop, task}, return_when=asyncio.FIRST_COMPLETED)
-        if not stop.done():
-            stop.cancel()
-            task.result()
-
     async def _leave(self, process: EntryProcess, public: HttpServer) -> None:
         """Fail the health check, wait for the balancer, finish what runs."""
         process.lifecycle.leave()
--- a/src/copperrun/model.py
+++ b/src/copperrun/model.py
@@ -39,7 +39,6 @@
     LOG_UNAVAILABLE = "log_unavailable"
     NO_SERVER = "no_server"
     CLASS_NOT_ADMITTED = "class_not_admitted"
-    OVERLOADED = "overloaded"
     SERVER_FAILED = "server_failed"
     STREAM_CUT = "stream_cut"
 
@@ -112,6 +111,16 @@
     resume_chunks: int = 0
     resume_text: str = ""
 
+    def log_fields(self) -> dict[str, str | int]:
+        """Return what log lines say of an attempt; no key, prompt or body."""
+        return {
+            "request": self.id.request,
+            "attempt": self.id.attempt,
+            "caller": self.caller,
+            "tenant": self.tenant,
+            "revision": self.revision,
+        }
+
 
 class Load(NamedTuple):
     """Load of one side.
--- a/src/copperrun/once/index.py
+++ b/src/copperrun/once/index.py
@@ -46,10 +46,6 @@
         """Return the state of a key."""
         return self._keys.get(key)
 
-    def is_abandoned(self, attempt: str) -> bool:
-        """Return whether an attempt was given up."""
-        return attempt in self._abandoned
-
     def apply(self, record: Record) -> None:
         """Fold one record in."""
         self.last_at_ms = max(self.last_at_ms, record.at_ms)
--- a/src/copperrun/once/partition.py
+++ b/src/copperrun/once/partition.py
@@ -24,7 +24,6 @@
 SETTLE_MS = 2_000
 SETTLE_POLL_MS = 50
 MAX_BATCH = 500
-PROBE_MS = 500
 
 
 class CommitErrorReason(Enum):
@@ -78,11 +77,6 @@
         self._read_lock = asyncio.Lock()
         self._awaited: set[str] = set()
 
-    @property
-    def is_loaded(self) -> bool:
-        """Whether the stream has been read once to its end."""
-        return self.covered_from_ms is not None
-
     async def run(self) -> None:
         """Commit records in groups until cancelled."""
         while True:
--- a/src/copperrun/routing/dispatcher.py
+++ b/src/copperrun/routing/dispatcher.py
@@ -280,11 +280,7 @@
 def _log_failure(attempt: Attempt, refusal: Refusal) -> None:
     logger.info(
         "attempt without answer",
-        request=attempt.id.request,
-        attempt=attempt.id.attempt,
-        caller=attempt.caller,
-        tenant=attempt.tenant,
-        revision=attempt.revision,
+        **attempt.log_fields(),
         reason=refusal.reason.value,
         ran=refusal.ran.value,
     )
--- a/src/copperrun/side/agent.py
+++ b/src/copperrun/side/agent.py
@@ -157,14 +157,7 @@
 
     def _log_start(self, attempt: Attempt, slot: Slot) -> None:
         self._metrics.queued(attempt.tenant, attempt.service_class, slot.queued_ms)
-        logger.debug(
-            "attempt started",
-            request=attempt.id.request,
-            attempt=attempt.id.attempt,
-            caller=attempt.caller,
-            tenant=attempt.tenant,
-            revision=attempt.revision,
-        )
+        logger.debug("attempt started", **attempt.log_fields())
 
 
 def _ticket(attempt: Attempt, cfg: Configuration) -> Ticket:
--- a/src/copperrun/side/daemon.py
+++ b/src/copperrun/side/daemon.py
@@ -23,6 +23,7 @@
 from copperrun.adapters.service import HttpService
 from copperrun.adapters.sides import SHARED_KEY_HEADER
 from copperrun.adapters.sides import HttpSides
+from copperrun.membership.departure import Departure
 from copperrun.membership.lifecycle import State
 from copperrun.ports.engine import Engine
 from copperrun.ports.service import Service
@@ -31,7 +32,6 @@
 from copperrun.side.process import SideIdentity
 from copperrun.side.process import SidePorts
 from copperrun.side.process import SideProcess
-from copperrun.side.server import MAX_MESSAGE_BYTES
 from copperrun.side.server import build_application
 
 MAX_CONNECTIONS = 8_192
@@ -48,11 +48,11 @@
         self._settings = settings
         self._timers = timers
         self._metrics = metrics
-        self._stop = asyncio.Event()
+        self._departure = Departure()
 
     def leave(self) -> None:
         """Begin an orderly leave."""
-        self._stop.set()
+        self._departure.request()
 
     async def run(self) -> None:
         """Serve until ``leave`` is called and every attempt has ended."""
@@ -63,11 +63,7 @@
             try:
                 listener = self._settings.internal
                 await server.start(listener.host, listener.port)
-                stop = asyncio.create_task(self._stop.wait())
-                await asyncio.wait({stop, task}, return_when=asyncio.FIRST_COMPLETED)
-                if not stop.done():
-                    stop.cancel()
-                    task.result()
+                await self._departure.wait(task)
                 await process.drain()
                 await self._timers.sleep_ms(LATE_ATTEMPTS_MS)
             finally:
@@ -116,7 +112,7 @@
         )
         operations.add_health_routes(app)
         operations.add_operator_routes(app)
-        limits = ServerLimits(MAX_CONNECTIONS, MAX_MESSAGE_BYTES, IDLE_MS)
+        limits = ServerLimits(MAX_CONNECTIONS, IDLE_MS)
         return HttpServer(app, limits, self._timers)
 
 
--- /dev/null
+++ b/testing/network.py
@@ -0,0 +1,278 @@
+"""What joins the roles in one test process: links, gates and ownership of tasks."""
+
+from __future__ import annotations
+
+import asyncio
+import inspect
+from collections.abc import AsyncIterator
+from collections.abc import Callable
+from contextvars import Context
+from contextvars import ContextVar
+from contextvars import copy_context
+from dataclasses import dataclass
+from functools import partial
+from typing import Any
+from weakref import WeakSet
+
+from copperrun.adapters.sides import CANCEL_TIMEOUT_MS
+from copperrun.adapters.sides import HELLO_TIMEOUT_MS
+from copperrun.adapters.wire import checksum
+from copperrun.embedded.clock import ManualTimers
+from copperrun.model import Answer
+from copperrun.model import Attempt
+from copperrun.model import AttemptId
+from copperrun.model import Chunk
+from copperrun.model import Refusal
+from copperrun.model import StreamEnd
+from copperrun.ports.sides import SideError
+from copperrun.ports.sides import SideErrorReason
+from copperrun.ports.sides import SideReply
+from copperrun.ports.sides import SideStatus
+from copperrun.ports.sides import StreamItem
+from copperrun.side.agent import Agent
+from copperrun.side.process import SideProcess
+
+
+class NullMetrics:
+    """Takes every measurement and keeps none."""
+
+    def __getattr__(self, name: str) -> Callable[..., None]:
+        return lambda *_, **__: None
+
+
+@dataclass
+class LinkFaults:
+    """Faults on the way to one side.
+
+    Attributes:
+        cut: Nothing gets through.
+        lose_requests: Next attempts lost on the way, of which nothing is heard.
+        lose_answers: Next attempts whose answers are lost.
+        cut_streams_after: Chunks after which the next stream breaks; 0 for never.
+        delay_ms: Time that an attempt takes on the way.
+        double_requests: Next attempts that arrive twice.
+    """
+
+    cut: bool = False
+    lose_requests: int = 0
+    lose_answers: int = 0
+    cut_streams_after: int = 0
+    delay_ms: int = 0
+    double_requests: int = 0
+
+
+class Gate:
+    """Open while a process runs; closed while it is paused."""
+
+    def __init__(self) -> None:
+        self._open = asyncio.Event()
+        self._open.set()
+
+    def pause(self) -> None:
+        self._open.clear()
+
+    def resume(self) -> None:
+        self._open.set()
+
+    @property
+    def is_open(self) -> bool:
+        return self._open.is_set()
+
+    async def wait(self) -> None:
+        await self._open.wait()
+
+
+class Gated:
+    """A port whose answers reach a process only while its gate is open."""
+
+    def __init__(self, port: Any, gate: Gate) -> None:
+        self._port = port
+        self._gate = gate
+
+    def __getattr__(self, name: str) -> Any:
+        member = getattr(self._port, name)
+        if inspect.isasyncgenfunction(member):
+            return partial(self._pass_items, member)
+        if inspect.iscoroutinefunction(member):
+            return partial(self._pass, member)
+        return member
+
+    async def _pass(self, member: Any, *args: Any, **named: Any) -> Any:
+        await self._gate.wait()
+        result = await member(*args, **named)
+        await self._gate.wait()
+        return result
+
+    async def _pass_items(
+        self, member: Any, *args: Any, **named: Any
+    ) -> AsyncIterator[Any]:
+        items = member(*args, **named)
+        try:
+            async for item in items:
+                await self._gate.wait()
+                yield item
+        finally:
+            await items.aclose()
+
+
+OWNER: ContextVar[str] = ContextVar("owner", default="")
+
+
+class Owners:
+    """Tasks of each side process, so that a killed one does nothing more."""
+
+    def __init__(self) -> None:
+        self._tasks: dict[str, WeakSet[asyncio.Task[Any]]] = {}
+        self._dead: set[str] = set()
+
+    def create_task(
+        self, loop: asyncio.AbstractEventLoop, coro: Any, context: Any = None
+    ) -> asyncio.Task[Any]:
+        """Create a task for the event loop; one of a dead process never starts."""
+        owner = OWNER.get() if context is None else context.get(OWNER, "")
+        if owner in self._dead:
+            coro.close()
+            coro = _do_nothing()
+        task: asyncio.Task[Any] = asyncio.Task(coro, loop=loop, context=context)
+        if owner:
+            self._tasks.setdefault(owner, WeakSet()).add(task)
+        return task
+
+    def kill(self, owner: str) -> None:
+        """Cancel the tasks of a process; what they start after that never runs."""
+        self._dead.add(owner)
+        for task in list(self._tasks.pop(owner, ())):
+            task.cancel()
+
+
+async def _do_nothing() -> None:
+    """Stand in for the work of a dead process."""
+
+
+class DirectSides:
+    """Calls the sides of the same process, with faults on the way."""
+
+    def __init__(self, timers: ManualTimers) -> None:
+        self.processes: dict[str, SideProcess] = {}
+        self.faults: dict[str, LinkFaults] = {}
+        self.owners: dict[str, str] = {}
+        self.gates: dict[str, Gate] = {}
+        self._copies: list[asyncio.Task[Answer | Refusal]] = []
+        self._timers = timers
+
+    async def submit(self, address: str, attempt: Attempt) -> SideReply:
+        agent = self._agent(address)
+        if agent is None:
+            return SideReply(SideError(SideErrorReason.UNREACHABLE, "refused"))
+        faults = self.faults[address]
+        if faults.lose_requests > 0:
+            faults.lose_requests -= 1
+            return SideReply(SideError(SideErrorReason.ANSWER_LOST, "reset"))
+        handler = asyncio.create_task(
+            self._deliver(agent, attempt, faults), context=self.context_of(address)
+        )
+        # A message on its way arrives even when its sender gives up.
+        reply = asyncio.shield(handler) if faults.delay_ms else handler
+        try:
+            outcome = await reply
+        except asyncio.CancelledError:
+            if not handler.cancelled() or _is_cancelled():
+                raise
+            return SideReply(SideError(SideErrorReason.ANSWER_LOST, "closed"))
+        if faults.cut or faults.lose_answers > 0:
+            faults.lose_answers -= 1
+            return SideReply(SideError(SideErrorReason.ANSWER_LOST, "reset"))
+        return SideReply(outcome, agent.load())
+
+    async def stream(self, address: str, attempt: Attempt) -> AsyncIterator[StreamItem]:
+        agent = self._agent(address)
+        if agent is None:
+            yield SideError(SideErrorReason.UNREACHABLE, "refused")
+            return
+        items: asyncio.Queue[StreamItem] = asyncio.Queue()
+        handler = asyncio.create_task(
+            _stream_into(items, agent, attempt, self.faults[address]),
+            context=self.context_of(address),
+        )
+        handler.add_done_callback(
+            lambda _: items.put_nowait(
+                SideError(SideErrorReason.ANSWER_LOST, "connection closed")
+            )
+        )
+        try:
+            while True:
+                item = await items.get()
+                yield item
+                if not isinstance(item, Chunk):
+                    return
+        finally:
+            # The end of a connection ends its handler at the side.
+            handler.cancel()
+
+    async def cancel(self, address: str, attempt_id: AttemptId) -> bool | SideError:
+        agent = self._agent(address)
+        if agent is None:
+            return SideError(SideErrorReason.UNREACHABLE, "refused")
+        if not self.gates[address].is_open:
+            await self._timers.sleep_ms(CANCEL_TIMEOUT_MS)
+            return SideError(SideErrorReason.ANSWER_LOST, "no answer")
+        return agent.cancel(attempt_id)
+
+    async def pin(self, address: str, name: str) -> bool | SideError:
+        if self._agent(address) is None:
+            return SideError(SideErrorReason.UNREACHABLE, "refused")
+        return self.processes[address].grant_pin(name)
+
+    async def hello(self, address: str) -> SideStatus | SideError:
+        if self._agent(address) is None:
+            return SideError(SideErrorReason.UNREACHABLE, "refused")
+        if not self.gates[address].is_open:
+            await self._timers.sleep_ms(HELLO_TIMEOUT_MS)
+            return SideError(SideErrorReason.ANSWER_LOST, "no answer")
+        return self.processes[address].status()
+
+    async def _deliver(
+        self, agent: Agent, attempt: Attempt, faults: LinkFaults
+    ) -> Answer | Refusal:
+        if faults.delay_ms:
+            await self._timers.sleep_ms(faults.delay_ms)
+        await self.gates[agent.instance].wait()
+        if faults.double_requests > 0:
+            faults.double_requests -= 1
+            self._copies.append(asyncio.create_task(agent.submit(attempt)))
+        return await agent.submit(attempt)
+
+    def context_of(self, address: str) -> Context:
+        """Return a context whose tasks belong to a side."""
+        context = copy_context()
+        context.run(OWNER.set, self.owners[address])
+        return context
+
+    def _agent(self, address: str) -> Agent | None:
+        process = self.processes.get(address)
+        if process is None or self.faults[address].cut:
+            return None
+        return process.agent
+
+
+def _is_cancelled() -> bool:
+    """Return whether the running task itself is being cancelled."""
+    task = asyncio.current_task()
+    return task is not None and task.cancelling() > 0
+
+
+async def _stream_into(
+    items: asyncio.Queue[StreamItem], agent: Agent, attempt: Attempt, faults: LinkFaults
+) -> None:
+    parts: list[bytes] = []
+    async for item in agent.stream(attempt):
+        if isinstance(item, Refusal):
+            items.put_nowait(item)
+            return
+        items.put_nowait(Chunk(len(parts), item))
+        parts.append(item.encode())
+        if faults.cut or 0 < faults.cut_streams_after <= len(parts):
+            faults.cut_streams_after = 0
+            items.put_nowait(SideError(SideErrorReason.ANSWER_LOST, "reset"))
+            return
+    items.put_nowait(StreamEnd(len(parts), checksum(parts)))
--- a/testing/test_placement.py
+++ b/testing/test_placement.py
@@ -12,7 +12,7 @@
 from hypothesis import settings
 from hypothesis import strategies as st
 from installation import GIB
-from installation import NullMetrics
+from network import NullMetrics
 from testtools.assertions import assert_that
 from testtools.matchers import AllMatch
 from testtools.matchers import Equals
--- a/testing/test_sides.py
+++ b/testing/test_sides.py
@@ -53,7 +53,7 @@
     async def run() -> None:
         app = web.Application()
         app.router.add_route("*", "/{path:.*}", handler)
-        server = HttpServer(app, ServerLimits(10, 1_000_000, 10_000), TIMERS)
+        server = HttpServer(app, ServerLimits(10, 10_000), TIMERS)
         port = await server.start("127.0.0.1", 0)
         async with open_session() as session:
             sides = HttpSides(HttpClient(session, TIMERS))
