Fuzz inputs, race intents at random, and be ready only with a whole configuration

Cause: the order of intents was tested by cases only, callers' bodies and keys by lists, and an entry behind the log's retention stayed ready with an old configuration. Change: a property test lets three sides race for two keys under lost, late and refused appends (150 plans); any body, key, deadline or record is a value or a refusal; /readyz says no while the fold has a gap.

--- a/src/copperrun/entry/process.py
+++ b/src/copperrun/entry/process.py
@@ -81,8 +81,11 @@
 
     @property
     def is_ready(self) -> bool:
-        """Whether the balancer may send new requests."""
-        return self.lifecycle.accepts_work
+        """Whether the balancer may send new requests.
+
+        An entry whose configuration has a gap says no rather than guess.
+        """
+        return self.lifecycle.accepts_work and self.follower.fold.is_whole()
 
     async def run(self) -> None:
         """Follow the log and the instance list until cancelled."""
--- a/src/copperrun/side/daemon.py
+++ b/src/copperrun/side/daemon.py
@@ -24,7 +24,6 @@
 from copperrun.adapters.sides import SHARED_KEY_HEADER
 from copperrun.adapters.sides import HttpSides
 from copperrun.membership.departure import Departure
-from copperrun.membership.lifecycle import State
 from copperrun.ports.engine import Engine
 from copperrun.ports.service import Service
 from copperrun.ports.timers import Timers
@@ -106,7 +105,7 @@
         operations = Operations(
             self._metrics,
             lambda: _status(process),
-            lambda: process.agent.lifecycle.state is State.SERVING,
+            lambda: process.is_ready,
             self.leave,
             process.follower.encode_snapshot,
         )
--- a/src/copperrun/side/process.py
+++ b/src/copperrun/side/process.py
@@ -105,6 +105,11 @@
             ports.metrics,
         )
 
+    @property
+    def is_ready(self) -> bool:
+        """Whether this side serves under a configuration without a gap."""
+        return self.agent.lifecycle.accepts_work and self.follower.fold.is_whole()
+
     async def run(self) -> None:
         """Serve until cancelled."""
         async with asyncio.TaskGroup() as tasks:
--- a/testing/test_installation.py
+++ b/testing/test_installation.py
@@ -388,6 +388,22 @@
     run(scenario)
 
 
+def test_process_whose_configuration_has_a_gap_is_not_ready_until_it_is_filled() -> (
+    None
+):
+    async def scenario(installation: TestInstallation) -> None:
+        entry = installation.entries["entry-0"]
+        assert_that(entry.is_ready, Is(True))
+        entry.follower.fold.begin(50)
+        assert_that(entry.is_ready, Is(False))
+        whole = installation.sides.processes["ledger-0"].follower.fold
+        whole.next_offset = 50
+        await installation.timers.advance(5_000)
+        assert_that(entry.is_ready, Is(True))
+
+    run(scenario)
+
+
 def test_process_that_starts_while_the_log_is_down_takes_the_fold_of_a_peer() -> None:
     async def scenario(installation: TestInstallation) -> None:
         installation.log.faults.down = True
--- /dev/null
+++ b/testing/test_once.py
@@ -0,0 +1,153 @@
+"""Intents of several sides under any timing: one permit for a key, at most."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+
+from hypothesis import given
+from hypothesis import settings
+from hypothesis import strategies as st
+from network import NullMetrics
+from testtools.assertions import assert_that
+from testtools.matchers import Equals
+from testtools.matchers import IsInstance
+from testtools.matchers import LessThan
+
+from copperrun.embedded.clock import ManualTimers
+from copperrun.embedded.clock import run_until
+from copperrun.embedded.log import LogStandIn
+from copperrun.entry.requests import CHAT_PATH
+from copperrun.entry.requests import COMPLETIONS_PATH
+from copperrun.entry.requests import ModelRequest
+from copperrun.entry.requests import parse_deadline
+from copperrun.entry.requests import parse_model_request
+from copperrun.model import Answer
+from copperrun.model import Refusal
+from copperrun.once.journal import Call
+from copperrun.once.journal import Journal
+from copperrun.once.journal import Permit
+from copperrun.once.keys import create_idempotency_key
+from copperrun.once.keys import key_time_ms
+from copperrun.once.records import decode
+
+SIDES = 3
+KEYS = 2
+FAULTS = ("none", "lose_answers", "late_appends", "down")
+
+steps = st.lists(
+    st.tuples(
+        st.integers(0, SIDES - 1),
+        st.integers(0, KEYS - 1),
+        st.sampled_from(FAULTS),
+        st.integers(0, 4_000),
+        st.sampled_from(["finish", "lose", "abandon"]),
+    ),
+    max_size=10,
+)
+
+
+class _Bench:
+    """Sides with journals over one log, that note each execution."""
+
+    def __init__(self) -> None:
+        self.timers = ManualTimers()
+        self.log = LogStandIn(self.timers)
+        self.journals = [
+            Journal(
+                "ledger", self.log, self.timers, NullMetrics(),
+                window_ms=3_600_000, appends_per_second=40,
+            )
+            for _ in range(SIDES)
+        ]  # fmt: skip
+        self.keys = [create_idempotency_key(self.timers.wall_ms()) for _ in range(KEYS)]
+        self.executions = dict.fromkeys(range(KEYS), 0)
+        self.answers: dict[int, set[bytes]] = {key: set() for key in range(KEYS)}
+
+    async def attempt(self, side: int, key: int, end: str) -> None:
+        journal = self.journals[side]
+        result = await journal.begin(Call("t", self.keys[key], "digest"))
+        if isinstance(result, Answer):
+            self.answers[key].add(result.body)
+        if not isinstance(result, Permit):
+            return
+        await self.timers.sleep_ms(100)
+        match end:
+            case "abandon":
+                journal.abandon(result)
+            case "lose":
+                self.executions[key] += 1
+                journal.lose(result)
+            case _:
+                self.executions[key] += 1
+                body = f"{side}-{self.timers.now_ms()}".encode()
+                self.answers[key].add(body)
+                journal.finish(result, Answer(200, "", body))
+
+
+@settings(max_examples=150)
+@given(steps)
+def test_a_key_is_executed_at_most_once_whatever_the_log_does(
+    plan: list[tuple[int, int, str, int, str]],
+) -> None:
+    async def scenario() -> None:
+        bench = _Bench()
+        running = [asyncio.create_task(item.run()) for item in bench.journals]
+        await bench.timers.advance(1_000)
+        attempts = []
+        for side, key, fault, pause_ms, end in plan:
+            bench.log.faults.down = fault == "down"
+            bench.log.faults.lose_answers = int(fault == "lose_answers")
+            bench.log.faults.late_appends = int(fault == "late_appends")
+            bench.log.faults.late_ms = 3_000
+            attempts.append(asyncio.create_task(bench.attempt(side, key, end)))
+            await bench.timers.advance(pause_ms)
+        bench.log.faults.down = False
+        await run_until(bench.timers, asyncio.gather(*attempts), 120_000)
+        await bench.timers.advance(30_000)
+        for key in range(KEYS):
+            assert_that(bench.executions[key], LessThan(2))
+            assert_that(len(bench.answers[key]), LessThan(2))
+        for task in running:
+            task.cancel()
+
+    asyncio.run(scenario())
+
+
+@given(st.text())
+def test_any_text_is_a_key_or_a_refusal(text: str) -> None:
+    assert_that(key_time_ms(text), IsInstance((int, Refusal)))
+
+
+@given(st.text() | st.integers().map(str))
+def test_any_deadline_is_a_time_or_a_refusal(text: str) -> None:
+    remaining = parse_deadline(text, 1_000)
+    if not isinstance(remaining, Refusal):
+        assert_that(remaining > 0, Equals(True))
+
+
+JSON = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.floats() | st.text(),
+    lambda inner: st.lists(inner) | st.dictionaries(st.text(), inner),
+)
+
+
+@given(
+    st.dictionaries(
+        st.sampled_from(
+            ["model", "messages", "prompt", "stream", "max_tokens", "n", "role"]
+        ),
+        JSON | st.just([{"role": "user", "content": "x"}]) | st.just("allowances"),
+    ),
+    st.sampled_from([CHAT_PATH, COMPLETIONS_PATH]),
+)
+def test_any_body_is_a_request_or_a_refusal(
+    value: dict[str, object], path: str
+) -> None:
+    parsed = parse_model_request(path, json.dumps(value).encode())
+    assert_that(parsed, IsInstance((ModelRequest, Refusal)))
+
+
+@given(st.text() | st.dictionaries(st.text(), JSON).map(json.dumps))
+def test_any_text_of_a_partition_is_a_record_or_an_error(text: str) -> None:
+    assert_that(decode(text), IsInstance(tuple))
