--- a/src/copperrun/adapters/engine.py
+++ b/src/copperrun/adapters/engine.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import json
-from collections.abc import AsyncIterator
+from collections.abc import AsyncGenerator
 from typing import Any
 from urllib.parse import quote
 
@@ -50,7 +50,7 @@
             return EngineError(EngineErrorReason.REFUSED, _detail(reply))
         return Answer(reply.status, reply.content_type, reply.body)
 
-    async def stream(self, call: EngineCall) -> AsyncIterator[str | EngineError]:
+    async def stream(self, call: EngineCall) -> AsyncGenerator[str | EngineError, None]:
         """Generate event payloads; an ``EngineError`` ends a cut stream."""
         response = await self._client.open(
             "POST",
@@ -100,7 +100,7 @@
 
 async def _read_stream(
     response: aiohttp.ClientResponse,
-) -> AsyncIterator[str | EngineError]:
+) -> AsyncGenerator[str | EngineError, None]:
     if response.status != 200:
         yield EngineError(EngineErrorReason.REFUSED, f"engine: {response.status}")
         return
--- a/src/copperrun/adapters/sides.py
+++ b/src/copperrun/adapters/sides.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import AsyncIterator
+from collections.abc import AsyncGenerator
 
 import aiohttp
 
@@ -58,7 +58,9 @@
             return SideReply(_side_error(reply))
         return _parse_reply(reply, attempt.id)
 
-    async def stream(self, address: str, attempt: Attempt) -> AsyncIterator[StreamItem]:
+    async def stream(
+        self, address: str, attempt: Attempt
+    ) -> AsyncGenerator[StreamItem, None]:
         """Send an attempt and yield its chunks; the last item is not a chunk."""
         response = await self._client.open(
             "POST",
@@ -165,7 +167,7 @@
 
 async def _read_items(
     response: aiohttp.ClientResponse, attempt_id: AttemptId
-) -> AsyncIterator[StreamItem]:
+) -> AsyncGenerator[StreamItem, None]:
     if response.content_type != EVENT_STREAM:
         reply = HttpReply(response.status, response.content_type, await response.read())
         outcome = _parse_reply(reply, attempt_id).outcome
--- a/src/copperrun/embedded/engine.py
+++ b/src/copperrun/embedded/engine.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+from collections.abc import AsyncGenerator
 from collections.abc import AsyncIterator
 from collections.abc import Iterator
 from contextvars import Context
@@ -170,7 +171,7 @@
         body = _completion(call, request, "".join(parts), len(parts))
         return Answer(200, "application/json", json.dumps(body).encode())
 
-    async def stream(self, call: EngineCall) -> AsyncIterator[str | EngineError]:
+    async def stream(self, call: EngineCall) -> AsyncGenerator[str | EngineError, None]:
         """Generate event payloads; an ``EngineError`` ends a cut stream."""
         error = self._start(call)
         if error is not None:
--- a/src/copperrun/embedded/http.py
+++ b/src/copperrun/embedded/http.py
@@ -222,7 +222,7 @@
             await response.write_eof()
             return response
         finally:
-            await items.aclose()  # type: ignore[attr-defined]
+            await items.aclose()
 
     def _state_response(
         self, request: web.Request, state: EngineState | EngineError
--- a/src/copperrun/entry/gateway.py
+++ b/src/copperrun/entry/gateway.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import AsyncIterator
+from collections.abc import AsyncGenerator
 from typing import NamedTuple
 from uuid import uuid4
 
@@ -172,7 +172,7 @@
         self._note_answer(admitted, elapsed_ms, met)
         return outcome
 
-    async def stream(self, admitted: Admitted) -> AsyncIterator[str | Refusal]:
+    async def stream(self, admitted: Admitted) -> AsyncGenerator[str | Refusal, None]:
         """Yield the payloads of a whole stream; a refusal ends a cut one."""
         template = admitted.work.template
         times = StreamTimes(admitted.service_class)
@@ -194,7 +194,7 @@
                     )
                 yield item
         finally:
-            await items.aclose()  # type: ignore[attr-defined]
+            await items.aclose()
         self._note_answer(admitted, self._elapsed_ms(admitted), times.met())
 
     def note_refusal(
--- a/src/copperrun/entry/server.py
+++ b/src/copperrun/entry/server.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import AsyncIterator
+from collections.abc import AsyncGenerator
 
 from aiohttp import web
 
@@ -151,13 +151,13 @@
             return response
         finally:
             # Cancels the work down to the engine when the caller has gone away.
-            await items.aclose()  # type: ignore[attr-defined]
+            await items.aclose()
 
     async def _write(
         self,
         response: web.StreamResponse,
         first: str | None,
-        rest: AsyncIterator[str | Refusal],
+        rest: AsyncGenerator[str | Refusal, None],
     ) -> None:
         item: str | Refusal | None = first
         while item is not None:
--- a/src/copperrun/ports/engine.py
+++ b/src/copperrun/ports/engine.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import AsyncIterator
+from collections.abc import AsyncGenerator
 from collections.abc import Sequence
 from enum import Enum
 from typing import NamedTuple
@@ -109,7 +109,7 @@
     async def complete(self, call: EngineCall) -> Answer | EngineError:
         """Generate the whole answer."""
 
-    def stream(self, call: EngineCall) -> AsyncIterator[str | EngineError]:
+    def stream(self, call: EngineCall) -> AsyncGenerator[str | EngineError, None]:
         """Generate event payloads; an ``EngineError`` ends a cut stream."""
 
     async def cancel(self, request_id: str) -> EngineError | None:
--- a/src/copperrun/ports/sides.py
+++ b/src/copperrun/ports/sides.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import AsyncIterator
+from collections.abc import AsyncGenerator
 from enum import Enum
 from typing import NamedTuple
 from typing import Protocol
@@ -77,7 +77,9 @@
     async def submit(self, address: str, attempt: Attempt) -> SideReply:
         """Send an attempt and wait for its whole answer."""
 
-    def stream(self, address: str, attempt: Attempt) -> AsyncIterator[StreamItem]:
+    def stream(
+        self, address: str, attempt: Attempt
+    ) -> AsyncGenerator[StreamItem, None]:
         """Send an attempt and yield its chunks; the last item is not a chunk."""
 
     async def cancel(self, address: str, attempt_id: AttemptId) -> bool | SideError:
--- a/src/copperrun/routing/dispatcher.py
+++ b/src/copperrun/routing/dispatcher.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 import json
-from collections.abc import AsyncIterator
+from collections.abc import AsyncGenerator
+from contextlib import aclosing
 from typing import Any
 from typing import NamedTuple
 
@@ -129,18 +130,19 @@
                 break
         return progress.verdict()
 
-    async def stream(self, work: Work) -> AsyncIterator[str | Refusal]:
+    async def stream(self, work: Work) -> AsyncGenerator[str | Refusal, None]:
         """Yield the payloads of a whole stream; a refusal ends a cut one."""
         progress = _Progress()
         while (peer := self._next_peer(work, progress)) is not None:
             attempt = self._attempt(work, peer, progress)
             outcome: Refusal | None = None
-            async for item in self._stream_once(peer, attempt):
-                if isinstance(item, Refusal):
-                    outcome = item
-                    break
-                progress.chunks.append(item)
-                yield item
+            async with aclosing(self._stream_once(peer, attempt)) as items:
+                async for item in items:
+                    if isinstance(item, Refusal):
+                        outcome = item
+                        break
+                    progress.chunks.append(item)
+                    yield item
             if outcome is None or _is_finished(progress.chunks):
                 self._budget.earn()
                 return
@@ -211,7 +213,7 @@
 
     async def _stream_once(
         self, peer: Peer, attempt: Attempt
-    ) -> AsyncIterator[str | Refusal]:
+    ) -> AsyncGenerator[str | Refusal, None]:
         """Yield payloads in order; a refusal last unless the stream was whole."""
         digest = xxhash.xxh64()
         expected = 0
@@ -242,10 +244,10 @@
         finally:
             peer.streams -= 1
             # Closes the connection, which cancels the generation at the side.
-            await items.aclose()  # type: ignore[attr-defined]
+            await items.aclose()
 
     async def _next_item(
-        self, peer: Peer, items: AsyncIterator[StreamItem]
+        self, peer: Peer, items: AsyncGenerator[StreamItem, None]
     ) -> StreamItem:
         try:
             async with self._timers.timeout_ms(STALL_MS) as scope:
--- a/src/copperrun/side/agent.py
+++ b/src/copperrun/side/agent.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import AsyncGenerator
 from collections.abc import AsyncIterator
+from contextlib import aclosing
 from contextlib import asynccontextmanager
 from typing import NamedTuple
 
@@ -80,7 +82,7 @@
                 case PlainServer() as server:
                     return await server.call(attempt, cfg, remaining_ms)
 
-    async def stream(self, attempt: Attempt) -> AsyncIterator[str | Refusal]:
+    async def stream(self, attempt: Attempt) -> AsyncGenerator[str | Refusal, None]:
         """Run an attempt and yield its payloads; a refusal ends a cut stream."""
         async with self._admit(attempt) as admitted:
             if isinstance(admitted, Refusal):
@@ -92,8 +94,10 @@
                 )
                 return
             cfg, remaining_ms = admitted
-            async for item in self._server.stream(attempt, cfg, remaining_ms):
-                yield item
+            payloads = self._server.stream(attempt, cfg, remaining_ms)
+            async with aclosing(payloads) as items:
+                async for item in items:
+                    yield item
 
     def cancel(self, attempt_id: AttemptId) -> bool:
         """Cancel an attempt and return whether it had started."""
--- a/src/copperrun/side/model_server.py
+++ b/src/copperrun/side/model_server.py
@@ -3,8 +3,9 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import AsyncIterator
+from collections.abc import AsyncGenerator
 from collections.abc import Iterator
+from contextlib import aclosing
 from contextlib import contextmanager
 from typing import NamedTuple
 
@@ -64,7 +65,7 @@
 
     async def stream(
         self, attempt: Attempt, cfg: Configuration, remaining_ms: int
-    ) -> AsyncIterator[str | Refusal]:
+    ) -> AsyncGenerator[str | Refusal, None]:
         """Generate event payloads; a refusal ends a stream that is not whole."""
         objects = await self._prepare(attempt, cfg)
         if isinstance(objects, Refusal):
@@ -75,8 +76,9 @@
                 yield self._not_resident(attempt)
                 return
             call = _engine_call(attempt, cfg, objects)
-            async for item in self._stream_call(call, remaining_ms):
-                yield item
+            async with aclosing(self._stream_call(call, remaining_ms)) as items:
+                async for item in items:
+                    yield item
 
     async def cancel(self, attempt: Attempt) -> None:
         """Stop a running attempt."""
@@ -125,7 +127,7 @@
 
     async def _stream_call(
         self, call: EngineCall, remaining_ms: int
-    ) -> AsyncIterator[str | Refusal]:
+    ) -> AsyncGenerator[str | Refusal, None]:
         deadline = self._timers.now_ms() + remaining_ms
         items = self._engine.stream(call)
         whole = False
@@ -146,6 +148,7 @@
                     return
                 yield item
         finally:
+            await items.aclose()
             if not whole:
                 # The caller went away, the deadline passed or the stream broke.
                 self._cancel(call)
--- a/src/copperrun/side/server.py
+++ b/src/copperrun/side/server.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import AsyncIterator
+from collections.abc import AsyncGenerator
 from collections.abc import Sequence
 
 import xxhash
@@ -110,14 +110,14 @@
             return response
         finally:
             # Cancels the generation at once when the entry has gone away.
-            await items.aclose()  # type: ignore[attr-defined]
+            await items.aclose()
 
 
 async def _write_stream(
     response: web.StreamResponse,
     attempt_id: AttemptId,
     first: str | None,
-    rest: AsyncIterator[str | Refusal],
+    rest: AsyncGenerator[str | Refusal, None],
 ) -> None:
     digest = xxhash.xxh64()
     sequence = 0
--- a/testing/network.py
+++ b/testing/network.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import inspect
+from collections.abc import AsyncGenerator
 from collections.abc import AsyncIterator
 from collections.abc import Callable
 from contextvars import Context
@@ -184,7 +185,9 @@
             return SideReply(SideError(SideErrorReason.ANSWER_LOST, "reset"))
         return SideReply(outcome, agent.load())
 
-    async def stream(self, address: str, attempt: Attempt) -> AsyncIterator[StreamItem]:
+    async def stream(
+        self, address: str, attempt: Attempt
+    ) -> AsyncGenerator[StreamItem, None]:
         agent = self._agent(address)
         if agent is None:
             yield SideError(SideErrorReason.UNREACHABLE, "refused")
