Give the engine's control a class of its own

Cause: the side's process held three parts that were None for the other kind of backend, and cast its port at three places. Change: data classes for the two backends, matched once; EngineControl takes the engine over and configures it. Behaviour stays.

--- a/src/copperrun/side/daemon.py
+++ b/src/copperrun/side/daemon.py
@@ -24,10 +24,10 @@
 from copperrun.adapters.sides import SHARED_KEY_HEADER
 from copperrun.adapters.sides import HttpSides
 from copperrun.membership.departure import Departure
-from copperrun.ports.engine import Engine
-from copperrun.ports.service import Service
 from copperrun.ports.timers import Timers
 from copperrun.settings import SideSettings
+from copperrun.side.process import EngineBackend
+from copperrun.side.process import ServiceBackend
 from copperrun.side.process import SideIdentity
 from copperrun.side.process import SidePorts
 from copperrun.side.process import SideProcess
@@ -76,16 +76,15 @@
         client = HttpClient(session, self._timers)
         headers = {SHARED_KEY_HEADER: settings.shared_keys[0]}
         internal = HttpClient(session, self._timers, headers)
-        is_engine = settings.backend.kind == "engine"
-        backend: Engine | Service = (
-            HttpEngine(client, settings.backend.url)
-            if is_engine
-            else HttpService(client, settings.backend.url)
+        url = settings.backend.url
+        backend = (
+            EngineBackend(HttpEngine(client, url))
+            if settings.backend.kind == "engine"
+            else ServiceBackend(HttpService(client, url))
         )
         identity = SideIdentity(
             settings.instance,
             settings.backend.pool,
-            is_engine,
             settings.appends_per_second,
         )
         ports = SidePorts(
--- /dev/null
+++ b/src/copperrun/side/engine_control.py
@@ -0,0 +1,75 @@
+"""Memory, orders and copies of the engine beside a side."""
+
+from __future__ import annotations
+
+from loguru import logger
+
+from copperrun.configuration.follower import Follower
+from copperrun.configuration.schema import Configuration
+from copperrun.configuration.schema import Pool
+from copperrun.membership.claims import claim
+from copperrun.placement.keeper import Keeper
+from copperrun.placement.ledger import Ledger
+from copperrun.placement.orders import OrderDesk
+from copperrun.ports.engine import Engine
+from copperrun.ports.engine import EngineError
+from copperrun.ports.log import Log
+from copperrun.ports.metrics import Metrics
+from copperrun.ports.timers import Timers
+
+ENGINE_RETRY_MS = 500
+
+
+class EngineControl:
+    """Takes an engine over and keeps its ledger within bounds."""
+
+    def __init__(
+        self,
+        engine: Engine,
+        ledger: Ledger,
+        desk: OrderDesk,
+        keeper: Keeper,
+        timers: Timers,
+    ) -> None:
+        self.keeper = keeper
+        self._engine = engine
+        self._ledger = ledger
+        self._desk = desk
+        self._timers = timers
+        self._memory_bytes = 0
+
+    async def adopt(self) -> None:
+        """Count what the engine holds, once it can be reached."""
+        state = await self._engine.state()
+        while isinstance(state, EngineError):
+            logger.warning("engine not reached", detail=state.detail)
+            await self._timers.sleep_ms(ENGINE_RETRY_MS)
+            state = await self._engine.state()
+        self._memory_bytes = state.memory_bytes
+        self._ledger.adopt(state)
+
+    def configure(self, cfg: Configuration, revision: int, pool: Pool) -> None:
+        """Take a new configuration; call ``adopt`` before."""
+        self._desk.checks_orders = pool.checks_orders
+        # The engine's own figure bounds what the configuration claims.
+        memory = min(pool.memory, self._memory_bytes)
+        self._ledger.capacity_bytes = memory - pool.kv_reserve
+        self.keeper.set_configuration(cfg, revision)
+
+    async def claim(
+        self,
+        instance: str,
+        incarnation: int,
+        log: Log,
+        follower: Follower,
+        metrics: Metrics,
+    ) -> None:
+        """Claim the engine in the log, then allow orders to it."""
+        claimed = await claim(log, self._timers, instance, incarnation)
+        metrics.appended("claims")
+        # The configuration says whether the engine checks order numbers.
+        await follower.wait_for_configuration()
+        await self._desk.take_over(
+            claimed.epoch, had_earlier_side=claimed.had_earlier_side
+        )
+        self.keeper.wake()
--- a/src/copperrun/side/process.py
+++ b/src/copperrun/side/process.py
@@ -6,6 +6,7 @@
 import secrets
 from collections.abc import Callable
 from collections.abc import Sequence
+from dataclasses import dataclass
 from typing import NamedTuple
 
 from loguru import logger
@@ -13,9 +14,7 @@
 from copperrun.admission.queue import AdmissionQueue
 from copperrun.configuration.follower import Follower
 from copperrun.configuration.schema import Configuration
-from copperrun.configuration.schema import Pool
 from copperrun.configuration.schema import Service as ServiceSpec
-from copperrun.membership.claims import claim
 from copperrun.membership.directory import Directory
 from copperrun.membership.lifecycle import State
 from copperrun.model import Instance
@@ -25,8 +24,6 @@
 from copperrun.placement.orders import OrderDesk
 from copperrun.placement.pins import Pins
 from copperrun.ports.engine import Engine
-from copperrun.ports.engine import EngineError
-from copperrun.ports.engine import EngineState
 from copperrun.ports.instances import Instances
 from copperrun.ports.log import Log
 from copperrun.ports.metrics import Metrics
@@ -37,13 +34,27 @@
 from copperrun.ports.timers import Timers
 from copperrun.ports.weights import Weights
 from copperrun.side.agent import Agent
+from copperrun.side.engine_control import EngineControl
 from copperrun.side.model_server import ModelServer
 from copperrun.side.plain_server import PlainServer
 
-ENGINE_RETRY_MS = 500
 INCARNATION_BITS = 62
 
 
+@dataclass(frozen=True)
+class EngineBackend:
+    """A model engine beside the side."""
+
+    engine: Engine
+
+
+@dataclass(frozen=True)
+class ServiceBackend:
+    """A plain service beside the side."""
+
+    service: Service
+
+
 class SidePorts(NamedTuple):
     """Everything outside a side."""
 
@@ -51,7 +62,7 @@
     instances: Instances
     weights: Weights
     sides: Sides
-    backend: Engine | Service
+    backend: EngineBackend | ServiceBackend
     timers: Timers
     metrics: Metrics
     open_peers: Callable[[Directory], Peers]
@@ -63,21 +74,17 @@
     Attributes:
         instance: Name in the platform's list.
         pool: Pool of the backend server.
-        is_engine: Whether the backend server is a model engine.
         appends_per_second: Share of the log's append rate.
     """
 
     instance: str
     pool: str
-    is_engine: bool
     appends_per_second: float
 
 
 class SideProcess:
     """Wires the parts of a side and runs its tasks."""
 
-    agent: Agent
-
     def __init__(self, identity: SideIdentity, ports: SidePorts) -> None:
         self.identity = identity
         self.incarnation = secrets.randbits(INCARNATION_BITS)
@@ -91,14 +98,19 @@
         self.queue = AdmissionQueue(ports.timers, slots=1)
         self.ledger = Ledger(0)
         self._ports = ports
-        self._desk: OrderDesk | None = None
-        self.keeper: Keeper | None = None
-        self._plain: PlainServer | None = None
-        server = self._build_engine() if identity.is_engine else self._build_service()
+        self._server: ModelServer | PlainServer
+        self._control: EngineControl | None = None
+        match ports.backend:
+            case EngineBackend(engine):
+                self._control = self._build_control(engine)
+                keeper = self._control.keeper
+                self._server = ModelServer(engine, keeper, ports.timers)
+            case ServiceBackend(service):
+                self._server = PlainServer(service, ports.timers, self._open_journal)
         self.agent = Agent(
             identity.instance,
             self.incarnation,
-            server,
+            self._server,
             self.follower,
             self.queue,
             ports.timers,
@@ -116,10 +128,10 @@
             tasks.create_task(self.follower.run())
             tasks.create_task(self.directory.run())
             self.directory.subscribe(self._watch_own_entry)
-            if self.keeper is not None and self._desk is not None:
-                await self._adopt_engine(self._desk)
-                tasks.create_task(self._claim(self._desk))
-                tasks.create_task(self.keeper.run())
+            if self._control is not None:
+                await self._control.adopt()
+                tasks.create_task(self._claim(self._control))
+                tasks.create_task(self._control.keeper.run())
             self.follower.subscribe(self._configure)
             await self.follower.wait_for_configuration()
             if self.agent.lifecycle.state is State.STARTING:
@@ -128,14 +140,19 @@
     async def drain(self) -> None:
         """Finish what runs and refuse the rest."""
         await self.agent.drain()
-        if self._plain is not None:
-            self._plain.close()
+        if isinstance(self._server, PlainServer):
+            self._server.close()
 
     def grant_pin(self, name: str) -> bool:
         """Promise another side to keep an object, so that it may drop its copy."""
-        if self.keeper is None or not self.agent.lifecycle.accepts_work:
+        if self._control is None or not self.agent.lifecycle.accepts_work:
             return False
-        return self.keeper.grant_pin(name)
+        return self._control.keeper.grant_pin(name)
+
+    @property
+    def keeper(self) -> Keeper | None:
+        """Keeper of the engine's copies; None beside a plain service."""
+        return self._control.keeper if self._control else None
 
     def status(self) -> SideStatus:
         """Return what this side says of itself."""
@@ -148,27 +165,21 @@
             resident=self.ledger.resident(),
         )
 
-    def _build_engine(self) -> ModelServer:
+    def _build_control(self, engine: Engine) -> EngineControl:
         ports = self._ports
-        engine: Engine = ports.backend  # type: ignore[assignment]
-        self._desk = OrderDesk(engine, self.ledger, ports.timers)
-        self.keeper = Keeper(
+        desk = OrderDesk(engine, self.ledger, ports.timers)
+        keeper = Keeper(
             self.identity.instance,
             self.identity.pool,
-            self._desk,
+            desk,
             self.ledger,
             ports.weights,
             Pins(ports.sides, self.directory),
             ports.timers,
             ports.metrics,
         )
-        self.directory.subscribe(self.keeper.set_instances)
-        return ModelServer(engine, self.keeper, ports.timers)
-
-    def _build_service(self) -> PlainServer:
-        service: Service = self._ports.backend  # type: ignore[assignment]
-        self._plain = PlainServer(service, self._ports.timers, self._open_journal)
-        return self._plain
+        self.directory.subscribe(keeper.set_instances)
+        return EngineControl(engine, self.ledger, desk, keeper, ports.timers)
 
     def _open_journal(self, name: str, spec: ServiceSpec) -> Journal:
         return Journal(
@@ -186,42 +197,20 @@
             logger.error("pool is not configured", pool=self.identity.pool)
             return
         self.queue.set_slots(pool.slots)
-        if self.keeper is not None and self._desk is not None:
-            self._configure_engine(self._desk, pool)
-            self.keeper.set_configuration(cfg, revision)
-        if self._plain is not None:
-            self._plain.set_configuration(cfg, self.identity.pool)
-
-    def _configure_engine(self, desk: OrderDesk, pool: Pool) -> None:
-        desk.checks_orders = pool.checks_orders
-        # The engine's own figure bounds what the configuration claims.
-        memory = min(pool.memory, self._engine_memory_bytes)
-        self.ledger.capacity_bytes = memory - pool.kv_reserve
-
-    async def _adopt_engine(self, desk: OrderDesk) -> None:
-        engine: Engine = self._ports.backend  # type: ignore[assignment]
-        state = await engine.state()
-        while isinstance(state, EngineError):
-            logger.warning("engine not reached", detail=state.detail)
-            await self._ports.timers.sleep_ms(ENGINE_RETRY_MS)
-            state = await engine.state()
-        self._take_state(state)
-
-    def _take_state(self, state: EngineState) -> None:
-        self._engine_memory_bytes = state.memory_bytes
-        self.ledger.adopt(state)
-
-    async def _claim(self, desk: OrderDesk) -> None:
+        if self._control is not None:
+            self._control.configure(cfg, revision, pool)
+        if isinstance(self._server, PlainServer):
+            self._server.set_configuration(cfg, self.identity.pool)
+
+    async def _claim(self, control: EngineControl) -> None:
         ports = self._ports
-        claimed = await claim(
-            ports.log, ports.timers, self.identity.instance, self.incarnation
+        await control.claim(
+            self.identity.instance,
+            self.incarnation,
+            ports.log,
+            self.follower,
+            ports.metrics,
         )
-        ports.metrics.appended("claims")
-        # The configuration says whether the engine checks order numbers.
-        await self.follower.wait_for_configuration()
-        await desk.take_over(claimed.epoch, had_earlier_side=claimed.had_earlier_side)
-        if self.keeper is not None:
-            self.keeper.wake()
 
     def _watch_own_entry(self, instances: Sequence[Instance]) -> None:
         own = self.directory.find(self.identity.instance)
--- a/testing/installation.py
+++ b/testing/installation.py
@@ -40,6 +40,8 @@
 from copperrun.model import Instance
 from copperrun.model import Refusal
 from copperrun.model import Role
+from copperrun.side.process import EngineBackend
+from copperrun.side.process import ServiceBackend
 from copperrun.side.process import SideIdentity
 from copperrun.side.process import SidePorts
 from copperrun.side.process import SideProcess
@@ -210,14 +212,14 @@
     def _start_side(
         self, name: str, pool: str, backend: EngineStandIn | ServiceStandIn
     ) -> SideProcess:
-        identity = SideIdentity(name, pool, pool == "assistant", 100.0)
+        identity = SideIdentity(name, pool, 100.0)
         gate = self.sides.gates[name] = Gate()
         ports = SidePorts(
             Gated(self.log, gate),
             self.instances,
             self.weights,
             self.sides,
-            Gated(backend, gate),
+            _gated_backend(backend, gate),
             self.timers,
             NullMetrics(),
             lambda _: self,
@@ -235,6 +237,14 @@
         return process
 
 
+def _gated_backend(
+    backend: EngineStandIn | ServiceStandIn, gate: Gate
+) -> EngineBackend | ServiceBackend:
+    if isinstance(backend, EngineStandIn):
+        return EngineBackend(Gated(backend, gate))
+    return ServiceBackend(Gated(backend, gate))
+
+
 def small_configuration() -> dict[str, Any]:
     """Return a configuration with one model, one adapter and one service."""
     return {
