Reject a pool whose reserves are larger than its memory

Cause: such a pool was accepted, and no model ever had a home there. Change: a check beside the references, with the line in the file.

--- a/src/copperrun/configuration/schema.py
+++ b/src/copperrun/configuration/schema.py
@@ -235,11 +235,11 @@
 
 
 class ReferenceProblem(NamedTuple):
-    """A name in a configuration that does not stand for anything.
+    """A part of a configuration that does not fit the others.
 
     Attributes:
-        location: Keys that lead to the name.
-        detail: What is missing.
+        location: Keys that lead to it.
+        detail: What is wrong.
     """
 
     location: tuple[str | int, ...]
@@ -266,8 +266,9 @@
 
 
 def check_references(cfg: Configuration) -> list[ReferenceProblem]:
-    """Return every reference without a target, and every name used twice."""
+    """Return what does not fit together: names without a target, used twice, sizes."""
     return [
+        *_check_pools(cfg),
         *_check_preset(cfg),
         *_check_deployments(cfg),
         *_check_services(cfg),
@@ -275,6 +276,14 @@
     ]
 
 
+def _check_pools(cfg: Configuration) -> Iterator[ReferenceProblem]:
+    for name, pool in cfg.pools.items():
+        if pool.kv_reserve + pool.adapter_reserve > pool.memory:
+            yield ReferenceProblem(
+                ("pools", name, "memory"), "the reserves are larger than the memory"
+            )
+
+
 def _check_preset(cfg: Configuration) -> Iterator[ReferenceProblem]:
     if cfg.preset_in_force not in cfg.presets:
         yield ReferenceProblem(
--- a/testing/test_document.py
+++ b/testing/test_document.py
@@ -61,10 +61,12 @@
     raw = small_configuration()
     raw["deployments"]["allowances"]["adapters"] = ["velebit"]
     raw["preset_in_force"] = "holiday"
+    raw["pools"]["assistant"]["adapter_reserve"] = "300 GiB"
     path = tmp_path / "f.yaml"
     path.write_text(yaml.safe_dump(raw))
     error = str(load_configuration(path))
     assert_that(error, Contains("deployments.allowances.adapters.0: no adapter"))
+    assert_that(error, Contains("pools.assistant.memory: the reserves are larger"))
     assert_that(error, Contains("preset_in_force: no preset 'holiday'; presets:"))
 
 
