--- a/src/copperrun/adapters/peers.py
+++ b/src/copperrun/adapters/peers.py
@@ -23,23 +23,21 @@
         self._instance = instance
         self._directory = directory
 
-    async def fetch_snapshot(self) -> str | None:
+    async def fetch_snapshot(self) -> Snapshot | None:
         """Return the newest snapshot of the peers asked, or None."""
         others = [
             item for item in self._directory.instances if item.id != self._instance
         ]
-        newest: tuple[int, str] | None = None
-        for item in sample(others, min(ASKED_PEERS, len(others))):
-            data = await self._fetch(item.address)
-            record = None if data is None else decode_record(data)
-            if isinstance(record, Snapshot) and record.objects and data is not None:
-                newest = max(newest or (-1, ""), (record.upto, data))
-        return newest[1] if newest else None
-
-    async def _fetch(self, address: str) -> str | None:
+        asked = sample(others, min(ASKED_PEERS, len(others)))
+        found = [await self._fetch(item.address) for item in asked]
+        snapshots = [item for item in found if item is not None and item.objects]
+        return max(snapshots, key=lambda item: item.upto, default=None)
+
+    async def _fetch(self, address: str) -> Snapshot | None:
         reply = await self._client.call(
             "GET", f"http://{address}{SNAPSHOT_PATH}", timeout_ms=FETCH_TIMEOUT_MS
         )
         if isinstance(reply, HttpFailure) or reply.status != 200:
             return None
-        return reply.body.decode()
+        record = decode_record(reply.body.decode())
+        return record if isinstance(record, Snapshot) else None
--- a/src/copperrun/configuration/follower.py
+++ b/src/copperrun/configuration/follower.py
@@ -7,8 +7,6 @@
 
 from loguru import logger
 
-from copperrun.configuration.changes import Snapshot
-from copperrun.configuration.changes import decode_record
 from copperrun.configuration.changes import encode_record
 from copperrun.configuration.fold import Fold
 from copperrun.configuration.reader import read_page
@@ -89,9 +87,8 @@
         """Take the fold of a peer while the log cannot give the whole of it."""
         if self.fold.configuration is not None and self.fold.is_whole():
             return
-        data = await self._peers.fetch_snapshot()
-        snapshot = None if data is None else decode_record(data)
-        if isinstance(snapshot, Snapshot) and self.fold.restore(snapshot):
+        snapshot = await self._peers.fetch_snapshot()
+        if snapshot is not None and self.fold.restore(snapshot):
             self._tell_listeners()
 
     def _tell_listeners(self) -> None:
--- a/src/copperrun/embedded/clock.py
+++ b/src/copperrun/embedded/clock.py
@@ -38,7 +38,7 @@
     async def sleep_ms(self, delay_ms: float) -> None:
         """Suspend the task until the clock has moved by ``delay_ms``."""
         fut: asyncio.Future[None] = asyncio.get_running_loop().create_future()
-        self._call_later(delay_ms, lambda: _wake(fut))
+        self.call_later(delay_ms, lambda: _wake(fut))
         await fut
 
     @asynccontextmanager
@@ -54,7 +54,7 @@
 
         try:
             async with timeout:
-                self._call_later(max(delay_ms, 0), expire)
+                self.call_later(max(delay_ms, 0), expire)
                 yield timeout
         finally:
             done = True
@@ -91,7 +91,8 @@
 
     def call_later(self, delay_ms: float, callback: Callable[[], None]) -> None:
         """Call ``callback`` when the clock has moved by ``delay_ms``."""
-        self._call_later(delay_ms, callback)
+        due = self._now_ms + delay_ms
+        heapq.heappush(self._waiting, (due, next(self._order), callback))
 
     def call_after_events(self, count: int, callback: Callable[[], None]) -> None:
         """Call ``callback`` after ``count`` more timers have gone off."""
@@ -107,10 +108,6 @@
             self._watchers.remove(item)
             item[1]()
 
-    def _call_later(self, delay_ms: float, callback: Callable[[], None]) -> None:
-        due = self._now_ms + delay_ms
-        heapq.heappush(self._waiting, (due, next(self._order), callback))
-
     async def _repeat(
         self, period_ms: int, callback: Callable[[], Awaitable[None]]
     ) -> None:
--- a/src/copperrun/placement/keeper.py
+++ b/src/copperrun/placement/keeper.py
@@ -105,10 +105,10 @@
         While the version in force is not resident here, another one of the model
         serves, so that a version switch leaves no time without an answer.
         """
-        resident = self._ledger.resident()
         weights, _ = object_of(cfg, deployment)
-        if weights in resident:
+        if self._ledger.is_resident(weights):
             return weights
+        resident = self._ledger.resident()
         versions = versions_in(resident, cfg.deployments[deployment].model)
         return versions[-1] if versions else None
 
@@ -118,7 +118,7 @@
 
     def grant_pin(self, name: str) -> bool:
         """Promise to keep an object, unless it is about to be dropped here."""
-        return name in self._ledger.resident() and name not in self._dropping
+        return self._ledger.is_resident(name) and name not in self._dropping
 
     async def reconcile(self) -> None:
         """Load what is homed here, and drop what is no longer needed."""
@@ -136,7 +136,7 @@
     async def ensure_adapter(self, adapter: str, size_bytes: int) -> OrderError | None:
         """Have an adapter resident; several callers share one load."""
         name = adapter_object(adapter)
-        if name in self._ledger.resident():
+        if self._ledger.is_resident(name):
             return None
         task = self._loading.get(name)
         if task is None:
@@ -147,7 +147,7 @@
 
     def begin_use(self, name: str) -> bool:
         """Hold an object for a call; False when it is not resident."""
-        if name not in self._ledger.resident():
+        if not self._ledger.is_resident(name):
             return False
         self._in_use[name] += 1
         self._last_used[name] = self._timers.now_ms()
@@ -166,13 +166,16 @@
         homes = self._homes.get(deployment, ())
         return [home for home in homes if home != self._instance]
 
+    def _homed_here(self) -> list[str]:
+        """Return the deployments that this side should hold."""
+        return [name for name, homes in self._homes.items() if self._instance in homes]
+
     def _missing(self, cfg: Configuration) -> list[str]:
         """Return deployments homed here and not resident, most asked for first."""
-        resident = self._ledger.resident()
         missing = [
             name
-            for name, homes in self._homes.items()
-            if self._instance in homes and object_of(cfg, name)[0] not in resident
+            for name in self._homed_here()
+            if not self._ledger.is_resident(object_of(cfg, name)[0])
         ]
         missing.sort(key=lambda name: -self._refused[name])
         self._refused.clear()
@@ -215,11 +218,7 @@
 
     def _spare_copies(self, cfg: Configuration) -> list[str]:
         """Return idle weights that are not homed here."""
-        homed = {
-            object_of(cfg, name)[0]
-            for name, homes in self._homes.items()
-            if self._instance in homes
-        }
+        homed = {object_of(cfg, name)[0] for name in self._homed_here()}
         return [
             name
             for name in self._ledger.resident()
--- a/src/copperrun/placement/ledger.py
+++ b/src/copperrun/placement/ledger.py
@@ -39,10 +39,10 @@
         """Bytes that may be reserved."""
         return self.capacity_bytes - self.used_bytes
 
-    def holding(self, name: str) -> Holding | None:
-        """Return how an object is counted, or None when it is not."""
+    def is_resident(self, name: str) -> bool:
+        """Return whether calls may use an object."""
         entry = self._entries.get(name)
-        return entry.holding if entry else None
+        return entry is not None and entry.holding is Holding.RESIDENT
 
     def names(self) -> tuple[str, ...]:
         """Return every object that is counted."""
--- a/src/copperrun/placement/orders.py
+++ b/src/copperrun/placement/orders.py
@@ -84,7 +84,7 @@
         async with self._lock:
             if self._epoch is None:
                 return _no_epoch()
-            if name in self._ledger.resident():
+            if self._ledger.is_resident(name):
                 return None
             if not self._ledger.reserve(name, size_bytes):
                 detail = f"{name} needs {size_bytes} B, {self._ledger.free_bytes} free"
--- a/src/copperrun/ports/peers.py
+++ b/src/copperrun/ports/peers.py
@@ -4,9 +4,11 @@
 
 from typing import Protocol
 
+from copperrun.configuration.changes import Snapshot
+
 
 class Peers(Protocol):
     """Processes that may already have a configuration."""
 
-    async def fetch_snapshot(self) -> str | None:
-        """Return a peer's configuration snapshot as a log record, or None."""
+    async def fetch_snapshot(self) -> Snapshot | None:
+        """Return a peer's configuration, or None when no peer has one."""
--- a/testing/installation.py
+++ b/testing/installation.py
@@ -19,6 +19,8 @@
 from copperrun.configuration.changes import STREAM
 from copperrun.configuration.changes import Change
 from copperrun.configuration.changes import Objects
+from copperrun.configuration.changes import Snapshot
+from copperrun.configuration.changes import decode_record
 from copperrun.configuration.changes import encode_record
 from copperrun.configuration.changes import objects_of
 from copperrun.embedded.clock import ManualTimers
@@ -128,11 +130,12 @@
         self._tasks[name] = asyncio.create_task(entry.run())
         return entry
 
-    async def fetch_snapshot(self) -> str | None:
+    async def fetch_snapshot(self) -> Snapshot | None:
         """Answer a starting process as its peers would."""
         for process in (*self.entries.values(), *self.sides.processes.values()):
             if process.follower.configuration is not None:
-                return process.follower.encode_snapshot()
+                record = decode_record(process.follower.encode_snapshot())
+                return record if isinstance(record, Snapshot) else None
         return None
 
     async def publish(self, raw: dict[str, Any], *, base: int = -1) -> None:
--- a/testing/mutants.py
+++ b/testing/mutants.py
@@ -76,8 +76,8 @@
     Mutant(
         "reachable",
         "placement/keeper.py",
-        "return name in self._ledger.resident() and name not in self._dropping",
-        "return name in self._ledger.resident()",
+        "return self._ledger.is_resident(name) and name not in self._dropping",
+        "return self._ledger.is_resident(name)",
         "test_reachability.py::test_two_holders_that_want_to_drop_do_not_both_drop",
     ),
     Mutant(
