Let prompts into an engine at the pace that its streams allow

Found by first-event and gap times in the request's log line.

Ruled out: slow forwarding (processor 0.03 of a core), load of running requests (first events come within 0.2 s at any load once prompts are paced); one speed for all models of an engine (small models read 3 times as fast; the estimate swung from 10 to 50 tokens/ms); counting prompts that shared the engine as samples (rate twice too high).

Change: admission/prefill.py, a queue at the side by priority and slack, with a bucket that drains at each model's learned reading speed; entries ask the side to admit.

--- a/idl/copperrun.thrift
+++ b/idl/copperrun.thrift
@@ -110,18 +110,36 @@
   3: required i32 running,
   4: required i32 queued,
   5: required map<string, i32> loading,
-  6: required i32 entries
+  6: required i32 entries,
+  7: required i32 backlog_ms
 }
 
-// Asks a side to have an adapter loaded.
-struct Prepare {
-  1: required string model,
-  2: required string adapter,
-  3: required i32 timeout_ms
+// Asks a side to let one request into its engine.
+struct Admit {
+  1: required string request,
+  2: required string model,
+  3: required string adapter,
+  4: required i32 priority,
+  5: required i32 tokens,
+  6: required i32 gap_ms,
+  7: required i32 target_ms,
+  8: required i32 remaining_ms
+}
+
+enum Admission {
+  GRANTED = 0,
+  NOT_HELD = 1,
+  OVERLOADED = 2
+}
+
+struct AdmitResult {
+  1: required Admission admission,
+  2: required i32 retry_after_ms
 }
 
-struct PrepareResult {
-  1: required bool ready
+// Requests whose first event has come, or that ended without one.
+struct Started {
+  1: required list<string> requests
 }
 
 // Newest records of one keyed topic, for a process that starts without the store.
--- a/src/copperrun/adapters/engines.py
+++ b/src/copperrun/adapters/engines.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections.abc import Callable
 from collections.abc import Mapping
 from collections.abc import Sequence
@@ -15,19 +16,29 @@
 from copperrun.gen import ttypes
 from copperrun.placement.demand import DemandView
 from copperrun.placement.steward import Steward
+from copperrun.ports.engines import Admission
 from copperrun.ports.engines import Demand
+from copperrun.ports.engines import Entrance
+from copperrun.ports.engines import Granted
+from copperrun.ports.engines import NotHeld
+from copperrun.ports.engines import Overloaded
 from copperrun.ports.engines import PeerEngine
 from copperrun.ports.feed import FeedSnapshot
 from copperrun.ports.sides import SideError
 from copperrun.ports.sides import SideErrorReason
+from copperrun.ports.timers import Timers
 from copperrun.routing.fleet import ServerRecord
 from copperrun.routing.fleet import ServerReport
+from copperrun.side.door import EngineDoor
 
 EXCHANGE_PATH = "/internal/demand"
-PREPARE_PATH = "/internal/adapter"
+ADMIT_PATH = "/internal/admit"
+STARTED_PATH = "/internal/started"
 VIEW_PATH = "/internal/view"
 EXCHANGE_MARGIN_MS = 1_000  # on top of the time that a side may hold a reply
 VIEW_TIMEOUT_MS = 1_000
+STARTED_DELAY_MS = 5  # first events that come together are told together
+STARTED_TIMEOUT_MS = 1_000
 
 AddressOf = Callable[[ServerRecord], str]
 
@@ -35,9 +46,14 @@
 class HttpEngines:
     """Calls of the sides, by the address of their engine."""
 
-    def __init__(self, client: HttpClient, address_of: AddressOf) -> None:
+    def __init__(
+        self, client: HttpClient, address_of: AddressOf, timers: Timers
+    ) -> None:
         self._client = client
         self._address_of = address_of
+        self._timers = timers
+        self._started: dict[str, list[str]] = {}
+        self._tasks: set[asyncio.Task[None]] = set()
 
     async def exchange(
         self, server: ServerRecord, demand: Demand, hold_ms: int
@@ -70,20 +86,42 @@
             reply.queued,
             reply.loading,
             reply.entries,
+            reply.backlog_ms,
         )
 
-    async def prepare(
-        self, server: ServerRecord, model: str, adapter: str, timeout_ms: int
-    ) -> bool | SideError:
-        """Ask for an adapter; return whether requests may use it now."""
-        message = ttypes.Prepare(model=model, adapter=adapter, timeout_ms=timeout_ms)
-        body = await self._post(server, PREPARE_PATH, message, timeout_ms)
+    async def admit(
+        self, server: ServerRecord, entrance: Entrance
+    ) -> Admission | SideError:
+        """Wait until the engine can take a request, with its adapter loaded."""
+        message = ttypes.Admit(**entrance._asdict())
+        body = await self._post(server, ADMIT_PATH, message, entrance.remaining_ms)
         if isinstance(body, SideError):
             return body
-        reply = wire.decode(ttypes.PrepareResult, body)
+        reply = wire.decode(ttypes.AdmitResult, body)
         if isinstance(reply, wire.WireError):
             return SideError(SideErrorReason.ANSWER_LOST, reply.detail)
-        return bool(reply.ready)
+        match reply.admission:
+            case ttypes.Admission.GRANTED:
+                return Granted()
+            case ttypes.Admission.NOT_HELD:
+                return NotHeld()
+            case _:
+                return Overloaded(reply.retry_after_ms)
+
+    def note_started(self, server: ServerRecord, request: str) -> None:
+        """Tell the side, soon, that an admitted request has its first event."""
+        pending = self._started.setdefault(server.id, [])
+        pending.append(request)
+        if len(pending) == 1:
+            task = asyncio.create_task(self._send_started(server))
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+
+    async def _send_started(self, server: ServerRecord) -> None:
+        await self._timers.sleep_ms(STARTED_DELAY_MS)
+        message = ttypes.Started(requests=self._started.pop(server.id, []))
+        # When it is lost, the grants lapse at the side.
+        await self._post(server, STARTED_PATH, message, STARTED_TIMEOUT_MS)
 
     async def _post(
         self, server: ServerRecord, path: str, message: object, timeout_ms: int
@@ -109,14 +147,16 @@
 class EngineRoutes:
     """A side's handlers of what entries ask."""
 
-    def __init__(self, steward: Steward, demand: DemandView) -> None:
+    def __init__(self, steward: Steward, door: EngineDoor, demand: DemandView) -> None:
         self._steward = steward
+        self._door = door
         self._demand = demand
 
     def add_to(self, app: web.Application) -> None:
         """Add the routes."""
         app.router.add_post(EXCHANGE_PATH, self._exchange)
-        app.router.add_post(PREPARE_PATH, self._prepare)
+        app.router.add_post(ADMIT_PATH, self._admit)
+        app.router.add_post(STARTED_PATH, self._started)
 
     async def _exchange(self, request: web.Request) -> web.Response:
         message = wire.decode(ttypes.Demand, await request.read())
@@ -134,7 +174,7 @@
             await self._steward.step()
         if message.hold_ms > 0:
             await self._steward.wait_change(message.hold_ms)
-        report = self._steward.report()
+        report = self._door.report()
         if report is None:
             return web.Response(status=503)
         reply = ttypes.EngineReport(
@@ -144,17 +184,31 @@
             queued=report.queued,
             loading=dict(report.loading),
             entries=self._demand.entries(),
+            backlog_ms=report.backlog_ms,
         )
         return web.Response(body=wire.encode(reply))
 
-    async def _prepare(self, request: web.Request) -> web.Response:
-        message = wire.decode(ttypes.Prepare, await request.read())
+    async def _admit(self, request: web.Request) -> web.Response:
+        message = wire.decode(ttypes.Admit, await request.read())
         if isinstance(message, wire.WireError):
             return web.Response(status=400, text=message.detail)
-        ready = await self._steward.prepare(
-            message.model, message.adapter, message.timeout_ms
-        )
-        return web.Response(body=wire.encode(ttypes.PrepareResult(ready=ready)))
+        admission = await self._door.admit(Entrance(**vars(message)))
+        match admission:
+            case Granted():
+                reply = ttypes.AdmitResult(ttypes.Admission.GRANTED, 0)
+            case NotHeld():
+                reply = ttypes.AdmitResult(ttypes.Admission.NOT_HELD, 0)
+            case Overloaded(retry_after_ms):
+                reply = ttypes.AdmitResult(ttypes.Admission.OVERLOADED, retry_after_ms)
+        return web.Response(body=wire.encode(reply))
+
+    async def _started(self, request: web.Request) -> web.Response:
+        message = wire.decode(ttypes.Started, await request.read())
+        if isinstance(message, wire.WireError):
+            return web.Response(status=400, text=message.detail)
+        for request_id in message.requests:
+            self._door.note_started(request_id)
+        return web.Response()
 
 
 class HttpViews:
--- /dev/null
+++ b/src/copperrun/admission/prefill.py
@@ -0,0 +1,235 @@
+"""Order and pace in which requests enter one engine; no I/O.
+
+Answers bursts of prompts: an engine reads all waiting prompts between two steps of the
+running requests, so that prompts that arrive together stop every stream. Requests wait
+here instead, the most urgent first. They enter at the rate at which the engine reads,
+and no more of them at once than it reads within the pause that streams are allowed.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from collections.abc import Mapping
+from dataclasses import dataclass
+from typing import NamedTuple
+
+GAP_SHARE = 0.9  # of the allowed pause; the rest is for the way to the caller
+STEP_MS = 12.0  # one step of a half full batch
+GRANT_LIFETIME_MS = 3_000  # after which a grant counts as lost with its entry
+DEFAULT_RATE = 15.0  # prompt tokens per ms of a large model
+MIN_POLL_MS = 5  # between two looks at the queue
+SAFETY = 1.2  # on expected waits, before a request is refused for them
+
+
+class Ticket(NamedTuple):
+    """One request that wants to enter the engine.
+
+    Attributes:
+        id: Identity of the attempt.
+        model: Model that reads the prompt.
+        priority: Rank, 0 first.
+        tokens: Prompt tokens.
+        gap_ms: Longest pause between events that its stream allows; 0 for none.
+        target_ms: When the first event is due, on the timer service's clock.
+        deadline_ms: When the caller gives up, on the same clock.
+    """
+
+    id: str
+    model: str
+    priority: int
+    tokens: int
+    gap_ms: int
+    target_ms: int
+    deadline_ms: int
+
+
+@dataclass
+class _Grant:
+    ticket: Ticket
+    reading_ms: float
+    at_ms: int
+    was_alone: bool
+
+
+class ReadingSpeed:
+    """Tokens per ms and fixed delay of an engine, by regression over first events.
+
+    Only prompts that found no other one unread are counted: how much of the others was
+    still ahead of a later one is not known. Old samples fade, so that an engine that
+    turns slow is noticed.
+    """
+
+    FADE = 0.98  # weight of the past at each sample
+    FIRST_DELAY_MS = 100.0
+    PRIOR_TOKENS = (500.0, 4_000.0)  # where the first line is anchored
+    MIN_RATE = 1.0
+    MAX_RATE = 100.0
+
+    def __init__(self, first_rate: float) -> None:
+        self.rate = first_rate
+        self.delay_ms = self.FIRST_DELAY_MS
+        self._weight = 0.0
+        self._sums = (0.0, 0.0, 0.0, 0.0)  # x, y, xx, xy
+        for tokens in self.PRIOR_TOKENS:
+            self._add(tokens, self.FIRST_DELAY_MS + tokens / first_rate)
+
+    def note(self, tokens: int, elapsed_ms: int) -> None:
+        """Take the time until the first event of a prompt of ``tokens`` tokens."""
+        self._add(float(tokens), float(elapsed_ms))
+        x, y, xx, xy = self._sums
+        spread = self._weight * xx - x * x
+        if spread <= 0:
+            return
+        slope = (self._weight * xy - x * y) / spread
+        slope = min(max(slope, 1 / self.MAX_RATE), 1 / self.MIN_RATE)
+        self.rate = 1 / slope
+        self.delay_ms = max((y - slope * x) / self._weight, 0.0)
+
+    def _add(self, tokens: float, elapsed_ms: float) -> None:
+        x, y, xx, xy = (self.FADE * item for item in self._sums)
+        self._weight = self.FADE * self._weight + 1
+        self._sums = (
+            x + tokens,
+            y + elapsed_ms,
+            xx + tokens * tokens,
+            xy + tokens * elapsed_ms,
+        )
+
+
+class PrefillQueue:
+    """Waiting requests and granted prompts of one engine; work is counted in ms.
+
+    Attributes:
+        tokens_per_event: Tokens in one event of a stream.
+        first_rates: Tokens per ms of each model, before there are samples.
+    """
+
+    def __init__(self) -> None:
+        self.tokens_per_event = 1
+        self.first_rates: Mapping[str, float] = {}
+        self._speeds: dict[str, ReadingSpeed] = {}
+        self._waiting: dict[str, Ticket] = {}
+        self._grants: dict[str, _Grant] = {}
+        self._unread_ms = 0.0
+        self._level_ms = 0.0
+        self._level_at_ms = 0
+
+    @property
+    def waiting_count(self) -> int:
+        """Requests that wait for a grant."""
+        return len(self._waiting)
+
+    def speed(self, model: str) -> ReadingSpeed:
+        """Return the reading speed of a model."""
+        speed = self._speeds.get(model)
+        if speed is None:
+            first_rate = self.first_rates.get(model, DEFAULT_RATE)
+            speed = self._speeds[model] = ReadingSpeed(first_rate)
+        return speed
+
+    def backlog_ms(self) -> int:
+        """Return how long the engine takes to read all prompts granted and waiting."""
+        waiting_ms = sum(self._reading_ms(item) for item in self._waiting.values())
+        return int(self._unread_ms + waiting_ms)
+
+    def expected_wait_ms(self, ticket: Ticket, now_ms: int) -> int:
+        """Return when the first event of a new request can be expected."""
+        key = _order(ticket, now_ms)
+        ahead_ms = sum(
+            self._reading_ms(other)
+            for other in self._waiting.values()
+            if _order(other, now_ms) <= key
+        )
+        own_ms = self.speed(ticket.model).delay_ms + self._reading_ms(ticket)
+        return int(self._unread_ms + ahead_ms + own_ms)
+
+    def can_serve(self, ticket: Ticket, now_ms: int) -> bool:
+        """Return whether a new request can get its first event before its deadline."""
+        wait_ms = self.expected_wait_ms(ticket, now_ms) * SAFETY
+        return now_ms + wait_ms < ticket.deadline_ms
+
+    def offer(self, ticket: Ticket) -> None:
+        """Let a request wait."""
+        self._waiting[ticket.id] = ticket
+
+    def withdraw(self, ticket_id: str) -> None:
+        """Drop a request that waits or whose grant was not used."""
+        self._waiting.pop(ticket_id, None)
+        self._drop_grant(ticket_id)
+
+    def grants(self, now_ms: int) -> Iterator[Ticket]:
+        """Yield the requests that may enter now; each counts as granted."""
+        self._forget_lost(now_ms)
+        self._drain(now_ms)
+        while (ticket := self._next(now_ms)) is not None:
+            if self._grants and not self._fits(ticket):
+                return
+            del self._waiting[ticket.id]
+            reading_ms = self._reading_ms(ticket)
+            was_alone = not self._grants
+            self._grants[ticket.id] = _Grant(ticket, reading_ms, now_ms, was_alone)
+            self._unread_ms += reading_ms
+            self._level_ms += reading_ms
+            yield ticket
+
+    def next_grant_ms(self, now_ms: int) -> int:
+        """Return when the first waiting request may fit, if nothing else happens."""
+        ticket = self._next(now_ms)
+        if ticket is None:
+            return GRANT_LIFETIME_MS
+        excess_ms = self._level_ms + self._reading_ms(ticket) - self._burst_ms(ticket)
+        return max(int(excess_ms), MIN_POLL_MS)
+
+    def note_read(self, ticket_id: str, now_ms: int) -> None:
+        """Note that the first event of a granted request has come."""
+        grant = self._drop_grant(ticket_id)
+        if grant is not None and grant.was_alone:
+            ticket = grant.ticket
+            self.speed(ticket.model).note(ticket.tokens, now_ms - grant.at_ms)
+
+    def _next(self, now_ms: int) -> Ticket | None:
+        return min(
+            self._waiting.values(), key=lambda item: _order(item, now_ms), default=None
+        )
+
+    def _reading_ms(self, ticket: Ticket) -> float:
+        return ticket.tokens / self.speed(ticket.model).rate
+
+    def _drop_grant(self, ticket_id: str) -> _Grant | None:
+        grant = self._grants.pop(ticket_id, None)
+        if grant is not None:
+            self._unread_ms = max(self._unread_ms - grant.reading_ms, 0.0)
+        return grant
+
+    def _forget_lost(self, now_ms: int) -> None:
+        oldest = now_ms - GRANT_LIFETIME_MS
+        for ticket_id, grant in list(self._grants.items()):
+            if grant.at_ms < oldest:
+                self._drop_grant(ticket_id)
+
+    def _drain(self, now_ms: int) -> None:
+        elapsed_ms = now_ms - self._level_at_ms
+        self._level_ms = max(self._level_ms - elapsed_ms, 0.0)
+        self._level_at_ms = now_ms
+
+    def _fits(self, ticket: Ticket) -> bool:
+        """Return whether a prompt keeps the pauses of the running streams short."""
+        reading_ms = self._reading_ms(ticket)
+        burst_ms = self._burst_ms(ticket)
+        delay_ms = self.speed(ticket.model).delay_ms
+        return (
+            self._level_ms + reading_ms <= burst_ms
+            and self._unread_ms + reading_ms <= burst_ms + delay_ms
+        )
+
+    def _burst_ms(self, ticket: Ticket) -> float:
+        """Return the reading time of the prompts that may enter at once."""
+        if not ticket.gap_ms:
+            return float("inf")
+        pause_ms = GAP_SHARE * ticket.gap_ms - self.tokens_per_event * STEP_MS
+        return max(pause_ms, STEP_MS)
+
+
+def _order(ticket: Ticket, now_ms: int) -> tuple[int, bool, int]:
+    """Sort by priority, then those that can be in time, the least slack first."""
+    return ticket.priority, ticket.target_ms < now_ms, ticket.target_ms
--- a/src/copperrun/gen/ttypes.py
+++ b/src/copperrun/gen/ttypes.py
@@ -31,6 +31,24 @@
     }
 
 
+class Admission(object):
+    GRANTED = 0
+    NOT_HELD = 1
+    OVERLOADED = 2
+
+    _VALUES_TO_NAMES = {
+        0: "GRANTED",
+        1: "NOT_HELD",
+        2: "OVERLOADED",
+    }
+
+    _NAMES_TO_VALUES = {
+        "GRANTED": 0,
+        "NOT_HELD": 1,
+        "OVERLOADED": 2,
+    }
+
+
 class AttemptId(object):
     """
     Attributes:
@@ -1350,17 +1368,19 @@
      - queued
      - loading
      - entries
+     - backlog_ms
 
     """
 
 
-    def __init__(self, born_ms=None, held=None, running=None, queued=None, loading=None, entries=None,):
+    def __init__(self, born_ms=None, held=None, running=None, queued=None, loading=None, entries=None, backlog_ms=None,):
         self.born_ms = born_ms
         self.held = held
         self.running = running
         self.queued = queued
         self.loading = loading
         self.entries = entries
+        self.backlog_ms = backlog_ms
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1418,6 +1438,11 @@
                     self.entries = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.I32:
+                    self.backlog_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1463,6 +1488,10 @@
             oprot.writeFieldBegin('entries', TType.I32, 6)
             oprot.writeI32(self.entries)
             oprot.writeFieldEnd()
+        if self.backlog_ms is not None:
+            oprot.writeFieldBegin('backlog_ms', TType.I32, 7)
+            oprot.writeI32(self.backlog_ms)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1479,6 +1508,8 @@
             raise TProtocolException(message='Required field loading is unset!')
         if self.entries is None:
             raise TProtocolException(message='Required field entries is unset!')
+        if self.backlog_ms is None:
+            raise TProtocolException(message='Required field backlog_ms is unset!')
         return
 
     def __repr__(self):
@@ -1493,20 +1524,30 @@
         return not (self == other)
 
 
-class Prepare(object):
+class Admit(object):
     """
     Attributes:
+     - request
      - model
      - adapter
-     - timeout_ms
+     - priority
+     - tokens
+     - gap_ms
+     - target_ms
+     - remaining_ms
 
     """
 
 
-    def __init__(self, model=None, adapter=None, timeout_ms=None,):
+    def __init__(self, request=None, model=None, adapter=None, priority=None, tokens=None, gap_ms=None, target_ms=None, remaining_ms=None,):
+        self.request = request
         self.model = model
         self.adapter = adapter
-        self.timeout_ms = timeout_ms
+        self.priority = priority
+        self.tokens = tokens
+        self.gap_ms = gap_ms
+        self.target_ms = target_ms
+        self.remaining_ms = remaining_ms
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1519,17 +1560,42 @@
                 break
             if fid == 1:
                 if ftype == TType.STRING:
-                    self.model = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                    self.request = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
                 if ftype == TType.STRING:
-                    self.adapter = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                    self.model = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
+                if ftype == TType.STRING:
+                    self.adapter = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I32:
+                    self.priority = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I32:
+                    self.tokens = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.I32:
+                    self.gap_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.I32:
+                    self.target_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 8:
                 if ftype == TType.I32:
-                    self.timeout_ms = iprot.readI32()
+                    self.remaining_ms = iprot.readI32()
                 else:
                     iprot.skip(ftype)
             else:
@@ -1541,29 +1607,59 @@
         if oprot._fast_encode is not None and self.thrift_spec is not None:
             oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
-        oprot.writeStructBegin('Prepare')
+        oprot.writeStructBegin('Admit')
+        if self.request is not None:
+            oprot.writeFieldBegin('request', TType.STRING, 1)
+            oprot.writeString(self.request.encode('utf-8') if sys.version_info[0] == 2 else self.request)
+            oprot.writeFieldEnd()
         if self.model is not None:
-            oprot.writeFieldBegin('model', TType.STRING, 1)
+            oprot.writeFieldBegin('model', TType.STRING, 2)
             oprot.writeString(self.model.encode('utf-8') if sys.version_info[0] == 2 else self.model)
             oprot.writeFieldEnd()
         if self.adapter is not None:
-            oprot.writeFieldBegin('adapter', TType.STRING, 2)
+            oprot.writeFieldBegin('adapter', TType.STRING, 3)
             oprot.writeString(self.adapter.encode('utf-8') if sys.version_info[0] == 2 else self.adapter)
             oprot.writeFieldEnd()
-        if self.timeout_ms is not None:
-            oprot.writeFieldBegin('timeout_ms', TType.I32, 3)
-            oprot.writeI32(self.timeout_ms)
+        if self.priority is not None:
+            oprot.writeFieldBegin('priority', TType.I32, 4)
+            oprot.writeI32(self.priority)
+            oprot.writeFieldEnd()
+        if self.tokens is not None:
+            oprot.writeFieldBegin('tokens', TType.I32, 5)
+            oprot.writeI32(self.tokens)
+            oprot.writeFieldEnd()
+        if self.gap_ms is not None:
+            oprot.writeFieldBegin('gap_ms', TType.I32, 6)
+            oprot.writeI32(self.gap_ms)
+            oprot.writeFieldEnd()
+        if self.target_ms is not None:
+            oprot.writeFieldBegin('target_ms', TType.I32, 7)
+            oprot.writeI32(self.target_ms)
+            oprot.writeFieldEnd()
+        if self.remaining_ms is not None:
+            oprot.writeFieldBegin('remaining_ms', TType.I32, 8)
+            oprot.writeI32(self.remaining_ms)
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
     def validate(self):
+        if self.request is None:
+            raise TProtocolException(message='Required field request is unset!')
         if self.model is None:
             raise TProtocolException(message='Required field model is unset!')
         if self.adapter is None:
             raise TProtocolException(message='Required field adapter is unset!')
-        if self.timeout_ms is None:
-            raise TProtocolException(message='Required field timeout_ms is unset!')
+        if self.priority is None:
+            raise TProtocolException(message='Required field priority is unset!')
+        if self.tokens is None:
+            raise TProtocolException(message='Required field tokens is unset!')
+        if self.gap_ms is None:
+            raise TProtocolException(message='Required field gap_ms is unset!')
+        if self.target_ms is None:
+            raise TProtocolException(message='Required field target_ms is unset!')
+        if self.remaining_ms is None:
+            raise TProtocolException(message='Required field remaining_ms is unset!')
         return
 
     def __repr__(self):
@@ -1578,16 +1674,18 @@
         return not (self == other)
 
 
-class PrepareResult(object):
+class AdmitResult(object):
     """
     Attributes:
-     - ready
+     - admission
+     - retry_after_ms
 
     """
 
 
-    def __init__(self, ready=None,):
-        self.ready = ready
+    def __init__(self, admission=None, retry_after_ms=None,):
+        self.admission = admission
+        self.retry_after_ms = retry_after_ms
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1599,8 +1697,83 @@
             if ftype == TType.STOP:
                 break
             if fid == 1:
-                if ftype == TType.BOOL:
-                    self.ready = iprot.readBool()
+                if ftype == TType.I32:
+                    self.admission = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I32:
+                    self.retry_after_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('AdmitResult')
+        if self.admission is not None:
+            oprot.writeFieldBegin('admission', TType.I32, 1)
+            oprot.writeI32(self.admission)
+            oprot.writeFieldEnd()
+        if self.retry_after_ms is not None:
+            oprot.writeFieldBegin('retry_after_ms', TType.I32, 2)
+            oprot.writeI32(self.retry_after_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.admission is None:
+            raise TProtocolException(message='Required field admission is unset!')
+        if self.retry_after_ms is None:
+            raise TProtocolException(message='Required field retry_after_ms is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class Started(object):
+    """
+    Attributes:
+     - requests
+
+    """
+
+
+    def __init__(self, requests=None,):
+        self.requests = requests
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.LIST:
+                    self.requests = []
+                    (_etype76, _size73) = iprot.readListBegin()
+                    for _i77 in range(_size73):
+                        _elem78 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.requests.append(_elem78)
+                    iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             else:
@@ -1612,17 +1785,20 @@
         if oprot._fast_encode is not None and self.thrift_spec is not None:
             oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
-        oprot.writeStructBegin('PrepareResult')
-        if self.ready is not None:
-            oprot.writeFieldBegin('ready', TType.BOOL, 1)
-            oprot.writeBool(self.ready)
+        oprot.writeStructBegin('Started')
+        if self.requests is not None:
+            oprot.writeFieldBegin('requests', TType.LIST, 1)
+            oprot.writeListBegin(TType.STRING, len(self.requests))
+            for iter79 in self.requests:
+                oprot.writeString(iter79.encode('utf-8') if sys.version_info[0] == 2 else iter79)
+            oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
     def validate(self):
-        if self.ready is None:
-            raise TProtocolException(message='Required field ready is unset!')
+        if self.requests is None:
+            raise TProtocolException(message='Required field requests is unset!')
         return
 
     def __repr__(self):
@@ -1662,11 +1838,11 @@
             if fid == 1:
                 if ftype == TType.MAP:
                     self.items = {}
-                    (_ktype74, _vtype75, _size73) = iprot.readMapBegin()
-                    for _i77 in range(_size73):
-                        _key78 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        _val79 = iprot.readBinary()
-                        self.items[_key78] = _val79
+                    (_ktype81, _vtype82, _size80) = iprot.readMapBegin()
+                    for _i84 in range(_size80):
+                        _key85 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val86 = iprot.readBinary()
+                        self.items[_key85] = _val86
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
@@ -1688,9 +1864,9 @@
         if self.items is not None:
             oprot.writeFieldBegin('items', TType.MAP, 1)
             oprot.writeMapBegin(TType.STRING, TType.STRING, len(self.items))
-            for kiter80, viter81 in self.items.items():
-                oprot.writeString(kiter80.encode('utf-8') if sys.version_info[0] == 2 else kiter80)
-                oprot.writeBinary(viter81)
+            for kiter87, viter88 in self.items.items():
+                oprot.writeString(kiter87.encode('utf-8') if sys.version_info[0] == 2 else kiter87)
+                oprot.writeBinary(viter88)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         if self.end is not None:
@@ -1742,12 +1918,12 @@
             if fid == 1:
                 if ftype == TType.MAP:
                     self.topics = {}
-                    (_ktype83, _vtype84, _size82) = iprot.readMapBegin()
-                    for _i86 in range(_size82):
-                        _key87 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        _val88 = TopicView()
-                        _val88.read(iprot)
-                        self.topics[_key87] = _val88
+                    (_ktype90, _vtype91, _size89) = iprot.readMapBegin()
+                    for _i93 in range(_size89):
+                        _key94 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val95 = TopicView()
+                        _val95.read(iprot)
+                        self.topics[_key94] = _val95
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
@@ -1764,9 +1940,9 @@
         if self.topics is not None:
             oprot.writeFieldBegin('topics', TType.MAP, 1)
             oprot.writeMapBegin(TType.STRING, TType.STRUCT, len(self.topics))
-            for kiter89, viter90 in self.topics.items():
-                oprot.writeString(kiter89.encode('utf-8') if sys.version_info[0] == 2 else kiter89)
-                viter90.write(oprot)
+            for kiter96, viter97 in self.topics.items():
+                oprot.writeString(kiter96.encode('utf-8') if sys.version_info[0] == 2 else kiter96)
+                viter97.write(oprot)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1899,18 +2075,30 @@
     (4, TType.I32, 'queued', None, None, ),  # 4
     (5, TType.MAP, 'loading', (TType.STRING, 'UTF8', TType.I32, None, False), None, ),  # 5
     (6, TType.I32, 'entries', None, None, ),  # 6
+    (7, TType.I32, 'backlog_ms', None, None, ),  # 7
+)
+all_structs.append(Admit)
+Admit.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'request', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'model', 'UTF8', None, ),  # 2
+    (3, TType.STRING, 'adapter', 'UTF8', None, ),  # 3
+    (4, TType.I32, 'priority', None, None, ),  # 4
+    (5, TType.I32, 'tokens', None, None, ),  # 5
+    (6, TType.I32, 'gap_ms', None, None, ),  # 6
+    (7, TType.I32, 'target_ms', None, None, ),  # 7
+    (8, TType.I32, 'remaining_ms', None, None, ),  # 8
 )
-all_structs.append(Prepare)
-Prepare.thrift_spec = (
+all_structs.append(AdmitResult)
+AdmitResult.thrift_spec = (
     None,  # 0
-    (1, TType.STRING, 'model', 'UTF8', None, ),  # 1
-    (2, TType.STRING, 'adapter', 'UTF8', None, ),  # 2
-    (3, TType.I32, 'timeout_ms', None, None, ),  # 3
+    (1, TType.I32, 'admission', None, None, ),  # 1
+    (2, TType.I32, 'retry_after_ms', None, None, ),  # 2
 )
-all_structs.append(PrepareResult)
-PrepareResult.thrift_spec = (
+all_structs.append(Started)
+Started.thrift_spec = (
     None,  # 0
-    (1, TType.BOOL, 'ready', None, None, ),  # 1
+    (1, TType.LIST, 'requests', (TType.STRING, 'UTF8', False), None, ),  # 1
 )
 all_structs.append(TopicView)
 TopicView.thrift_spec = (
--- a/src/copperrun/placement/demand.py
+++ b/src/copperrun/placement/demand.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections import Counter
+from collections import defaultdict
 from collections.abc import Callable
 from collections.abc import Iterator
 from collections.abc import Mapping
@@ -23,7 +24,7 @@
         self._entry = entry
         self._timers = timers
         self._arrivals: dict[str, Counter[str]] = {}
-        self._waiting: dict[str, Counter[str]] = {}
+        self._waiting: defaultdict[str, Counter[str]] = defaultdict(Counter[str])
         self._listeners: list[Callable[[str], None]] = []
 
     def on_wait(self, listener: Callable[[str], None]) -> None:
@@ -38,8 +39,7 @@
     @contextmanager
     def waiting(self, pool: str, model: str) -> Iterator[None]:
         """Count a request as waiting for a model while the context is open."""
-        counts: Counter[str]
-        counts = self._waiting.setdefault(pool, Counter())
+        counts = self._waiting[pool]
         counts[model] += 1
         if counts[model] == 1:
             for listener in self._listeners:
@@ -55,8 +55,9 @@
 
     def waiting_now(self, pool: str) -> dict[str, int]:
         """Return how many requests wait for each model."""
-        counts = self._waiting.get(pool, {})
-        return {model: count for model, count in counts.items() if count > 0}
+        return {
+            model: count for model, count in self._waiting[pool].items() if count > 0
+        }
 
 
 class DemandView:
--- a/src/copperrun/placement/steward.py
+++ b/src/copperrun/placement/steward.py
@@ -135,8 +135,17 @@
         if self._job is not None:
             await self._advance(self._job, spec, status, now)
 
+    def holds(self, model: str) -> bool:
+        """Return whether new requests may use a model."""
+        status = self.status
+        if status is None or model not in status.held:
+            return False
+        return self._job is None or model not in self._job.move.victims
+
     async def prepare(self, model: str, adapter: str, timeout_ms: int) -> bool:
         """Have an adapter loaded; return whether requests may use it now."""
+        if not adapter:
+            return self.holds(model)
         try:
             async with self._timers.timeout_ms(timeout_ms):
                 return await self._prepare(model, adapter)
@@ -227,7 +236,7 @@
             async with self._order_lock:
                 await self._refresh()
                 status, spec = self.status, self.spec
-                if status is None or spec is None or model not in status.held:
+                if status is None or spec is None or not self.holds(model):
                     return False
                 if adapter in status.held[model]:
                     self._adapter_used_ms[model, adapter] = self._timers.now_ms()
--- a/src/copperrun/platform/daemon.py
+++ b/src/copperrun/platform/daemon.py
@@ -43,6 +43,7 @@
 from copperrun.platform.store import StoreFeed
 from copperrun.routing.catalog import CallerLimits
 from copperrun.routing.fleet import ServerRecord
+from copperrun.side.door import EngineDoor
 from copperrun.side.stewardship import StewardProcess
 
 READY_PATH = "/readiness"
@@ -142,7 +143,7 @@
                 cfg.place,
                 view,
                 HttpRunners(session),
-                HttpEngines(client, self._side_address),
+                HttpEngines(client, self._side_address, self.timers),
                 cfg.retries,
                 self.timers,
             )
@@ -222,6 +223,7 @@
                 self.timers,
                 self.metrics,
             )
+            door = EngineDoor(steward, self.timers)
             process = StewardProcess(
                 cfg.place.instance,
                 cfg.engine_address,
@@ -233,7 +235,7 @@
                 self.timers,
             )
             app = self.internal_app(view)
-            EngineRoutes(steward, demand).add_to(app)
+            EngineRoutes(steward, door, demand).add_to(app)
             internal = web.AppRunner(
                 app, handler_cancellation=True, access_log=None, shutdown_timeout=0.1
             )
--- a/src/copperrun/platform/ingress.py
+++ b/src/copperrun/platform/ingress.py
@@ -166,14 +166,18 @@
         int(patience) if patience is not None else None,
         model,
         adapter,
-        _token_count(headers.get(dialect.TOKENS, "")),
+        *_token_counts(headers.get(dialect.TOKENS, "")),
         headers.get(dialect.LAST_EVENT_ID, ""),
     )
 
 
-def _token_count(text: str) -> int:
-    parts = text.split(",")
-    return sum(int(part) for part in parts if part.strip().isdigit())
+def _token_counts(text: str) -> tuple[int, int]:
+    """Decode prompt tokens and the most output tokens; 0 for what is not said."""
+    prompt, _, output = text.partition(",")
+    return (
+        int(prompt) if prompt.strip().isdigit() else 0,
+        int(output) if output.strip().isdigit() else 0,
+    )
 
 
 def _bad_request(detail: str) -> Refusal:
--- a/src/copperrun/platform/records.py
+++ b/src/copperrun/platform/records.py
@@ -121,6 +121,7 @@
     return EngineSpec(
         _number(item["slots"]),
         _number(item["kv-cache-tokens"]),
+        _number(item.get("stride", 1)),
         float(item.get("weights-mb", 0.0)),
         _number(item.get("max-adapters", 0)),
         float(item.get("loads-per-s", 0.0)),
--- a/src/copperrun/ports/engines.py
+++ b/src/copperrun/ports/engines.py
@@ -41,6 +41,51 @@
     engines: Mapping[str, PeerEngine]
 
 
+class Entrance(NamedTuple):
+    """One request that asks to enter an engine.
+
+    Attributes:
+        request: Identity of the caller's attempt.
+        model: Model that it needs.
+        adapter: Adapter of the model, or an empty string.
+        priority: Rank, 0 first.
+        tokens: Prompt tokens.
+        gap_ms: Longest pause between its events; 0 for any.
+        target_ms: Time left until its first event is due; negative when past.
+        remaining_ms: Time left until its deadline.
+    """
+
+    request: str
+    model: str
+    adapter: str
+    priority: int
+    tokens: int
+    gap_ms: int
+    target_ms: int
+    remaining_ms: int
+
+
+class Granted(NamedTuple):
+    """The request may be sent to the engine now."""
+
+
+class NotHeld(NamedTuple):
+    """The engine does not hold what the request needs and will not have it soon."""
+
+
+class Overloaded(NamedTuple):
+    """The engine cannot serve the request before its deadline.
+
+    Attributes:
+        retry_after_ms: When it may be able to.
+    """
+
+    retry_after_ms: int
+
+
+Admission = Granted | NotHeld | Overloaded
+
+
 class Engines(Protocol):
     """Calls of the sides beside engines."""
 
@@ -49,7 +94,10 @@
     ) -> ServerReport | SideError:
         """Report demand; the reply comes with a change or after ``hold_ms``."""
 
-    async def prepare(
-        self, server: ServerRecord, model: str, adapter: str, timeout_ms: int
-    ) -> bool | SideError:
-        """Ask for an adapter; return whether requests may use it now."""
+    async def admit(
+        self, server: ServerRecord, entrance: Entrance
+    ) -> Admission | SideError:
+        """Wait until the engine can take a request, with its adapter loaded."""
+
+    def note_started(self, server: ServerRecord, request: str) -> None:
+        """Tell the side, soon, that an admitted request has its first event."""
--- a/src/copperrun/ports/runners.py
+++ b/src/copperrun/ports/runners.py
@@ -26,7 +26,8 @@
         patience_ms: Time that the caller waits; None when it does not say.
         model: Model that it needs, or an empty string.
         adapter: Adapter of that model, or an empty string.
-        tokens: Prompt and output tokens that it may use.
+        prompt_tokens: Tokens of its prompt; 0 when it does not say.
+        output_tokens: Most tokens that it may generate; 0 when it does not say.
         resume_after: Id of the last event that the caller has, or an empty string.
     """
 
@@ -39,7 +40,8 @@
     patience_ms: int | None
     model: str = ""
     adapter: str = ""
-    tokens: int = 0
+    prompt_tokens: int = 0
+    output_tokens: int = 0
     resume_after: str = ""
 
     @property
--- a/src/copperrun/routing/catalog.py
+++ b/src/copperrun/routing/catalog.py
@@ -99,6 +99,7 @@
     Attributes:
         slots: Requests that run at once.
         cache_tokens: Tokens that fit the KV cache.
+        tokens_per_event: Tokens in one event of a stream.
         memory_mb: Accelerator memory for weights and adapters.
         max_adapters: Adapters loaded at once.
         loads_per_s: Loads from the weight store over all engines.
@@ -107,6 +108,7 @@
 
     slots: int
     cache_tokens: int
+    tokens_per_event: int
     memory_mb: float
     max_adapters: int
     loads_per_s: float
--- a/src/copperrun/routing/fleet.py
+++ b/src/copperrun/routing/fleet.py
@@ -12,6 +12,7 @@
 FAILURE_WEIGHT = 0.2  # of the newest answer in the moving failure share
 FAILURE_HALF_LIFE_MS = 4_000  # after which a grey server is probed again
 SILENT_MS = 2_000  # without a try after a failed connection attempt
+PROMPT_MS = 80.0  # an engine's time for a typical prompt, until its side reports
 LOAD_FRESH_MS = 3_000  # three reporting periods
 
 
@@ -61,6 +62,7 @@
         queued: Requests waiting at the engine.
         loading: Models being loaded or planned next, with the expected wait in ms.
         entries: Entries that the side hears from; 0 when not known.
+        backlog_ms: Time that the engine takes to read the prompts that wait for it.
     """
 
     born_ms: int
@@ -69,6 +71,7 @@
     queued: int
     loading: Mapping[str, int]
     entries: int = 0
+    backlog_ms: int = 0
 
 
 class Server:
@@ -80,6 +83,7 @@
         self.loading: Mapping[str, int] = {}
         self.inflight = 0
         self.reported = 0
+        self.backlog_ms = 0
         self._timers = timers
         self._reported_ms = -LOAD_FRESH_MS
         self._sent_since_report = 0
@@ -111,6 +115,13 @@
             return max(self.inflight, self.reported + self._sent_since_report)
         return self.inflight
 
+    @property
+    def wait_ms(self) -> int:
+        """Time that the engine takes to read the prompts that wait for it."""
+        if not self.has_report:
+            return int(self.inflight * PROMPT_MS)
+        return int(self.backlog_ms + self._sent_since_report * PROMPT_MS)
+
     def begin(self) -> None:
         """Count a request that is sent to it."""
         self.inflight += 1
@@ -147,6 +158,7 @@
         self.held = report.held
         self.loading = report.loading
         self.reported = report.running + report.queued
+        self.backlog_ms = report.backlog_ms
         self._reported_ms = self._timers.now_ms()
         self._sent_since_report = 0
 
--- a/src/copperrun/routing/relay.py
+++ b/src/copperrun/routing/relay.py
@@ -19,6 +19,10 @@
 from copperrun.placement.demand import DemandMeter
 from copperrun.ports.callers import Responder
 from copperrun.ports.engines import Engines
+from copperrun.ports.engines import Entrance
+from copperrun.ports.engines import Granted
+from copperrun.ports.engines import NotHeld
+from copperrun.ports.engines import Overloaded
 from copperrun.ports.runners import AnswerHead
 from copperrun.ports.runners import Call
 from copperrun.ports.runners import Execution
@@ -43,7 +47,6 @@
 MIN_ATTEMPT_MS = 20  # left of the deadline, below which no attempt is started
 NO_SERVER_RETRY_AFTER_MS = 1_000  # period of the registry's readers
 FULL_RETRY_AFTER_MS = 500
-PREPARE_TIMEOUT_MS = 400  # adapters load in 7 to 130 ms
 MAX_BUFFERED_BYTES = 1 << 20  # of a whole answer, before it is passed on in parts
 
 
@@ -105,6 +108,22 @@
         self.failure: _Failure | None = None
         self.refusal: Refusal | None = None
         self.detail = ""
+        self.admission = ""
+        self.admitted_after_ms = 0
+        self.sent_ms = 0
+        self.load = 0
+        self.first_event_ms = 0
+        self.last_event_ms = 0
+        self.longest_gap_ms = 0
+
+    def note_events(self, now_ms: int) -> None:
+        """Take the arrival of events into the times that the log line tells."""
+        if not self.first_event_ms:
+            self.first_event_ms = now_ms
+        else:
+            gap_ms = now_ms - self.last_event_ms
+            self.longest_gap_ms = max(self.longest_gap_ms, gap_ms)
+        self.last_event_ms = now_ms
 
 
 class Relay:
@@ -146,8 +165,7 @@
             outcome = "timed_out"
             progress.refusal = _expired(work)
         finally:
-            if outcome != "answered":
-                self._log(work, progress, outcome)
+            self._log(work, progress, outcome)
         if not done:
             await _conclude(progress, responder)
 
@@ -188,9 +206,9 @@
             return servers[choose_plain(views)]
         while True:
             holder = await self._wait_holder(work, progress)
-            if isinstance(holder, Refusal) or not work.call.adapter:
+            if isinstance(holder, Refusal):
                 return holder
-            refusal = await self._prepare(work, holder, progress)
+            refusal = await self._enter(work, holder, progress)
             if refusal is None:
                 return holder
             if not self._untried(work, progress):
@@ -255,29 +273,54 @@
         ]
         return min(announced, default=None)
 
-    async def _prepare(
+    async def _enter(
         self, work: Work, server: Server, progress: _Progress
     ) -> Refusal | None:
-        """Have the adapter loaded; on failure the server counts as tried.
+        """Wait until the engine's side admits the request.
 
-        The side is asked for loaded adapters too, so that it drops others first.
+        A side that does not answer is passed over: the engine itself still refuses
+        what it cannot take.
         """
-        model, adapter = work.call.model, work.call.adapter
-        is_held = adapter in server.held.get(model, ())
-        timeout_ms = min(PREPARE_TIMEOUT_MS, self._remaining_ms(work))
-        ready = await self._engines.prepare(server.record, model, adapter, timeout_ms)
-        if ready is True:
-            server.note_adapter(model, adapter)
-            return None
-        if is_held and isinstance(ready, SideError):
-            return None
-        progress.tried.add(server.record.id)
-        progress.detail = f"adapter not loaded at {server.record.id}: {ready}"
-        return _not_loaded(work, FULL_RETRY_AFTER_MS)
+        call = work.call
+        now = self._timers.now_ms()
+        target_ms = work.started_ms + work.route.target_ms - now
+        server.begin()
+        try:
+            admission = await self._engines.admit(
+                server.record,
+                Entrance(
+                    request=call.id,
+                    model=call.model,
+                    adapter=call.adapter,
+                    priority=work.route.priority,
+                    tokens=call.prompt_tokens,
+                    gap_ms=work.route.target_gap_ms,
+                    target_ms=target_ms,
+                    remaining_ms=self._remaining_ms(work),
+                ),
+            )
+        finally:
+            server.end()
+        progress.admission = type(admission).__name__
+        progress.admitted_after_ms = self._timers.now_ms() - now
+        match admission:
+            case Granted():
+                if call.adapter:
+                    server.note_adapter(call.model, call.adapter)
+                return None
+            case SideError():
+                return None
+            case NotHeld():
+                progress.tried.add(server.record.id)
+                return _not_loaded(work, FULL_RETRY_AFTER_MS)
+            case Overloaded(retry_after_ms):
+                progress.tried.add(server.record.id)
+                return _overloaded(retry_after_ms)
 
     def _view(self, server: Server) -> Candidate:
         return Candidate(
             server.load,
+            server.wait_ms,
             server.record.slots,
             self._distance_to(server.record.zone),
             server.failure_share,
@@ -288,6 +331,8 @@
     ) -> End:
         progress.tried.add(server.record.id)
         progress.sends += 1
+        progress.sent_ms = self._timers.now_ms()
+        progress.load = server.load
         server.begin()
         end = End.MAYBE_RAN
         try:
@@ -295,6 +340,7 @@
             return end
         finally:
             server.end()
+            self._note_started(work, server, progress)
             if end is not End.NOT_RUN:
                 progress.may_have_run = True
 
@@ -341,7 +387,7 @@
             server.note_answer(failed=True)
             return await self._keep_failure(server, progress, answer)
         if work.route.streaming and head.status < 300:
-            end = await self._pass_stream(work, progress, responder, answer)
+            end = await self._pass_stream(work, server, progress, responder, answer)
         else:
             end = await self._pass_whole(progress, responder, answer)
         server.note_answer(failed=end is not End.DONE)
@@ -390,6 +436,7 @@
     async def _pass_stream(
         self,
         work: Work,
+        server: Server,
         progress: _Progress,
         responder: Responder,
         answer: RunnerAnswer,
@@ -407,6 +454,8 @@
                 if not progress.started:
                     progress.started = True
                     await responder.start(answer.head, None)
+                progress.note_events(self._timers.now_ms())
+                self._note_started(work, server, progress)
                 await responder.write(b"".join(event.data for event in events))
                 progress.resume_after = events[-1].id or progress.resume_after
         if splitter.has_partial_event:
@@ -418,6 +467,12 @@
         await responder.finish()
         return End.DONE
 
+    def _note_started(self, work: Work, server: Server, progress: _Progress) -> None:
+        """Tell the side once that its engine has read the admitted prompt."""
+        if progress.admission == Granted.__name__:
+            progress.admission = "Started"
+            self._engines.note_started(server.record, work.call.id)
+
     def _note_error(
         self, work: Work, server: Server, progress: _Progress, error: RunnerError
     ) -> End:
@@ -438,7 +493,7 @@
     def _log(self, work: Work, progress: _Progress, outcome: str) -> None:
         refusal = progress.refusal
         logger.info(
-            "request ended without a whole answer",
+            "request ended",
             request=work.call.id,
             route=work.route.name,
             pool=work.pool.name,
@@ -449,6 +504,12 @@
             detail=progress.detail or (refusal.detail if refusal else ""),
             servers=sorted(progress.tried),
             sends=progress.sends,
+            load=progress.load,
+            admission=progress.admission,
+            admitted_after_ms=progress.admitted_after_ms,
+            sent_after_ms=_since(work.started_ms, progress.sent_ms),
+            first_event_ms=_since(work.started_ms, progress.first_event_ms),
+            longest_gap_ms=progress.longest_gap_ms,
             started=progress.started,
             may_have_run=progress.may_have_run,
             elapsed_ms=self._timers.now_ms() - work.started_ms,
@@ -456,6 +517,11 @@
         )
 
 
+def _since(started_ms: int, at_ms: int) -> int | None:
+    """Return a time since the arrival, or None when it never came."""
+    return at_ms - started_ms if at_ms else None
+
+
 async def _conclude(progress: _Progress, responder: Responder) -> None:
     """Give the final answer of a request that no server answered whole."""
     if progress.started:
@@ -503,6 +569,15 @@
     )
 
 
+def _overloaded(retry_after_ms: int) -> Refusal:
+    return Refusal(
+        RefusalReason.QUEUE_FULL,
+        Ran.NO,
+        "the wait would be longer than the request can wait",
+        retry_after_ms,
+    )
+
+
 def _unknown_model(work: Work) -> Refusal:
     return Refusal(
         RefusalReason.UNKNOWN_DEPLOYMENT, Ran.NO, f"no model {work.call.model!r}"
--- a/src/copperrun/routing/selection.py
+++ b/src/copperrun/routing/selection.py
@@ -9,7 +9,9 @@
 FAILURE_COST = 4.0  # of a server all of whose recent answers were failures
 FREE_SHARE = 0.5  # of a plain server's slots, up to which its load costs little
 FREE_LOAD_COST = 0.3  # of a plain server whose free share is taken
-ADAPTER_COST = 1.15  # factor on an engine that must load the adapter first
+ADAPTER_MS = 40.0  # for an engine that must load the adapter first
+RUNNING_MS = 4.0  # that each running request delays another one
+FAILURE_MS = 2_000.0  # of an engine all of whose recent answers were failures
 
 
 class Distance(IntEnum):
@@ -20,9 +22,9 @@
     REMOTE = 2
 
 
-# Bytes between zones and regions are paid for; a remote engine is chosen when the
-# nearer ones have this many times its load.
-_ENGINE_FACTOR = {Distance.ZONE: 1.0, Distance.REGION: 1.1, Distance.REMOTE: 1.5}
+# Bytes between regions are paid for; a remote engine is chosen when the nearer ones
+# have so much more work.
+_ENGINE_MS = {Distance.ZONE: 0.0, Distance.REGION: 5.0, Distance.REMOTE: 150.0}
 # In shares of a plain server's slots.
 _PLAIN_COST = {Distance.ZONE: 0.0, Distance.REGION: 0.05, Distance.REMOTE: 0.5}
 
@@ -32,6 +34,7 @@
 
     Attributes:
         load: Requests at the server.
+        wait_ms: Time until it would begin with this one, for engines.
         slots: Requests that it runs at once.
         distance: How far it is.
         failure_share: Share of its recent answers that were failures.
@@ -40,6 +43,7 @@
     """
 
     load: int
+    wait_ms: int
     slots: int
     distance: Distance
     failure_share: float
@@ -47,7 +51,7 @@
 
 
 def choose_engine(candidates: Sequence[Candidate]) -> int:
-    """Return the index of the least loaded engine, weighted by its distance."""
+    """Return the index of the engine that is expected to begin first."""
     return min(
         range(len(candidates)), key=lambda index: _engine_cost(candidates[index])
     )
@@ -59,10 +63,11 @@
 
 
 def _engine_cost(item: Candidate) -> float:
-    cost = (item.load + 1) * _ENGINE_FACTOR[item.distance]
+    """Return the expected delay in ms, with surcharges."""
+    cost = item.wait_ms + RUNNING_MS * item.load + _ENGINE_MS[item.distance]
     if item.preference:
-        cost *= ADAPTER_COST + 0.1 * (item.preference - 1)
-    return cost * (1 + FAILURE_COST * item.failure_share)
+        cost += ADAPTER_MS * item.preference
+    return cost + FAILURE_MS * item.failure_share
 
 
 def _plain_cost(item: Candidate) -> float:
