Place models by what a load gains against what yields

Cause: the only copy of a model that became busy had been dropped for a further copy of the busiest one, and was then loaded from the store (5.4 s) though another engine had it on disk: 56 callers left. Rates of rare models (0.3/s) had faded to nothing within 10 s.

--- a/idl/copperrun.thrift
+++ b/idl/copperrun.thrift
@@ -91,7 +91,7 @@
 struct PeerEngine {
   1: required set<string> held,
   2: required set<string> loading,
-  3: required i32 load
+  3: required double use
 }
 
 // What one entry was asked for, by model; the reply is an EngineReport.
@@ -111,7 +111,8 @@
   4: required i32 queued,
   5: required map<string, i32> loading,
   6: required i32 entries,
-  7: required i32 backlog_ms
+  7: required i32 backlog_ms,
+  8: required double use
 }
 
 // Asks a side to let one request into its engine.
--- a/src/copperrun/adapters/engines.py
+++ b/src/copperrun/adapters/engines.py
@@ -65,7 +65,7 @@
             waiting=dict(demand.waiting),
             engines={
                 server_id: ttypes.PeerEngine(
-                    held=set(peer.held), loading=set(peer.loading), load=peer.load
+                    held=set(peer.held), loading=set(peer.loading), use=peer.use
                 )
                 for server_id, peer in demand.engines.items()
             },
@@ -87,6 +87,7 @@
             reply.loading,
             reply.entries,
             reply.backlog_ms,
+            reply.use,
         )
 
     async def admit(
@@ -164,7 +165,7 @@
             return web.Response(status=400, text=message.detail)
         engines = {
             server_id: PeerEngine(
-                frozenset(peer.held), frozenset(peer.loading), peer.load
+                frozenset(peer.held), frozenset(peer.loading), peer.use
             )
             for server_id, peer in message.engines.items()
         }
@@ -185,6 +186,7 @@
             loading=dict(report.loading),
             entries=self._demand.entries(),
             backlog_ms=report.backlog_ms,
+            use=report.use,
         )
         return web.Response(body=wire.encode(reply))
 
--- a/src/copperrun/admission/prefill.py
+++ b/src/copperrun/admission/prefill.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Iterator
 from collections.abc import Mapping
 from dataclasses import dataclass
@@ -17,6 +18,7 @@
 STEP_MS = 12.0  # one step of a half full batch
 GRANT_LIFETIME_MS = 3_000  # after which a grant counts as lost with its entry
 DEFAULT_RATE = 15.0  # prompt tokens per ms of a large model
+USE_MS = 2_000  # time constant of the share of time in use
 MIN_POLL_MS = 5  # between two looks at the queue
 SAFETY = 1.2  # on expected waits, before a request is refused for them
 
@@ -113,6 +115,13 @@
         self._unread_ms = 0.0
         self._level_ms = 0.0
         self._level_at_ms = 0
+        self._use_ms = 0.0
+        self._use_at_ms = 0
+
+    def use(self, now_ms: int) -> float:
+        """Return the share of the time in which the engine reads prompts."""
+        self._fade_use(now_ms)
+        return self._use_ms / USE_MS
 
     @property
     def waiting_count(self) -> int:
@@ -170,6 +179,8 @@
             self._grants[ticket.id] = _Grant(ticket, reading_ms, now_ms, was_alone)
             self._unread_ms += reading_ms
             self._level_ms += reading_ms
+            self._fade_use(now_ms)
+            self._use_ms += reading_ms
             yield ticket
 
     def next_grant_ms(self, now_ms: int) -> int:
@@ -212,6 +223,10 @@
         self._level_ms = max(self._level_ms - elapsed_ms, 0.0)
         self._level_at_ms = now_ms
 
+    def _fade_use(self, now_ms: int) -> None:
+        self._use_ms *= math.exp(-(now_ms - self._use_at_ms) / USE_MS)
+        self._use_at_ms = now_ms
+
     def _fits(self, ticket: Ticket) -> bool:
         """Return whether a prompt keeps the pauses of the running streams short."""
         reading_ms = self._reading_ms(ticket)
@@ -227,7 +242,7 @@
         if not ticket.gap_ms:
             return float("inf")
         pause_ms = GAP_SHARE * ticket.gap_ms - self.tokens_per_event * STEP_MS
-        return max(pause_ms, STEP_MS)
+        return max(pause_ms / 2, STEP_MS)
 
 
 def _order(ticket: Ticket, now_ms: int) -> tuple[int, bool, int]:
--- a/src/copperrun/entry/front.py
+++ b/src/copperrun/entry/front.py
@@ -210,7 +210,7 @@
     def _peers_of(self, server: Server) -> dict[str, PeerEngine]:
         return {
             other.record.id: PeerEngine(
-                frozenset(other.held), frozenset(other.loading), other.reported
+                frozenset(other.held), frozenset(other.loading), other.use
             )
             for other in self.fleet.members(server.record.pool)
             if other is not server and other.has_report
--- a/src/copperrun/gen/ttypes.py
+++ b/src/copperrun/gen/ttypes.py
@@ -1121,15 +1121,15 @@
     Attributes:
      - held
      - loading
-     - load
+     - use
 
     """
 
 
-    def __init__(self, held=None, loading=None, load=None,):
+    def __init__(self, held=None, loading=None, use=None,):
         self.held = held
         self.loading = loading
-        self.load = load
+        self.use = use
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1161,8 +1161,8 @@
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
-                if ftype == TType.I32:
-                    self.load = iprot.readI32()
+                if ftype == TType.DOUBLE:
+                    self.use = iprot.readDouble()
                 else:
                     iprot.skip(ftype)
             else:
@@ -1189,9 +1189,9 @@
                 oprot.writeString(iter20.encode('utf-8') if sys.version_info[0] == 2 else iter20)
             oprot.writeSetEnd()
             oprot.writeFieldEnd()
-        if self.load is not None:
-            oprot.writeFieldBegin('load', TType.I32, 3)
-            oprot.writeI32(self.load)
+        if self.use is not None:
+            oprot.writeFieldBegin('use', TType.DOUBLE, 3)
+            oprot.writeDouble(self.use)
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
@@ -1201,8 +1201,8 @@
             raise TProtocolException(message='Required field held is unset!')
         if self.loading is None:
             raise TProtocolException(message='Required field loading is unset!')
-        if self.load is None:
-            raise TProtocolException(message='Required field load is unset!')
+        if self.use is None:
+            raise TProtocolException(message='Required field use is unset!')
         return
 
     def __repr__(self):
@@ -1369,11 +1369,12 @@
      - loading
      - entries
      - backlog_ms
+     - use
 
     """
 
 
-    def __init__(self, born_ms=None, held=None, running=None, queued=None, loading=None, entries=None, backlog_ms=None,):
+    def __init__(self, born_ms=None, held=None, running=None, queued=None, loading=None, entries=None, backlog_ms=None, use=None,):
         self.born_ms = born_ms
         self.held = held
         self.running = running
@@ -1381,6 +1382,7 @@
         self.loading = loading
         self.entries = entries
         self.backlog_ms = backlog_ms
+        self.use = use
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1443,6 +1445,11 @@
                     self.backlog_ms = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.DOUBLE:
+                    self.use = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1492,6 +1499,10 @@
             oprot.writeFieldBegin('backlog_ms', TType.I32, 7)
             oprot.writeI32(self.backlog_ms)
             oprot.writeFieldEnd()
+        if self.use is not None:
+            oprot.writeFieldBegin('use', TType.DOUBLE, 8)
+            oprot.writeDouble(self.use)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1510,6 +1521,8 @@
             raise TProtocolException(message='Required field entries is unset!')
         if self.backlog_ms is None:
             raise TProtocolException(message='Required field backlog_ms is unset!')
+        if self.use is None:
+            raise TProtocolException(message='Required field use is unset!')
         return
 
     def __repr__(self):
@@ -2055,7 +2068,7 @@
     None,  # 0
     (1, TType.SET, 'held', (TType.STRING, 'UTF8', False), None, ),  # 1
     (2, TType.SET, 'loading', (TType.STRING, 'UTF8', False), None, ),  # 2
-    (3, TType.I32, 'load', None, None, ),  # 3
+    (3, TType.DOUBLE, 'use', None, None, ),  # 3
 )
 all_structs.append(Demand)
 Demand.thrift_spec = (
@@ -2076,6 +2089,7 @@
     (5, TType.MAP, 'loading', (TType.STRING, 'UTF8', TType.I32, None, False), None, ),  # 5
     (6, TType.I32, 'entries', None, None, ),  # 6
     (7, TType.I32, 'backlog_ms', None, None, ),  # 7
+    (8, TType.DOUBLE, 'use', None, None, ),  # 8
 )
 all_structs.append(Admit)
 Admit.thrift_spec = (
--- a/src/copperrun/placement/demand.py
+++ b/src/copperrun/placement/demand.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections import Counter
 from collections import defaultdict
 from collections.abc import Callable
@@ -9,11 +10,15 @@
 from collections.abc import Mapping
 from contextlib import contextmanager
 
+from copperrun.placement.moves import ModelDemand
 from copperrun.ports.engines import Demand
 from copperrun.ports.engines import PeerEngine
 from copperrun.ports.timers import Timers
 
-RATE_TIME_CONSTANT_MS = 4_000  # of the moving average of a model's arrivals
+RATE_MS = 4_000  # time constant of a model's recent arrivals
+STEADY_RATE_MS = 40_000  # of its arrivals over a longer time
+MIN_COVERED_MS = 1_000  # of arrivals, below which a rate says little
+NEGLIGIBLE = 0.01  # arrivals that are forgotten
 REPORT_LIFETIME_MS = 3_000  # three reporting periods, then an entry counts as gone
 
 
@@ -60,32 +65,71 @@
         }
 
 
+class _Rates:
+    """Moving averages of arrivals by model, right from the first arrivals on."""
+
+    def __init__(self, time_constant_ms: int, now_ms: int) -> None:
+        self._time_constant_ms = time_constant_ms
+        self._sums: dict[str, float] = {}
+        self._covered = 0.0
+        self._at_ms = now_ms
+
+    def add(self, model: str, count: float, now_ms: int) -> None:
+        """Count arrivals."""
+        self._fade(now_ms)
+        self._sums[model] = self._sums.get(model, 0.0) + count
+
+    def per_second(self, now_ms: int) -> dict[str, float]:
+        """Return the rate of each model."""
+        self._fade(now_ms)
+        # Time since the start that the sums cover, with the same fading.
+        covered_ms = max(self._covered * self._time_constant_ms, MIN_COVERED_MS)
+        return {model: total * 1000 / covered_ms for model, total in self._sums.items()}
+
+    def _fade(self, now_ms: int) -> None:
+        factor = math.exp(-(now_ms - self._at_ms) / self._time_constant_ms)
+        self._at_ms = now_ms
+        self._covered = 1 - (1 - self._covered) * factor
+        self._sums = {
+            model: total * factor
+            for model, total in self._sums.items()
+            if total * factor > NEGLIGIBLE
+        }
+
+
 class DemandView:
     """Demand of all entries as one side knows it."""
 
     def __init__(self, timers: Timers) -> None:
         self._timers = timers
-        self._rates: dict[str, float] = {}
-        self._rates_ms = timers.now_ms()
+        now = timers.now_ms()
+        self._recent = _Rates(RATE_MS, now)
+        self._steady = _Rates(STEADY_RATE_MS, now)
         self._peers: dict[str, tuple[int, PeerEngine]] = {}
         self._waiting: dict[str, tuple[int, Mapping[str, int]]] = {}
 
     def take(self, demand: Demand) -> None:
         """Take the report of an entry."""
         now = self._timers.now_ms()
-        self._decay(now)
         for model, count in demand.arrivals.items():
             if count > 0:
-                gain = count * 1000 / RATE_TIME_CONSTANT_MS
-                self._rates[model] = self._rates.get(model, 0.0) + gain
+                self._recent.add(model, count, now)
+                self._steady.add(model, count, now)
         self._waiting[demand.entry] = (now, demand.waiting)
         for server_id, peer in demand.engines.items():
             self._peers[server_id] = (now, peer)
 
-    def rates(self) -> dict[str, float]:
-        """Return requests per second by model."""
-        self._decay(self._timers.now_ms())
-        return dict(self._rates)
+    def demand(self) -> dict[str, ModelDemand]:
+        """Return what each model is asked for."""
+        now = self._timers.now_ms()
+        recent, steady = self._recent.per_second(now), self._steady.per_second(now)
+        waiting = self.waiting()
+        return {
+            model: ModelDemand(
+                recent.get(model, 0.0), steady.get(model, 0.0), waiting[model]
+            )
+            for model in recent.keys() | steady.keys() | waiting.keys()
+        }
 
     def waiting(self) -> Counter[str]:
         """Return requests that wait for each model, over all entries."""
@@ -109,13 +153,3 @@
             for server_id, (at_ms, peer) in self._peers.items()
             if at_ms >= oldest
         }
-
-    def _decay(self, now: int) -> None:
-        # A rate is kept as an exponentially weighted sum of arrivals.
-        factor = 2.718281828459045 ** (-(now - self._rates_ms) / RATE_TIME_CONSTANT_MS)
-        self._rates_ms = now
-        self._rates = {
-            model: rate * factor
-            for model, rate in self._rates.items()
-            if rate * factor > 0.001
-        }
--- a/src/copperrun/placement/moves.py
+++ b/src/copperrun/placement/moves.py
@@ -18,9 +18,12 @@
 from copperrun.routing.catalog import ModelSpec
 
 WAITING_RATE = 0.5  # requests per second that one waiting request stands for
-IDLE_PRESSURE = 0.1  # worth of taking load off engines that are not busy at all
-MIN_GAIN = 0.1  # requests per second, below which a move is not worth its price
-LOAD_COST_PER_S = 0.02  # requests per second for each second that a load takes
+LAST_COPY_RATE = 0.3  # worth of keeping a model loaded that nobody asks for now
+IDLE_RELIEF = 0.05  # worth of taking load off engines that are not busy at all
+RELIEF = 0.5  # and off engines that read prompts all the time
+MIN_GAIN = 0.15  # requests per second, below which a move is not worth its price
+PAYBACK_S = 10.0  # time that a move should take to be worth the wait for its load
+DRAIN_S = 1.5  # typical rest of the requests that an unload waits for
 BALANCE_COST = 0.02  # for an engine that has the pool's mean demand already
 
 
@@ -46,17 +49,20 @@
     """How much a model is asked for.
 
     Attributes:
-        rate: Requests per second, served or not.
+        rate: Requests per second of late, served or not.
+        steady_rate: Requests per second over a longer time.
         waiting: Requests that wait because no engine holds it.
     """
 
     rate: float = 0.0
+    steady_rate: float = 0.0
     waiting: int = 0
 
     @property
     def weight(self) -> float:
-        """Requests per second that a first copy would serve."""
-        return self.rate + WAITING_RATE * self.waiting
+        """Requests per second that a first copy is worth."""
+        rate = max(self.rate, self.steady_rate)
+        return LAST_COPY_RATE + rate + WAITING_RATE * self.waiting
 
 
 class Move(NamedTuple):
@@ -87,7 +93,7 @@
         spec: Properties of the pool's engines.
         engines: All engines of the pool that stay.
         demand: Demand by model.
-        pressure: Mean share of the engines' slots that is taken; over 1 with queues.
+        pressure: Mean share of the time in which the engines read prompts.
     """
     state = _State(spec, engines, demand, pressure)
     moves: list[Move] = []
@@ -112,7 +118,7 @@
         self._held = {engine.id: set(engine.held) for engine in engines}
         self._idle = {engine.id for engine in engines if not engine.is_busy}
         self._demand = demand
-        self._relief = IDLE_PRESSURE + pressure
+        self._relief = IDLE_RELIEF + RELIEF * pressure
         self._copies = Counter(
             name for held in self._held.values() for name in held if name in spec.models
         )
@@ -166,7 +172,12 @@
                 victims.remove(name)
                 needed_mb += self._size_mb(name)
                 lost -= self._marginal(name, self._copies[name])
-        gain = value - lost - self._cost(engine_id, model)
+        delay_s = load_ms(self._views[engine_id], model) / 1000
+        if victims:
+            delay_s += DRAIN_S
+        # What is not served during the move has to be gained back.
+        gain = value * max(1 - delay_s / PAYBACK_S, 0.0) - lost
+        gain -= self._balance_cost(engine_id)
         return Move(engine_id, model.name, tuple(victims), gain)
 
     def _marginal(self, name: str, copies: int) -> float:
@@ -176,13 +187,12 @@
             return demand.weight
         return demand.rate * self._relief / (copies * (copies - 1))
 
-    def _cost(self, engine_id: str, model: ModelSpec) -> float:
+    def _balance_cost(self, engine_id: str) -> float:
         rate = sum(
             self._demand.get(name, _NO_DEMAND).rate / max(self._copies[name], 1)
             for name in self._held[engine_id]
         )
-        load_s = load_ms(self._views[engine_id], model) / 1000
-        return LOAD_COST_PER_S * load_s + BALANCE_COST * rate / self._mean_rate
+        return BALANCE_COST * rate / self._mean_rate
 
     def _used_mb(self, held: set[str]) -> float:
         return sum(self._size_mb(name) for name in held)
--- a/src/copperrun/placement/steward.py
+++ b/src/copperrun/placement/steward.py
@@ -52,6 +52,13 @@
 class Steward:
     """Owns the orders of one engine; one task runs ``run``.
 
+    Attributes:
+        epoch: Fencing number of its orders; None while it may give none.
+        spec: Properties of the engine; None while the pool is not known.
+        status: Latest status of the engine; None while it cannot be read.
+        server_id: Identity of the engine's start; empty while it is not listed.
+        use: Share of the time in which the engine reads prompts.
+
     Every order names how many orders the engine must have accepted before it, so
     that an unanswered order has no effect once a later one was accepted.
     """
@@ -68,6 +75,7 @@
         self.spec: EngineSpec | None = None
         self.status: EngineStatus | None = None
         self.server_id = ""
+        self.use = 0.0
         self._control = control
         self._demand = demand
         self._loads = loads
@@ -119,7 +127,12 @@
             if model not in retiring
         }
         return ServerReport(
-            status.born_ms, held, status.running, status.queued, self._announced()
+            status.born_ms,
+            held,
+            status.running,
+            status.queued,
+            self._announced(),
+            use=self.use,
         )
 
     async def step(self) -> None:
@@ -175,28 +188,25 @@
         if now - self._planned_ms < PLAN_MS or now - self._started_ms < FIRST_DEMAND_MS:
             return
         self._planned_ms = now
-        rates, waiting = self._demand.rates(), self._demand.waiting()
-        demand = {
-            name: ModelDemand(rates.get(name, 0.0), waiting[name])
-            for name in spec.models
-        }
+        demand = self._demand.demand()
         views = self._views(status)
-        peers = self._demand.peers()
-        loads = [peer.load for peer in peers.values()]
-        loads.append(status.running + status.queued)
-        pressure = sum(loads) / len(loads) / max(spec.slots, 1)
+        uses = [peer.use for peer in self._demand.peers().values()]
+        uses.append(self.use)
+        pressure = sum(uses) / len(uses)
         for move in plan_moves(spec, views, demand, pressure):
             if move.engine != self._view_id:
                 continue
             if self._load_delay_ms(spec, status, move.model) > 0:
                 return
+            asked = demand.get(move.model, ModelDemand())
             logger.info(
                 "move begun",
                 model=move.model,
                 victims=move.victims,
                 gain=round(move.gain, 3),
-                rate=round(rates.get(move.model, 0.0), 2),
-                waiting=waiting[move.model],
+                rate=round(asked.rate, 2),
+                steady_rate=round(asked.steady_rate, 2),
+                waiting=asked.waiting,
                 pressure=round(pressure, 3),
                 engines=len(views),
             )
--- a/src/copperrun/platform/daemon.py
+++ b/src/copperrun/platform/daemon.py
@@ -25,6 +25,8 @@
 from copperrun.entry.front import FrontProcess
 from copperrun.membership.departure import Departure
 from copperrun.membership.registry import Registry
+from copperrun.membership.view import SERVERS_PERIOD_MS
+from copperrun.membership.view import SIDE_SERVERS_PERIOD_MS
 from copperrun.membership.view import PlatformView
 from copperrun.membership.view import Topics
 from copperrun.placement.demand import DemandView
@@ -68,7 +70,9 @@
         self.catalog = CurrentCatalog(decode_catalog)
         self._sites: list[web.AppRunner | web.ServerRunner] = []
 
-    def build_view(self, client: HttpClient) -> tuple[StoreFeed, PlatformView]:
+    def build_view(
+        self, client: HttpClient, servers_period_ms: int
+    ) -> tuple[StoreFeed, PlatformView]:
         feed = StoreFeed(client, self.cfg.store_address)
         own = f"{self.cfg.host}:{self.cfg.control_port}"
         seeds = [seed for seed in self.cfg.seeds if seed != own]
@@ -79,6 +83,7 @@
             self.catalog,
             Registry(decode_server, self.timers),
             self.timers,
+            servers_period_ms=servers_period_ms,
         )
         return feed, view
 
@@ -138,7 +143,7 @@
         cfg = self.cfg
         async with open_session() as session:
             client = HttpClient(session, self.timers)
-            _, view = self.build_view(client)
+            _, view = self.build_view(client, SERVERS_PERIOD_MS)
             process = FrontProcess(
                 cfg.place,
                 view,
@@ -214,7 +219,7 @@
         cfg = self.cfg
         async with open_session() as session:
             client = HttpClient(session, self.timers)
-            feed, view = self.build_view(client)
+            feed, view = self.build_view(client, SIDE_SERVERS_PERIOD_MS)
             demand = DemandView(self.timers)
             steward = Steward(
                 RunnerControl(client, cfg.engine_address, cfg.place.instance),
--- a/src/copperrun/ports/engines.py
+++ b/src/copperrun/ports/engines.py
@@ -17,12 +17,12 @@
     Attributes:
         held: Models that new requests may use.
         loading: Models that it is about to load.
-        load: Requests that run or wait there.
+        use: Share of the time in which it reads prompts.
     """
 
     held: frozenset[str]
     loading: frozenset[str]
-    load: int
+    use: float
 
 
 class Demand(NamedTuple):
--- a/src/copperrun/routing/fleet.py
+++ b/src/copperrun/routing/fleet.py
@@ -63,6 +63,7 @@
         loading: Models being loaded or planned next, with the expected wait in ms.
         entries: Entries that the side hears from; 0 when not known.
         backlog_ms: Time that the engine takes to read the prompts that wait for it.
+        use: Share of the time in which the engine reads prompts.
     """
 
     born_ms: int
@@ -72,6 +73,7 @@
     loading: Mapping[str, int]
     entries: int = 0
     backlog_ms: int = 0
+    use: float = 0.0
 
 
 class Server:
@@ -84,6 +86,7 @@
         self.inflight = 0
         self.reported = 0
         self.backlog_ms = 0
+        self.use = 0.0
         self._timers = timers
         self._reported_ms = -LOAD_FRESH_MS
         self._sent_since_report = 0
@@ -159,6 +162,7 @@
         self.loading = report.loading
         self.reported = report.running + report.queued
         self.backlog_ms = report.backlog_ms
+        self.use = report.use
         self._reported_ms = self._timers.now_ms()
         self._sent_since_report = 0
 
--- a/src/copperrun/side/door.py
+++ b/src/copperrun/side/door.py
@@ -87,6 +87,7 @@
 
     def report(self) -> ServerReport | None:
         """Return what entries need to know of the engine."""
+        self._steward.use = self._queue.use(self._timers.now_ms())
         report = self._steward.report()
         if report is None:
             return None
