Keep adapters in use, refuse what a leaving entry cannot finish, check servers after a wait

Change: a server is checked after each wait; idle connections close at SIGTERM, requests after 3 s are refused, unsent ones at 0.55 of the grace time; the side knows which admitted requests use which adapter.

--- a/idl/copperrun.thrift
+++ b/idl/copperrun.thrift
@@ -138,9 +138,10 @@
   2: required i32 retry_after_ms
 }
 
-// Requests whose first event has come, or that ended without one.
-struct Started {
-  1: required list<string> requests
+// Admitted requests whose first event has come, and those that have ended.
+struct Progress {
+  1: required list<string> started,
+  2: required list<string> ended
 }
 
 // Newest records of one keyed topic, for a process that starts without the store.
--- a/src/copperrun/adapters/engines.py
+++ b/src/copperrun/adapters/engines.py
@@ -33,12 +33,12 @@
 
 EXCHANGE_PATH = "/internal/demand"
 ADMIT_PATH = "/internal/admit"
-STARTED_PATH = "/internal/started"
+PROGRESS_PATH = "/internal/progress"
 VIEW_PATH = "/internal/view"
 EXCHANGE_MARGIN_MS = 1_000  # on top of the time that a side may hold a reply
 VIEW_TIMEOUT_MS = 1_000
-STARTED_DELAY_MS = 5  # first events that come together are told together
-STARTED_TIMEOUT_MS = 1_000
+PROGRESS_DELAY_MS = 5  # what happens together is told together
+PROGRESS_TIMEOUT_MS = 1_000
 
 AddressOf = Callable[[ServerRecord], str]
 
@@ -52,7 +52,7 @@
         self._client = client
         self._address_of = address_of
         self._timers = timers
-        self._started: dict[str, list[str]] = {}
+        self._progress: dict[str, ttypes.Progress] = {}
         self._tasks: set[asyncio.Task[None]] = set()
 
     async def exchange(
@@ -111,18 +111,28 @@
 
     def note_started(self, server: ServerRecord, request: str) -> None:
         """Tell the side, soon, that an admitted request has its first event."""
-        pending = self._started.setdefault(server.id, [])
-        pending.append(request)
-        if len(pending) == 1:
-            task = asyncio.create_task(self._send_started(server))
+        self._pending(server).started.append(request)
+
+    def note_ended(self, server: ServerRecord, request: str) -> None:
+        """Tell the side, soon, that an admitted request has ended."""
+        self._pending(server).ended.append(request)
+
+    def _pending(self, server: ServerRecord) -> ttypes.Progress:
+        """Return the message that the side gets next."""
+        progress = self._progress.get(server.id)
+        if progress is None:
+            progress = ttypes.Progress(started=[], ended=[])
+            self._progress[server.id] = progress
+            task = asyncio.create_task(self._send_progress(server))
             self._tasks.add(task)
             task.add_done_callback(self._tasks.discard)
+        return progress
 
-    async def _send_started(self, server: ServerRecord) -> None:
-        await self._timers.sleep_ms(STARTED_DELAY_MS)
-        message = ttypes.Started(requests=self._started.pop(server.id, []))
-        # When it is lost, the grants lapse at the side.
-        await self._post(server, STARTED_PATH, message, STARTED_TIMEOUT_MS)
+    async def _send_progress(self, server: ServerRecord) -> None:
+        await self._timers.sleep_ms(PROGRESS_DELAY_MS)
+        message = self._progress.pop(server.id)
+        # When it is lost, what it tells lapses at the side.
+        await self._post(server, PROGRESS_PATH, message, PROGRESS_TIMEOUT_MS)
 
     async def _post(
         self, server: ServerRecord, path: str, message: object, timeout_ms: int
@@ -157,7 +167,7 @@
         """Add the routes."""
         app.router.add_post(EXCHANGE_PATH, self._exchange)
         app.router.add_post(ADMIT_PATH, self._admit)
-        app.router.add_post(STARTED_PATH, self._started)
+        app.router.add_post(PROGRESS_PATH, self._take_progress)
 
     async def _exchange(self, request: web.Request) -> web.Response:
         message = wire.decode(ttypes.Demand, await request.read())
@@ -204,12 +214,11 @@
                 reply = ttypes.AdmitResult(ttypes.Admission.OVERLOADED, retry_after_ms)
         return web.Response(body=wire.encode(reply))
 
-    async def _started(self, request: web.Request) -> web.Response:
-        message = wire.decode(ttypes.Started, await request.read())
+    async def _take_progress(self, request: web.Request) -> web.Response:
+        message = wire.decode(ttypes.Progress, await request.read())
         if isinstance(message, wire.WireError):
             return web.Response(status=400, text=message.detail)
-        for request_id in message.requests:
-            self._door.note_started(request_id)
+        self._door.note_progress(message.started, message.ended)
         return web.Response()
 
 
--- a/src/copperrun/entry/front.py
+++ b/src/copperrun/entry/front.py
@@ -135,6 +135,10 @@
             for task in self._exchanges.values():
                 task.cancel()
 
+    def give_up_unsent(self) -> None:
+        """Refuse the requests that no server has yet, and all later ones."""
+        self._relay.give_up_unsent()
+
     async def handle(self, call: Call, responder: Responder) -> None:
         """Answer one request."""
         catalog = self._view.catalog.catalog
--- a/src/copperrun/gen/ttypes.py
+++ b/src/copperrun/gen/ttypes.py
@@ -1759,16 +1759,18 @@
         return not (self == other)
 
 
-class Started(object):
+class Progress(object):
     """
     Attributes:
-     - requests
+     - started
+     - ended
 
     """
 
 
-    def __init__(self, requests=None,):
-        self.requests = requests
+    def __init__(self, started=None, ended=None,):
+        self.started = started
+        self.ended = ended
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1781,11 +1783,21 @@
                 break
             if fid == 1:
                 if ftype == TType.LIST:
-                    self.requests = []
+                    self.started = []
                     (_etype76, _size73) = iprot.readListBegin()
                     for _i77 in range(_size73):
                         _elem78 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.requests.append(_elem78)
+                        self.started.append(_elem78)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.LIST:
+                    self.ended = []
+                    (_etype82, _size79) = iprot.readListBegin()
+                    for _i83 in range(_size79):
+                        _elem84 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.ended.append(_elem84)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1798,20 +1810,29 @@
         if oprot._fast_encode is not None and self.thrift_spec is not None:
             oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
-        oprot.writeStructBegin('Started')
-        if self.requests is not None:
-            oprot.writeFieldBegin('requests', TType.LIST, 1)
-            oprot.writeListBegin(TType.STRING, len(self.requests))
-            for iter79 in self.requests:
-                oprot.writeString(iter79.encode('utf-8') if sys.version_info[0] == 2 else iter79)
+        oprot.writeStructBegin('Progress')
+        if self.started is not None:
+            oprot.writeFieldBegin('started', TType.LIST, 1)
+            oprot.writeListBegin(TType.STRING, len(self.started))
+            for iter85 in self.started:
+                oprot.writeString(iter85.encode('utf-8') if sys.version_info[0] == 2 else iter85)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.ended is not None:
+            oprot.writeFieldBegin('ended', TType.LIST, 2)
+            oprot.writeListBegin(TType.STRING, len(self.ended))
+            for iter86 in self.ended:
+                oprot.writeString(iter86.encode('utf-8') if sys.version_info[0] == 2 else iter86)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
     def validate(self):
-        if self.requests is None:
-            raise TProtocolException(message='Required field requests is unset!')
+        if self.started is None:
+            raise TProtocolException(message='Required field started is unset!')
+        if self.ended is None:
+            raise TProtocolException(message='Required field ended is unset!')
         return
 
     def __repr__(self):
@@ -1851,11 +1872,11 @@
             if fid == 1:
                 if ftype == TType.MAP:
                     self.items = {}
-                    (_ktype81, _vtype82, _size80) = iprot.readMapBegin()
-                    for _i84 in range(_size80):
-                        _key85 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        _val86 = iprot.readBinary()
-                        self.items[_key85] = _val86
+                    (_ktype88, _vtype89, _size87) = iprot.readMapBegin()
+                    for _i91 in range(_size87):
+                        _key92 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val93 = iprot.readBinary()
+                        self.items[_key92] = _val93
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
@@ -1877,9 +1898,9 @@
         if self.items is not None:
             oprot.writeFieldBegin('items', TType.MAP, 1)
             oprot.writeMapBegin(TType.STRING, TType.STRING, len(self.items))
-            for kiter87, viter88 in self.items.items():
-                oprot.writeString(kiter87.encode('utf-8') if sys.version_info[0] == 2 else kiter87)
-                oprot.writeBinary(viter88)
+            for kiter94, viter95 in self.items.items():
+                oprot.writeString(kiter94.encode('utf-8') if sys.version_info[0] == 2 else kiter94)
+                oprot.writeBinary(viter95)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         if self.end is not None:
@@ -1931,12 +1952,12 @@
             if fid == 1:
                 if ftype == TType.MAP:
                     self.topics = {}
-                    (_ktype90, _vtype91, _size89) = iprot.readMapBegin()
-                    for _i93 in range(_size89):
-                        _key94 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        _val95 = TopicView()
-                        _val95.read(iprot)
-                        self.topics[_key94] = _val95
+                    (_ktype97, _vtype98, _size96) = iprot.readMapBegin()
+                    for _i100 in range(_size96):
+                        _key101 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val102 = TopicView()
+                        _val102.read(iprot)
+                        self.topics[_key101] = _val102
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
@@ -1953,9 +1974,9 @@
         if self.topics is not None:
             oprot.writeFieldBegin('topics', TType.MAP, 1)
             oprot.writeMapBegin(TType.STRING, TType.STRUCT, len(self.topics))
-            for kiter96, viter97 in self.topics.items():
-                oprot.writeString(kiter96.encode('utf-8') if sys.version_info[0] == 2 else kiter96)
-                viter97.write(oprot)
+            for kiter103, viter104 in self.topics.items():
+                oprot.writeString(kiter103.encode('utf-8') if sys.version_info[0] == 2 else kiter103)
+                viter104.write(oprot)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2109,10 +2130,11 @@
     (1, TType.I32, 'admission', None, None, ),  # 1
     (2, TType.I32, 'retry_after_ms', None, None, ),  # 2
 )
-all_structs.append(Started)
-Started.thrift_spec = (
+all_structs.append(Progress)
+Progress.thrift_spec = (
     None,  # 0
-    (1, TType.LIST, 'requests', (TType.STRING, 'UTF8', False), None, ),  # 1
+    (1, TType.LIST, 'started', (TType.STRING, 'UTF8', False), None, ),  # 1
+    (2, TType.LIST, 'ended', (TType.STRING, 'UTF8', False), None, ),  # 2
 )
 all_structs.append(TopicView)
 TopicView.thrift_spec = (
--- a/src/copperrun/placement/steward.py
+++ b/src/copperrun/placement/steward.py
@@ -10,6 +10,8 @@
 
 from loguru import logger
 
+from copperrun.placement.adapters import AdapterKey
+from copperrun.placement.adapters import AdapterPlaces
 from copperrun.placement.demand import DemandView
 from copperrun.placement.loads import LoadShare
 from copperrun.placement.moves import EngineView
@@ -33,6 +35,7 @@
 STATUS_MS = 100  # an engine's own side reads it free of charge
 PLAN_MS = 300  # entries report a change within this time
 ADAPTER_STATUS_MS = 5  # adapters load in 7 to 130 ms
+PLACE_POLL_MS = 30  # while every place is in use or an order is under way
 RETIRE_MS = 200  # in which entries hear that a model takes no more requests
 UNLOAD_MS = 1_500  # typical rest of the requests that an unload waits for
 ORDER_SETTLE_MS = 600  # after which an unanswered order is given again
@@ -83,7 +86,7 @@
         self._metrics = metrics
         self._others: list[ServerRecord] = []
         self._job: _Job | None = None
-        self._adapter_used_ms: dict[tuple[str, str], int] = {}
+        self._places = AdapterPlaces()
         self._order_lock = asyncio.Lock()
         self._sequence = 0
         self._changed = asyncio.Event()
@@ -155,16 +158,31 @@
             return False
         return self._job is None or model not in self._job.move.victims
 
-    async def prepare(self, model: str, adapter: str, timeout_ms: int) -> bool:
-        """Have an adapter loaded; return whether requests may use it now."""
+    async def prepare(
+        self, user: str, model: str, adapter: str, timeout_ms: int
+    ) -> bool:
+        """Have an adapter loaded for a request; return whether it may use it now.
+
+        The adapter keeps its place until ``end_use``.
+        """
         if not adapter:
             return self.holds(model)
+        key = AdapterKey(model, adapter)
+        self._places.begin_use(user, key, self._timers.now_ms())
+        ready = False
         try:
             async with self._timers.timeout_ms(timeout_ms):
-                return await self._prepare(model, adapter)
+                ready = await self._prepare(key)
         except TimeoutError:
             logger.info("adapter not loaded in time", model=model, adapter=adapter)
-            return False
+        finally:
+            if not ready:
+                self.end_use(user)
+        return ready
+
+    def end_use(self, user: str) -> None:
+        """Note the end of a request that an adapter was loaded for."""
+        self._places.end_use(user, self._timers.now_ms())
 
     async def _refresh(self) -> None:
         """Read the engine's status; the order lock is held."""
@@ -241,40 +259,43 @@
             job.ordered = True
             self._metrics.moved("load", "model")
 
-    async def _prepare(self, model: str, adapter: str) -> bool:
+    async def _prepare(self, key: AdapterKey) -> bool:
         while True:
+            pause_ms = ADAPTER_STATUS_MS
             async with self._order_lock:
                 await self._refresh()
                 status, spec = self.status, self.spec
-                if status is None or spec is None or not self.holds(model):
+                if status is None or spec is None or not self.holds(key.model):
                     return False
-                if adapter in status.held[model]:
-                    self._adapter_used_ms[model, adapter] = self._timers.now_ms()
+                dropping = self._places.is_dropping(key, self._timers.now_ms())
+                if key.adapter in status.held[key.model] and not dropping:
                     return True
-                if (model, adapter) not in status.coming:
+                if key not in status.coming:
                     if self.epoch is None:
                         return False
-                    await self._order_adapter(spec, status, model, adapter)
-            await self._timers.sleep_ms(ADAPTER_STATUS_MS)
+                    if dropping or not await self._order_adapter(spec, status, key):
+                        pause_ms = PLACE_POLL_MS
+            await self._timers.sleep_ms(pause_ms)
 
     async def _order_adapter(
-        self, spec: EngineSpec, status: EngineStatus, model: str, adapter: str
-    ) -> None:
-        """Order an adapter, and before it make room; the order lock is held."""
-        if _places(status) >= spec.max_adapters:
-            loaded = [
-                (name, item) for name, items in status.held.items() for item in items
-            ]
-            # An engine refuses to drop an adapter that a request uses.
-            loaded.sort(key=lambda key: self._adapter_used_ms.get(key, 0))
-            for victim in loaded:
-                if await self._give_locked(OrderKind.UNLOAD, *victim) in _DONE:
-                    break
-            await self._refresh()
-            if self.status is None or _places(self.status) >= spec.max_adapters:
-                return
-        await self._give_locked(OrderKind.LOAD, model, adapter)
-        self._adapter_used_ms[model, adapter] = self._timers.now_ms()
+        self, spec: EngineSpec, status: EngineStatus, key: AdapterKey
+    ) -> bool:
+        """Order an adapter, or the one that makes room; the order lock is held."""
+        now = self._timers.now_ms()
+        if status.busy or now < self._quiet_until_ms:
+            return False
+        loaded = _loaded_adapters(status)
+        if self._places.taken(loaded, status.coming, now) < spec.max_adapters:
+            result = await self._give_locked(OrderKind.LOAD, *key)
+            return result in _DONE
+        victim = self._places.victim(loaded, now)
+        if victim is None:
+            return False
+        result = await self._give_locked(OrderKind.UNLOAD, *victim)
+        if result is not OrderResult.HOLDS and result is not OrderResult.CONFLICT:
+            # It waits for a run, or may be carried out later.
+            self._places.note_drop(victim, now)
+        return result is OrderResult.HOLDS
 
     async def _give(
         self, kind: OrderKind, model: str, adapter: str = ""
@@ -360,8 +381,12 @@
 _DONE: frozenset[OrderResult] = frozenset({OrderResult.ACCEPTED, OrderResult.HOLDS})
 
 
-def _places(status: EngineStatus) -> int:
-    return sum(map(len, status.held.values())) + len(status.coming)
+def _loaded_adapters(status: EngineStatus) -> list[AdapterKey]:
+    return [
+        AdapterKey(model, adapter)
+        for model, adapters in status.held.items()
+        for adapter in sorted(adapters)
+    ]
 
 
 def _peer_view(server: ServerRecord, peers: Mapping[str, PeerEngine]) -> EngineView:
--- a/src/copperrun/platform/daemon.py
+++ b/src/copperrun/platform/daemon.py
@@ -52,7 +52,8 @@
 METRICS_PATH = "/metrics"
 TOPICS = Topics(OPERATOR_TOPIC, CATALOG_KEY, SERVERS_TOPIC)
 
-REBALANCE_MS = 3_000  # the balancer asks each second and needs two misses
+ACCEPT_MS = 3_000  # the balancer asks each second and needs two misses
+UNSENT_SHARE = 0.55  # of the grace time, after which no request is sent to a server
 EXIT_MARGIN_MS = 700  # before SIGKILL, for closing what is left
 DRAIN_POLL_MS = 50
 QUIET_MS = 300  # without a request, after which the remaining connections close
@@ -184,14 +185,20 @@
         sites: list[web.TCPSite],
     ) -> None:
         """Fail the readiness probe, wait for the balancer, finish what runs."""
-        leave_by_ms = self.timers.now_ms() + self.cfg.grace_ms - EXIT_MARGIN_MS
+        began_ms = self.timers.now_ms()
+        grace_ms = self.cfg.grace_ms
         process.lifecycle.leave()
         ingress.is_leaving = True
-        await self.timers.sleep_ms(min(REBALANCE_MS, self.cfg.grace_ms / 2))
+        self._close_idle(front)
+        await self.timers.sleep_ms(min(ACCEPT_MS, grace_ms * UNSENT_SHARE))
         for site in sites:
             await site.stop()
+        self._close_idle(front)
+        ingress.refuses = True
         quiet_since = self.timers.now_ms()
-        while (now := self.timers.now_ms()) < leave_by_ms:
+        while (now := self.timers.now_ms()) < began_ms + grace_ms - EXIT_MARGIN_MS:
+            if now - began_ms >= grace_ms * UNSENT_SHARE:
+                process.give_up_unsent()
             if ingress.busy:
                 quiet_since = now
             elif now - quiet_since >= QUIET_MS:
@@ -199,6 +206,12 @@
             await self.timers.sleep_ms(DRAIN_POLL_MS)
         process.lifecycle.finish()
 
+    @staticmethod
+    def _close_idle(front: web.ServerRunner) -> None:
+        """Close connections without a request; the others end with their answer."""
+        if front.server is not None:
+            front.server.pre_shutdown()
+
     def _limits(self) -> CallerLimits:
         catalog = self.catalog.catalog
         return catalog.limits if catalog is not None else CallerLimits()
--- a/src/copperrun/platform/engine.py
+++ b/src/copperrun/platform/engine.py
@@ -9,6 +9,7 @@
 from copperrun.adapters.client import HttpClient
 from copperrun.adapters.client import HttpFailure
 from copperrun.adapters.client import HttpFailureReason
+from copperrun.placement.adapters import AdapterKey
 from copperrun.platform.records import at_hand
 from copperrun.platform.records import held_models
 from copperrun.ports.engine_control import EngineOrder
@@ -92,7 +93,7 @@
     )
 
 
-def _coming(item: str) -> tuple[str, str]:
+def _coming(item: str) -> AdapterKey:
     """Split MODEL/NAME@VERSION."""
     model, _, rest = item.partition("/")
-    return model, rest.partition("@")[0]
+    return AdapterKey(model, rest.partition("@")[0])
--- a/src/copperrun/platform/ingress.py
+++ b/src/copperrun/platform/ingress.py
@@ -31,12 +31,19 @@
 
 
 class Ingress:
-    """Handles the callers' requests."""
+    """Handles the callers' requests.
+
+    Attributes:
+        is_leaving: Whether each connection ends with its next answer.
+        refuses: Whether new requests are refused.
+        busy: Requests that are being answered.
+    """
 
     def __init__(self, handler: Handler, max_body_bytes: Callable[[], int]) -> None:
         self._handler = handler
         self._max_body_bytes = max_body_bytes
         self.is_leaving = False
+        self.refuses = False
         self.busy = 0
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
@@ -49,6 +56,11 @@
 
     async def _answer(self, request: web.BaseRequest) -> web.StreamResponse:
         responder = HttpResponder(request, lambda: self.is_leaving)
+        if self.refuses:
+            await responder.refuse(
+                Refusal(RefusalReason.LEAVING, Ran.NO, "this entry is leaving", 1)
+            )
+            return responder.response
         body = await self._read_body(request)
         if isinstance(body, Refusal):
             await responder.refuse(body)
--- a/src/copperrun/ports/engine_control.py
+++ b/src/copperrun/ports/engine_control.py
@@ -7,6 +7,8 @@
 from typing import NamedTuple
 from typing import Protocol
 
+from copperrun.placement.adapters import AdapterKey
+
 
 class EngineStatus(NamedTuple):
     """What an engine reports of itself.
@@ -14,7 +16,7 @@
     Attributes:
         born_ms: Unix milliseconds of its start.
         held: Loaded adapters by loaded model.
-        coming: Adapters on their way, as (model, adapter).
+        coming: Adapters on their way.
         busy: Whether a model order is being carried out.
         sequence: Orders accepted since its start.
         running: Requests in its batch.
@@ -25,7 +27,7 @@
 
     born_ms: int
     held: Mapping[str, frozenset[str]]
-    coming: frozenset[tuple[str, str]]
+    coming: frozenset[AdapterKey]
     busy: bool
     sequence: int
     running: int
--- a/src/copperrun/ports/engines.py
+++ b/src/copperrun/ports/engines.py
@@ -101,3 +101,6 @@
 
     def note_started(self, server: ServerRecord, request: str) -> None:
         """Tell the side, soon, that an admitted request has its first event."""
+
+    def note_ended(self, server: ServerRecord, request: str) -> None:
+        """Tell the side, soon, that an admitted request has ended."""
--- a/src/copperrun/routing/fleet.py
+++ b/src/copperrun/routing/fleet.py
@@ -210,12 +210,15 @@
         """Return a server by id."""
         return self._servers.get(server_id)
 
+    def is_usable(self, server: Server) -> bool:
+        """Return whether a server is listed and takes new work."""
+        listed = self._servers.get(server.record.id) is server
+        return listed and not server.record.leaving and not server.is_silent
+
     def usable(self, pool: str) -> list[Server]:
         """Return the servers of a pool that take new work."""
         return [
-            server
-            for server in self._pools.get(pool, ())
-            if not server.record.leaving and not server.is_silent
+            server for server in self._pools.get(pool, ()) if self.is_usable(server)
         ]
 
     def members(self, pool: str) -> list[Server]:
--- a/src/copperrun/routing/relay.py
+++ b/src/copperrun/routing/relay.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections.abc import Callable
 from contextlib import aclosing
 from enum import Enum
@@ -18,6 +19,7 @@
 from copperrun.model import RefusalReason
 from copperrun.placement.demand import DemandMeter
 from copperrun.ports.callers import Responder
+from copperrun.ports.engines import Admission
 from copperrun.ports.engines import Engines
 from copperrun.ports.engines import Entrance
 from copperrun.ports.engines import Granted
@@ -47,6 +49,7 @@
 MIN_ATTEMPT_MS = 20  # left of the deadline, below which no attempt is started
 NO_SERVER_RETRY_AFTER_MS = 1_000  # period of the registry's readers
 FULL_RETRY_AFTER_MS = 500
+LEAVING_RETRY_AFTER_MS = 100  # other entries take the next connection
 MAX_BUFFERED_BYTES = 1 << 20  # of a whole answer, before it is passed on in parts
 
 
@@ -109,6 +112,7 @@
         self.refusal: Refusal | None = None
         self.detail = ""
         self.admission = ""
+        self.told_started = False
         self.admitted_after_ms = 0
         self.sent_ms = 0
         self.load = 0
@@ -147,6 +151,14 @@
         self._timers = timers
         self._distance_to = distance_to
         self._budget_for = budget_for
+        self._unsent: set[asyncio.Timeout] = set()
+        self._gives_up_unsent = False
+
+    def give_up_unsent(self) -> None:
+        """Refuse the requests that no server has yet, and all later ones."""
+        self._gives_up_unsent = True
+        for scope in self._unsent:
+            scope.reschedule(asyncio.get_running_loop().time())
 
     async def handle(self, work: Work, responder: Responder) -> None:
         """Answer a request before its deadline."""
@@ -155,26 +167,36 @@
         self._demand.note_arrival(work.pool.name, work.call.model)
         outcome = "cancelled"
         try:
-            async with self._timers.timeout_ms(
-                work.deadline_ms - self._timers.now_ms()
-            ):
-                done = await self._serve(work, progress, responder)
+            async with self._timers.timeout_ms(self._remaining_ms(work)) as scope:
+                done = await self._serve(work, progress, responder, scope)
             outcome = "answered" if done else "failed"
         except TimeoutError:
             done = False
             outcome = "timed_out"
-            progress.refusal = _expired(work)
+            gave_up = self._gives_up_unsent and not progress.sends
+            progress.refusal = _leaving() if gave_up else _expired(work)
         finally:
             self._log(work, progress, outcome)
         if not done:
             await _conclude(progress, responder)
 
     async def _serve(
-        self, work: Work, progress: _Progress, responder: Responder
+        self,
+        work: Work,
+        progress: _Progress,
+        responder: Responder,
+        scope: asyncio.Timeout,
     ) -> bool:
         """Try servers in turn; return whether the caller has its whole answer."""
         while True:
-            server = await self._next_server(work, progress)
+            if self._gives_up_unsent and not progress.sends:
+                progress.refusal = _leaving()
+                return False
+            self._unsent.add(scope)
+            try:
+                server = await self._next_server(work, progress)
+            finally:
+                self._unsent.discard(scope)
             if isinstance(server, Refusal):
                 progress.refusal = server
                 return False
@@ -284,21 +306,19 @@
         call = work.call
         now = self._timers.now_ms()
         target_ms = work.started_ms + work.route.target_ms - now
+        entrance = Entrance(
+            request=call.id,
+            model=call.model,
+            adapter=call.adapter,
+            priority=work.route.priority,
+            tokens=call.prompt_tokens,
+            gap_ms=work.route.target_gap_ms,
+            target_ms=target_ms,
+            remaining_ms=self._remaining_ms(work),
+        )
         server.begin()
         try:
-            admission = await self._engines.admit(
-                server.record,
-                Entrance(
-                    request=call.id,
-                    model=call.model,
-                    adapter=call.adapter,
-                    priority=work.route.priority,
-                    tokens=call.prompt_tokens,
-                    gap_ms=work.route.target_gap_ms,
-                    target_ms=target_ms,
-                    remaining_ms=self._remaining_ms(work),
-                ),
-            )
+            admission = await self._admit(work, server, entrance)
         finally:
             server.end()
         progress.admission = type(admission).__name__
@@ -307,9 +327,14 @@
             case Granted():
                 if call.adapter:
                     server.note_adapter(call.model, call.adapter)
+                if not self._fleet.is_usable(server):
+                    self._engines.note_ended(server.record, call.id)
+                    return _no_server()
                 return None
             case SideError():
-                return None
+                return None if self._fleet.is_usable(server) else _no_server()
+            case None:
+                return _no_server()
             case NotHeld():
                 progress.tried.add(server.record.id)
                 return _not_loaded(work, FULL_RETRY_AFTER_MS)
@@ -317,6 +342,26 @@
                 progress.tried.add(server.record.id)
                 return _overloaded(retry_after_ms)
 
+    async def _admit(
+        self, work: Work, server: Server, entrance: Entrance
+    ) -> Admission | SideError | None:
+        """Ask the side; None when the server stops being usable meanwhile."""
+        admission = asyncio.create_task(self._engines.admit(server.record, entrance))
+        try:
+            while self._fleet.is_usable(server):
+                changed = asyncio.create_task(
+                    self._fleet.wait_change(self._remaining_ms(work))
+                )
+                await asyncio.wait(
+                    {admission, changed}, return_when=asyncio.FIRST_COMPLETED
+                )
+                changed.cancel()
+                if admission.done():
+                    return admission.result()
+            return None
+        finally:
+            admission.cancel()
+
     def _view(self, server: Server) -> Candidate:
         return Candidate(
             server.load,
@@ -330,6 +375,7 @@
         self, work: Work, server: Server, progress: _Progress, responder: Responder
     ) -> End:
         progress.tried.add(server.record.id)
+        progress.told_started = False
         progress.sends += 1
         progress.sent_ms = self._timers.now_ms()
         progress.load = server.load
@@ -340,7 +386,8 @@
             return end
         finally:
             server.end()
-            self._note_started(work, server, progress)
+            if progress.admission:
+                self._engines.note_ended(server.record, work.call.id)
             if end is not End.NOT_RUN:
                 progress.may_have_run = True
 
@@ -469,8 +516,8 @@
 
     def _note_started(self, work: Work, server: Server, progress: _Progress) -> None:
         """Tell the side once that its engine has read the admitted prompt."""
-        if progress.admission == Granted.__name__:
-            progress.admission = "Started"
+        if progress.admission == Granted.__name__ and not progress.told_started:
+            progress.told_started = True
             self._engines.note_started(server.record, work.call.id)
 
     def _note_error(
@@ -584,6 +631,12 @@
     )
 
 
+def _leaving() -> Refusal:
+    return Refusal(
+        RefusalReason.LEAVING, Ran.NO, "this entry is leaving", LEAVING_RETRY_AFTER_MS
+    )
+
+
 def _expired(work: Work) -> Refusal:
     return Refusal(
         RefusalReason.DEADLINE_EXPIRED,
--- a/src/copperrun/side/door.py
+++ b/src/copperrun/side/door.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Iterable
 from dataclasses import dataclass
 
 from loguru import logger
@@ -20,8 +21,6 @@
 from copperrun.routing.catalog import EngineSpec
 from copperrun.routing.fleet import ServerReport
 
-ADAPTER_TIMEOUT_MS = 400  # adapters load in 7 to 130 ms
-
 
 @dataclass
 class _Waiter:
@@ -42,48 +41,67 @@
         self._tickets: dict[str, str] = {}
 
     async def admit(self, entrance: Entrance) -> Admission:
-        """Wait for the request's turn, then for its adapter."""
+        """Wait for the request's adapter, then for its turn."""
         if not self._steward.holds(entrance.model):
             return NotHeld()
         self._take_spec()
-        now = self._timers.now_ms()
-        ticket = self._ticket(entrance, now)
-        if not self._queue.can_serve(ticket, now):
+        began_ms = self._timers.now_ms()
+        ticket = self._ticket(entrance, began_ms)
+        if not self._queue.can_serve(ticket, began_ms):
             return Overloaded(self._queue.backlog_ms())
-        if not await self._wait_turn(ticket):
-            return Overloaded(self._queue.backlog_ms())
-        timeout_ms = min(ADAPTER_TIMEOUT_MS, entrance.remaining_ms)
-        held = False
+        admission: Admission = NotHeld()
         try:
-            held = await self._steward.prepare(
-                entrance.model, entrance.adapter, timeout_ms
-            )
+            admission = await self._let_in(entrance, ticket)
         finally:
-            if not held:
+            if not isinstance(admission, Granted):
                 self._queue.withdraw(ticket.id)
+                self._steward.end_use(ticket.id)
                 self._grant()
-        if not held:
+        self._log(entrance, admission, self._timers.now_ms() - began_ms)
+        return admission
+
+    def note_progress(self, started: Iterable[str], ended: Iterable[str]) -> None:
+        """Take the first events and the ends of admitted requests."""
+        now = self._timers.now_ms()
+        for request in started:
+            ticket_id = self._tickets.get(request)
+            if ticket_id is not None:
+                self._queue.note_read(ticket_id, now)
+        for request in ended:
+            ticket_id = self._tickets.pop(request, None)
+            if ticket_id is not None:
+                self._queue.withdraw(ticket_id)
+                self._steward.end_use(ticket_id)
+        self._grant()
+
+    async def _let_in(self, entrance: Entrance, ticket: Ticket) -> Admission:
+        ready = await self._steward.prepare(
+            ticket.id, entrance.model, entrance.adapter, entrance.remaining_ms
+        )
+        if not ready:
+            return NotHeld()
+        if not await self._wait_turn(ticket):
+            return Overloaded(self._queue.backlog_ms())
+        if not self._steward.holds(entrance.model):
             return NotHeld()
         self._tickets[entrance.request] = ticket.id
+        return Granted()
+
+    def _log(self, entrance: Entrance, admission: Admission, waited_ms: int) -> None:
+        speed = self._queue.speed(entrance.model)
         logger.info(
-            "request admitted",
+            "request admitted" if isinstance(admission, Granted) else "not admitted",
             request=entrance.request,
             model=entrance.model,
             adapter=entrance.adapter,
-            waited_ms=self._timers.now_ms() - now,
+            outcome=type(admission).__name__,
+            waited_ms=waited_ms,
+            remaining_ms=entrance.remaining_ms - waited_ms,
             tokens=entrance.tokens,
             backlog_ms=self._queue.backlog_ms(),
-            tokens_per_ms=round(self._queue.speed(entrance.model).rate, 1),
-            delay_ms=int(self._queue.speed(entrance.model).delay_ms),
+            tokens_per_ms=round(speed.rate, 1),
+            delay_ms=int(speed.delay_ms),
         )
-        return Granted()
-
-    def note_started(self, request: str) -> None:
-        """Note the first event of an admitted request."""
-        ticket_id = self._tickets.pop(request, None)
-        if ticket_id is not None:
-            self._queue.note_read(ticket_id, self._timers.now_ms())
-            self._grant()
 
     def report(self) -> ServerReport | None:
         """Return what entries need to know of the engine."""
