--- a/src/copperrun/platform/daemon.py
+++ b/src/copperrun/platform/daemon.py
@@ -189,29 +189,23 @@
         grace_ms = self.cfg.grace_ms
         process.lifecycle.leave()
         ingress.is_leaving = True
-        self._close_idle(front)
+        ingress.close_idle(front.server)
         await self.timers.sleep_ms(min(ACCEPT_MS, grace_ms * UNSENT_SHARE))
         for site in sites:
             await site.stop()
-        self._close_idle(front)
         ingress.refuses = True
+        ingress.close_idle(front.server)
         quiet_since = self.timers.now_ms()
         while (now := self.timers.now_ms()) < began_ms + grace_ms - EXIT_MARGIN_MS:
             if now - began_ms >= grace_ms * UNSENT_SHARE:
                 process.give_up_unsent()
-            if ingress.busy:
+            if ingress.is_busy:
                 quiet_since = now
             elif now - quiet_since >= QUIET_MS:
                 break
             await self.timers.sleep_ms(DRAIN_POLL_MS)
         process.lifecycle.finish()
 
-    @staticmethod
-    def _close_idle(front: web.ServerRunner) -> None:
-        """Close connections without a request; the others end with their answer."""
-        if front.server is not None:
-            front.server.pre_shutdown()
-
     def _limits(self) -> CallerLimits:
         catalog = self.catalog.catalog
         return catalog.limits if catalog is not None else CallerLimits()
--- a/src/copperrun/platform/ingress.py
+++ b/src/copperrun/platform/ingress.py
@@ -2,10 +2,12 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from collections.abc import Awaitable
 from collections.abc import Callable
 
 from aiohttp import web
+from aiohttp.web_protocol import RequestHandler
 from loguru import logger
 
 from copperrun.model import Ran
@@ -36,7 +38,6 @@
     Attributes:
         is_leaving: Whether each connection ends with its next answer.
         refuses: Whether new requests are refused.
-        busy: Requests that are being answered.
     """
 
     def __init__(self, handler: Handler, max_body_bytes: Callable[[], int]) -> None:
@@ -44,15 +45,33 @@
         self._max_body_bytes = max_body_bytes
         self.is_leaving = False
         self.refuses = False
-        self.busy = 0
+        self._busy: Counter[RequestHandler] = Counter()
+
+    @property
+    def is_busy(self) -> bool:
+        """Whether requests are being answered."""
+        return bool(self._busy)
+
+    def close_idle(self, server: web.Server | None) -> None:
+        """Close the connections without a request; the others end with their answer."""
+        for protocol in server.connections if server is not None else ():
+            if protocol not in self._busy:
+                protocol.force_close()
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Answer one request; called by the HTTP server."""
-        self.busy += 1
+        protocol = request.protocol
+        self._busy[protocol] += 1
         try:
             return await self._answer(request)
+        except ConnectionError as exc:
+            # The caller left while its answer was being written.
+            logger.info("caller left", detail=repr(exc))
+            raise
         finally:
-            self.busy -= 1
+            self._busy[protocol] -= 1
+            if not self._busy[protocol]:
+                del self._busy[protocol]
 
     async def _answer(self, request: web.BaseRequest) -> web.StreamResponse:
         responder = HttpResponder(request, lambda: self.is_leaving)
