Pass silent sides over, resume stalled streams, know how long callers wait, restart quickly

Change: one step at a time; entries send without admission when a side is silent and prefer other engines; a stream without events for 3 allowed pauses goes on elsewhere; the platform's patience rule is decoded into the route and decides waits; an empty engine is filled at once; a new catalog refreshes the servers.

--- a/src/copperrun/admission/waiting.py
+++ b/src/copperrun/admission/waiting.py
@@ -9,6 +9,7 @@
 from typing import NamedTuple
 
 ANNOUNCE_MS = 600  # in which a side answers a report with what it will load
+UNKNOWN_MS = 3_000  # in which sides that start read the store and report
 SERVICE_MS = 500  # least time for the answer itself once the model is there
 MIN_RETRY_AFTER_MS = 200
 UNPLANNED_RETRY_AFTER_MS = 2_000  # two planning periods
@@ -27,7 +28,7 @@
 
 
 def decide_wait(
-    *, expected_ms: int | None, waited_ms: int, remaining_ms: int
+    *, expected_ms: int | None, waited_ms: int, remaining_ms: int, sides_known: bool
 ) -> Wait | TurnAway:
     """Decide for one request.
 
@@ -35,13 +36,15 @@
         expected_ms: Time until some server holds the model; None when no side has
             announced a load.
         waited_ms: Time that the request has waited.
-        remaining_ms: Time left until its deadline.
+        remaining_ms: Time left until its caller leaves.
+        sides_known: Whether any side has reported what it loads.
     """
     budget_ms = remaining_ms - SERVICE_MS
     if expected_ms is None:
-        if waited_ms >= ANNOUNCE_MS or budget_ms <= 0:
+        limit_ms = ANNOUNCE_MS if sides_known else UNKNOWN_MS
+        if waited_ms >= limit_ms or budget_ms <= 0:
             return TurnAway(UNPLANNED_RETRY_AFTER_MS)
-        return Wait(min(ANNOUNCE_MS - waited_ms, budget_ms))
+        return Wait(min(limit_ms - waited_ms, budget_ms))
     if expected_ms > budget_ms:
         return TurnAway(max(expected_ms, MIN_RETRY_AFTER_MS))
     return Wait(max(budget_ms, 1))
--- a/src/copperrun/entry/front.py
+++ b/src/copperrun/entry/front.py
@@ -33,8 +33,8 @@
 from copperrun.routing.retries import WindowBudget
 from copperrun.routing.selection import Distance
 
-REPORT_MS = 1_000  # longest time between two demand reports to a side
-RETRY_MS = 500  # after a side did not answer
+REPORT_MS = 800  # longest time between two demand reports to a side
+RETRY_MS = 300  # after a side did not answer
 URGENT_GAP_MS = 50  # between two reports because of newly missing models
 REFRESH_MS = 500  # of the servers that lapsed in a store outage
 ASSUMED_ENTRIES = 8  # before a side has said how many there are
@@ -203,11 +203,14 @@
                 if not silent:
                     logger.warning("side lost", server=server_id, detail=report.detail)
                 silent = True
+                server.side_is_silent = True
+                self.fleet.signal()
                 await self._timers.sleep_ms(RETRY_MS)
                 continue
             if silent:
                 logger.info("side regained", server=server_id)
             silent = False
+            server.side_is_silent = False
             sent = totals
             self._take_report(server, report)
 
--- a/src/copperrun/membership/view.py
+++ b/src/copperrun/membership/view.py
@@ -106,3 +106,6 @@
 
     def _take_catalog(self) -> None:
         self.catalog.take(self._operator.items.get(self._topics.catalog_key))
+        if self._servers.end >= 0:
+            # Pools may have come or gone.
+            self.refresh()
--- a/src/copperrun/placement/steward.py
+++ b/src/copperrun/placement/steward.py
@@ -93,6 +93,7 @@
         self._quiet_until_ms = 0
         self._planned_ms = 0
         self._started_ms = timers.now_ms()
+        self._is_stepping = False
 
     def take_servers(self, own_id: str, servers: Sequence[ServerRecord]) -> None:
         """Take the pool's servers from the registry."""
@@ -140,6 +141,15 @@
 
     async def step(self) -> None:
         """Go on with the move under way, or begin the next one."""
+        if self._is_stepping:
+            return
+        self._is_stepping = True
+        try:
+            await self._step()
+        finally:
+            self._is_stepping = False
+
+    async def _step(self) -> None:
         spec, status = self.spec, self.status
         if spec is None or status is None or self.epoch is None:
             return
@@ -203,7 +213,10 @@
             self._signal()
 
     def _begin_move(self, spec: EngineSpec, status: EngineStatus, now: int) -> None:
-        if now - self._planned_ms < PLAN_MS or now - self._started_ms < FIRST_DEMAND_MS:
+        if now - self._planned_ms < PLAN_MS:
+            return
+        # Without demand, what is loaded may be dropped for what nobody asks for.
+        if status.held and now - self._started_ms < FIRST_DEMAND_MS:
             return
         self._planned_ms = now
         demand = self._demand.demand()
--- a/src/copperrun/platform/records.py
+++ b/src/copperrun/platform/records.py
@@ -84,6 +84,9 @@
 
 def _route(item: Mapping[str, Any]) -> Route:
     kind = item["kind"]
+    streaming = kind == "streaming"
+    target_ms = _number(item.get("target-latency-ms", item["timeout-ms"]))
+    gap_ms = _number(item.get("target-gap-ms", 0))
     split = item.get("traffic-split")
     if split:
         shares = tuple(
@@ -96,17 +99,23 @@
         _text(item["hostname"]),
         _text(item["path-prefix"]),
         Repetition.SAFE if kind == "safe" else Repetition.UNSAFE,
-        kind == "streaming",
+        streaming,
         bool(item.get("resumable", False)),
         _number(item["timeout-ms"]),
-        _number(item.get("target-latency-ms", item["timeout-ms"])),
-        _number(item.get("target-gap-ms", 0)),
+        target_ms,
+        gap_ms,
+        _patience_ms(target_ms, gap_ms) if streaming else 0,
         _number(item.get("priority", 0)),
         max(_number(item.get("max-attempts", 1)), 1),
         shares,
     )
 
 
+def _patience_ms(target_ms: int, gap_ms: int) -> int:
+    """Return the gap after which clients abandon a stream, also before its start."""
+    return max(2_000, 4 * target_ms, 8 * gap_ms)
+
+
 def _pool(item: Mapping[str, Any]) -> BackendPool:
     engine = item.get("engine")
     return BackendPool(
--- a/src/copperrun/routing/catalog.py
+++ b/src/copperrun/routing/catalog.py
@@ -42,6 +42,8 @@
         timeout_ms: Longest time that a caller is kept waiting.
         target_ms: Time to the first byte that earns the full benefit.
         target_gap_ms: Longest pause between events; 0 when not streaming.
+        patience_ms: Time without an event after which callers leave; 0 when they wait
+            for the whole of ``timeout_ms``.
         priority: Rank, 0 first.
         max_attempts: Servers to which one request may be sent.
         shares: Pools that take the requests, with their weights.
@@ -56,6 +58,7 @@
     timeout_ms: int
     target_ms: int
     target_gap_ms: int
+    patience_ms: int
     priority: int
     max_attempts: int
     shares: tuple[PoolShare, ...]
--- a/src/copperrun/routing/fleet.py
+++ b/src/copperrun/routing/fleet.py
@@ -83,6 +83,7 @@
         self.record = record
         self.held = _held_of(record)
         self.loading: Mapping[str, int] = {}
+        self.side_is_silent = False
         self.inflight = 0
         self.reported = 0
         self.backlog_ms = 0
--- a/src/copperrun/routing/relay.py
+++ b/src/copperrun/routing/relay.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import AsyncGenerator
 from collections.abc import Callable
 from contextlib import aclosing
 from enum import Enum
@@ -33,6 +34,7 @@
 from copperrun.ports.runners import RunnerErrorReason
 from copperrun.ports.runners import Runners
 from copperrun.ports.sides import SideError
+from copperrun.ports.sides import SideErrorReason
 from copperrun.ports.timers import Timers
 from copperrun.routing.catalog import BackendPool
 from copperrun.routing.catalog import Repetition
@@ -50,6 +52,9 @@
 NO_SERVER_RETRY_AFTER_MS = 1_000  # period of the registry's readers
 FULL_RETRY_AFTER_MS = 500
 LEAVING_RETRY_AFTER_MS = 100  # other entries take the next connection
+STALL_MS = 500  # on top of the times that a sound server keeps to
+STALL_GAPS = 3  # pauses of a stream's allowed length, after which it is stuck
+HEAD_TARGETS = 1.5  # times the target latency, after which no answer will begin
 MAX_BUFFERED_BYTES = 1 << 20  # of a whole answer, before it is passed on in parts
 
 
@@ -70,6 +75,13 @@
     started_ms: int
     deadline_ms: int
 
+    @property
+    def first_event_by_ms(self) -> int:
+        """When the caller leaves unless its answer has begun."""
+        if not self.route.patience_ms:
+            return self.deadline_ms
+        return min(self.deadline_ms, self.started_ms + self.route.patience_ms)
+
     @property
     def may_repeat(self) -> bool:
         """Whether an attempt that may have run can be followed by another."""
@@ -258,7 +270,8 @@
                 decision = decide_wait(
                     expected_ms=self._expected_ms(work),
                     waited_ms=self._timers.now_ms() - began_ms,
-                    remaining_ms=self._remaining_ms(work),
+                    remaining_ms=work.first_event_by_ms - self._timers.now_ms(),
+                    sides_known=self._sides_known(work),
                 )
                 match decision:
                     case TurnAway(retry_after_ms):
@@ -295,6 +308,11 @@
         ]
         return min(announced, default=None)
 
+    def _sides_known(self, work: Work) -> bool:
+        """Return whether a side has told what it loads."""
+        servers = self._fleet.usable(work.pool.name)
+        return any(server.has_report for server in servers)
+
     async def _enter(
         self, work: Work, server: Server, progress: _Progress
     ) -> Refusal | None:
@@ -314,7 +332,7 @@
             tokens=call.prompt_tokens,
             gap_ms=work.route.target_gap_ms,
             target_ms=target_ms,
-            remaining_ms=self._remaining_ms(work),
+            remaining_ms=work.first_event_by_ms - now,
         )
         server.begin()
         try:
@@ -346,9 +364,13 @@
         self, work: Work, server: Server, entrance: Entrance
     ) -> Admission | SideError | None:
         """Ask the side; None when the server stops being usable meanwhile."""
+        if server.side_is_silent:
+            return _side_silent()
         admission = asyncio.create_task(self._engines.admit(server.record, entrance))
         try:
             while self._fleet.is_usable(server):
+                if server.side_is_silent:
+                    return _side_silent()
                 changed = asyncio.create_task(
                     self._fleet.wait_change(self._remaining_ms(work))
                 )
@@ -369,6 +391,7 @@
             server.record.slots,
             self._distance_to(server.record.zone),
             server.failure_share,
+            is_silent=server.side_is_silent,
         )
 
     async def _attempt(
@@ -394,13 +417,19 @@
     async def _exchange(
         self, work: Work, server: Server, progress: _Progress, responder: Responder
     ) -> End:
-        answer = await self._runners.open(
-            server.record,
-            work.call,
-            remaining_ms=self._remaining_ms(work),
-            priority=work.route.priority,
-            resume_after=progress.resume_after,
-        )
+        try:
+            async with self._timers.timeout_ms(self._head_limit_ms(work, progress)):
+                answer = await self._runners.open(
+                    server.record,
+                    work.call,
+                    remaining_ms=self._remaining_ms(work),
+                    priority=work.route.priority,
+                    resume_after=progress.resume_after,
+                )
+        except TimeoutError:
+            if self._remaining_ms(work) <= 0:
+                raise
+            answer = RunnerError(RunnerErrorReason.LOST, "no answer began in time")
         if isinstance(answer, RunnerError):
             return self._note_error(work, server, progress, answer)
         try:
@@ -491,7 +520,10 @@
         """Pass whole events on as they arrive, so that a cut one can be resumed."""
         splitter = EventSplitter()
         async with aclosing(answer.chunks()) as chunks:
-            async for chunk in chunks:
+            while True:
+                chunk = await self._next_chunk(work, progress, chunks)
+                if chunk is None:
+                    break
                 if isinstance(chunk, RunnerError):
                     progress.detail = chunk.detail
                     return End.MAYBE_RAN
@@ -514,6 +546,40 @@
         await responder.finish()
         return End.DONE
 
+    async def _next_chunk(
+        self,
+        work: Work,
+        progress: _Progress,
+        chunks: AsyncGenerator[bytes | RunnerError, None],
+    ) -> bytes | RunnerError | None:
+        """Return the next part of a stream, None at its end, an error at a stall."""
+        limit_ms = self._remaining_ms(work)
+        if self._could_go_on_elsewhere(work, progress):
+            limit_ms = min(limit_ms, STALL_GAPS * work.route.target_gap_ms + STALL_MS)
+        try:
+            async with self._timers.timeout_ms(limit_ms):
+                return await anext(chunks)
+        except StopAsyncIteration:
+            return None
+        except TimeoutError:
+            if self._remaining_ms(work) <= 0:
+                raise
+            return RunnerError(RunnerErrorReason.LOST, f"no event for {limit_ms} ms")
+
+    def _head_limit_ms(self, work: Work, progress: _Progress) -> int:
+        """Return how long to wait for the start of an answer."""
+        remaining_ms = self._remaining_ms(work)
+        if not self._could_go_on_elsewhere(work, progress):
+            return remaining_ms
+        return min(remaining_ms, int(HEAD_TARGETS * work.route.target_ms) + STALL_MS)
+
+    def _could_go_on_elsewhere(self, work: Work, progress: _Progress) -> bool:
+        return (
+            work.may_repeat
+            and progress.sends < work.route.max_attempts
+            and len(self._untried(work, progress)) > 0
+        )
+
     def _note_started(self, work: Work, server: Server, progress: _Progress) -> None:
         """Tell the side once that its engine has read the admitted prompt."""
         if progress.admission == Granted.__name__ and not progress.told_started:
@@ -586,6 +652,10 @@
     await responder.refuse(refusal)
 
 
+def _side_silent() -> SideError:
+    return SideError(SideErrorReason.UNREACHABLE, "the side does not answer")
+
+
 def _adapter_hash(server: Server, model: str, adapter: str) -> int:
     key = f"{server.record.address}/{model}/{adapter}"
     return int(xxhash.xxh64_intdigest(key.encode()))
--- a/src/copperrun/routing/selection.py
+++ b/src/copperrun/routing/selection.py
@@ -11,6 +11,7 @@
 FREE_LOAD_COST = 0.3  # of a plain server whose free share is taken
 ADAPTER_MS = 40.0  # for an engine that must load the adapter first
 RUNNING_MS = 4.0  # that each running request delays another one
+SILENT_MS = 3_000.0  # for an engine whose machine may have frozen with its side
 FAILURE_MS = 2_000.0  # of an engine all of whose recent answers were failures
 
 
@@ -40,6 +41,7 @@
         failure_share: Share of its recent answers that were failures.
         preference: Rank of the server for the request's adapter; 0 holds it, 1 is
             the first in rendezvous order, and so on.
+        is_silent: Whether the side beside it has stopped to answer.
     """
 
     load: int
@@ -48,6 +50,7 @@
     distance: Distance
     failure_share: float
     preference: int = 0
+    is_silent: bool = False
 
 
 def choose_engine(candidates: Sequence[Candidate]) -> int:
@@ -67,6 +70,8 @@
     cost = item.wait_ms + RUNNING_MS * item.load + _ENGINE_MS[item.distance]
     if item.preference:
         cost += ADAPTER_MS * item.preference
+    if item.is_silent:
+        cost += SILENT_MS
     return cost + FAILURE_MS * item.failure_share
 
 
