Reset connections whose answer is not wanted any more

Change: connections to servers, sides and the store are reset when closed early, and probe a silent peer.

--- a/src/copperrun/adapters/client.py
+++ b/src/copperrun/adapters/client.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import json
+import socket
+import struct
 from collections.abc import Mapping
 from enum import Enum
 from functools import lru_cache
@@ -16,6 +18,11 @@
 
 MAX_CONNECTIONS = 4_096
 KEEPALIVE_S = 30.0
+PROBE_IDLE_S = 2  # a silent peer is noticed within 4 s
+PROBE_INTERVAL_S = 1
+PROBES = 2
+SILENCE_MS = 4_000  # for data that is not acknowledged
+_RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 JSON_HEADERS = {"Content-Type": "application/json"}
 
 
@@ -57,7 +64,9 @@
     """Return a session without total time limits; callers set their own."""
     return aiohttp.ClientSession(
         connector=aiohttp.TCPConnector(
-            limit=MAX_CONNECTIONS, keepalive_timeout=KEEPALIVE_S
+            limit=MAX_CONNECTIONS,
+            keepalive_timeout=KEEPALIVE_S,
+            socket_factory=_open_socket,
         ),
         timeout=aiohttp.ClientTimeout(total=None),
         auto_decompress=False,
@@ -65,6 +74,23 @@
     )
 
 
+def _open_socket(address: aiohttp.AddrInfoType) -> socket.socket:
+    """Open a socket that notices a silent peer and that takes back what is unsent.
+
+    A connection that is closed before its answer is whole is reset, so that a request
+    which a cut link still holds is not delivered after its caller has left.
+    """
+    family, kind, protocol, _, _ = address
+    sock = socket.socket(family, kind, protocol)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, PROBE_IDLE_S)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, PROBE_INTERVAL_S)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, PROBES)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, SILENCE_MS)
+    return sock
+
+
 class HttpClient:
     """Requests to one kind of server, with failures as values."""
 
