Write logs to standard output, bounded and without waiting; measure forwarded requests

Lines go through a writer that does not wait for its reader, counts what it drops and says so; histograms and counters of forwarded requests are kept by route.

--- a/src/copperrun/adapters/logs.py
+++ b/src/copperrun/adapters/logs.py
@@ -1,17 +1,26 @@
-"""Logs as JSON lines on standard error."""
+"""Logs as JSON lines, bounded in volume, on a stream that is never waited for."""
 
 from __future__ import annotations
 
+import asyncio
 import json
 import logging
-import sys
+import os
+from collections import deque
 from typing import TYPE_CHECKING
 
 from loguru import logger
 
+from copperrun.ports.timers import Timers
+
 if TYPE_CHECKING:
     from loguru import Message
 
+FLUSH_S = 0.02  # lines written together
+MAX_PENDING_BYTES = 256 * 1024  # while the reader is slower than the process
+LINES_PER_S = 400.0  # below the level of warnings; about two for each request
+BURST_LINES = 2_000.0
+
 
 class _LibraryRecords(logging.Handler):
     """Passes the libraries' own records on as JSON lines too."""
@@ -23,8 +32,95 @@
         )
 
 
-def configure_logs(level: str, instance: str) -> None:
-    """Write records of at least ``level`` as JSON lines."""
+class LineWriter:
+    """Writes lines to a file descriptor without waiting for its reader.
+
+    Attributes:
+        dropped: Lines dropped since the last line that told of it.
+        dropped_in_all: Lines dropped since the start.
+    """
+
+    def __init__(self, fd: int, timers: Timers) -> None:
+        self.dropped = 0
+        self.dropped_in_all = 0
+        self._fd = fd
+        self._timers = timers
+        self._pending: deque[bytes] = deque()
+        self._pending_bytes = 0
+        self._allowance = BURST_LINES
+        self._allowance_ms = timers.now_ms()
+        self._flush_handle: asyncio.TimerHandle | None = None
+        os.set_blocking(fd, False)
+
+    def write(self, line: str, *, is_urgent: bool) -> None:
+        """Take a line; one beyond the bounds is dropped and counted."""
+        if not self._may_take(is_urgent):
+            self.dropped += 1
+            self.dropped_in_all += 1
+            return
+        data = line.encode()
+        self._pending.append(data)
+        self._pending_bytes += len(data)
+        self._schedule_flush()
+
+    def flush(self) -> None:
+        """Write what the descriptor takes now."""
+        self._flush_handle = None
+        while self._pending:
+            data = self._pending.popleft()
+            try:
+                written = os.write(self._fd, data)
+            except BlockingIOError:
+                self._pending.appendleft(data)
+                self._schedule_flush()
+                return
+            except OSError:
+                # The reader is gone; there is nowhere left to tell of it.
+                written = len(data)
+            self._pending_bytes -= written
+            if written < len(data):
+                self._pending.appendleft(data[written:])
+
+    def _may_take(self, is_urgent: bool) -> bool:
+        if self._pending_bytes > MAX_PENDING_BYTES:
+            return False
+        if is_urgent:
+            return True
+        now = self._timers.now_ms()
+        refill = (now - self._allowance_ms) / 1000 * LINES_PER_S
+        self._allowance = min(self._allowance + refill, BURST_LINES)
+        self._allowance_ms = now
+        if self._allowance < 1:
+            return False
+        self._allowance -= 1
+        return True
+
+    def _schedule_flush(self) -> None:
+        if self._flush_handle is not None:
+            return
+        try:
+            loop = asyncio.get_running_loop()
+        except RuntimeError:
+            # Before the loop runs, and after it has ended.
+            if self._pending:
+                self._flush_without_loop()
+            return
+        self._flush_handle = loop.call_later(FLUSH_S, self.flush)
+
+    def _flush_without_loop(self) -> None:
+        data = b"".join(self._pending)
+        self._pending.clear()
+        self._pending_bytes = 0
+        try:
+            os.write(self._fd, data)
+        except OSError:
+            self.dropped_in_all += 1
+
+
+def configure_logs(level: str, instance: str, fd: int, timers: Timers) -> LineWriter:
+    """Write records of at least ``level`` as JSON lines to a file descriptor."""
+    writer = LineWriter(fd, timers)
+    urgent_no = logger.level("WARNING").no
 
     def write(message: Message) -> None:
         record = message.record
@@ -37,7 +133,11 @@
         }
         if record["exception"] is not None:
             line["exception"] = str(message).split("\n", 1)[-1]
-        sys.stderr.write(json.dumps(line, default=str) + "\n")
+        if writer.dropped:
+            line["dropped_before"] = writer.dropped
+            writer.dropped = 0
+        text = json.dumps(line, default=str) + "\n"
+        writer.write(text, is_urgent=record["level"].no >= urgent_no)
 
     logger.remove()
     logger.add(
@@ -49,3 +149,4 @@
         diagnose=False,
     )
     logging.basicConfig(handlers=[_LibraryRecords()], level=logging.WARNING, force=True)
+    return writer
--- a/src/copperrun/ctl/main.py
+++ b/src/copperrun/ctl/main.py
@@ -11,6 +11,7 @@
 from absl.flags import argparse_flags
 
 from copperrun.adapters.logs import configure_logs
+from copperrun.adapters.timers import SystemTimers
 from copperrun.ctl import commands
 from copperrun.ctl.errors import ToolError
 from copperrun.ctl.errors import ToolErrorReason
@@ -26,7 +27,7 @@
 
 
 def _main(arguments: argparse.Namespace) -> None:
-    configure_logs("error", "copperrunctl")
+    configure_logs("error", "copperrunctl", sys.stderr.fileno(), SystemTimers())
     output = Output(as_json=arguments.json)
     try:
         error = asyncio.run(arguments.run(arguments, output))
--- a/src/copperrun/daemon.py
+++ b/src/copperrun/daemon.py
@@ -46,13 +46,20 @@
     if isinstance(settings, DocumentError):
         print(f"copperrund: {settings}", file=sys.stderr)
         sys.exit(EXIT_USAGE)
-    configure_logs(settings.log_level, _instance_of(settings))
+    writer = configure_logs(
+        settings.log_level,
+        _instance_of(settings),
+        sys.stdout.fileno(),
+        SystemTimers(),
+    )
     try:
         asyncio.run(_run(settings))
     except OSError as exc:
         # The usual cause is a port in use; a trace would not help.
         print(f"copperrund: {exc.strerror or exc}", file=sys.stderr)
         sys.exit(EXIT_FAILED)
+    finally:
+        writer.flush()
 
 
 async def _run(settings: DaemonSettings) -> None:
--- a/src/copperrun/entry/front.py
+++ b/src/copperrun/entry/front.py
@@ -20,6 +20,7 @@
 from copperrun.ports.engines import Demand
 from copperrun.ports.engines import Engines
 from copperrun.ports.engines import PeerEngine
+from copperrun.ports.metrics import Metrics
 from copperrun.ports.runners import Call
 from copperrun.ports.runners import Runners
 from copperrun.ports.sides import SideError
@@ -90,6 +91,7 @@
         engines: Engines,
         bounds: RetryBounds,
         timers: Timers,
+        metrics: Metrics,
     ) -> None:
         self.lifecycle = Lifecycle(place.instance)
         self.fleet = Fleet(timers)
@@ -111,6 +113,7 @@
             engines,
             self._demand,
             timers,
+            metrics,
             distance_to=place.distance_to,
             budget_for=self._budget_for,
         )
--- a/src/copperrun/platform/__main__.py
+++ b/src/copperrun/platform/__main__.py
@@ -8,6 +8,7 @@
 from absl import app
 
 from copperrun.adapters.logs import configure_logs
+from copperrun.adapters.timers import SystemTimers
 from copperrun.platform.daemon import EntryRole
 from copperrun.platform.daemon import SideRole
 from copperrun.platform.settings import SettingsError
@@ -27,8 +28,12 @@
     if isinstance(cfg, SettingsError):
         _fail(f"copperrun: {cfg.detail}")
         return
-    configure_logs("info", cfg.place.instance)
-    asyncio.run(ROLES[argv[1]](cfg).run())
+    instance = cfg.place.instance
+    writer = configure_logs("info", instance, sys.stdout.fileno(), SystemTimers())
+    try:
+        asyncio.run(ROLES[argv[1]](cfg).run())
+    finally:
+        writer.flush()
 
 
 def _fail(detail: str) -> None:
--- a/src/copperrun/platform/daemon.py
+++ b/src/copperrun/platform/daemon.py
@@ -152,6 +152,7 @@
                 HttpEngines(client, self._side_address, self.timers),
                 cfg.retries,
                 self.timers,
+                self.metrics,
             )
             ingress = Ingress(process.handle, self._max_body_bytes)
             front = web.ServerRunner(
--- a/src/copperrun/routing/relay.py
+++ b/src/copperrun/routing/relay.py
@@ -26,6 +26,7 @@
 from copperrun.ports.engines import Granted
 from copperrun.ports.engines import NotHeld
 from copperrun.ports.engines import Overloaded
+from copperrun.ports.metrics import Metrics
 from copperrun.ports.runners import AnswerHead
 from copperrun.ports.runners import Call
 from copperrun.ports.runners import Execution
@@ -119,6 +120,7 @@
         self.tried: set[str] = set()
         self.sends = 0
         self.may_have_run = False
+        self.last_end = End.NOT_RUN
         self.started = False
         self.resume_after = resume_after
         self.failure: _Failure | None = None
@@ -153,6 +155,7 @@
         engines: Engines,
         demand: DemandMeter,
         timers: Timers,
+        metrics: Metrics,
         *,
         distance_to: Callable[[str], Distance],
         budget_for: Callable[[str], WindowBudget],
@@ -162,6 +165,7 @@
         self._engines = engines
         self._demand = demand
         self._timers = timers
+        self._metrics = metrics
         self._distance_to = distance_to
         self._budget_for = budget_for
         self._unsent: set[asyncio.Timeout] = set()
@@ -190,6 +194,7 @@
             progress.refusal = _leaving() if gave_up else _expired(work)
         finally:
             self._log(work, progress, outcome)
+            self._measure(work, progress, outcome)
         if not done:
             await _conclude(progress, responder)
 
@@ -214,6 +219,7 @@
                 progress.refusal = server
                 return False
             end = await self._attempt(work, server, progress, responder)
+            progress.last_end = end
             if end is End.DONE:
                 return True
             if end is not End.NOT_RUN and not work.may_repeat:
@@ -401,6 +407,8 @@
         progress.tried.add(server.record.id)
         progress.told_started = False
         progress.sends += 1
+        if progress.sends > 1:
+            self._metrics.retried(progress.last_end.value)
         progress.sent_ms = self._timers.now_ms()
         progress.load = server.load
         server.begin()
@@ -609,6 +617,26 @@
     def _remaining_ms(self, work: Work) -> int:
         return work.deadline_ms - self._timers.now_ms()
 
+    def _measure(self, work: Work, progress: _Progress, outcome: str) -> None:
+        host, name = work.route.host, work.route.name
+        elapsed_ms = self._timers.now_ms() - work.started_ms
+        if progress.first_event_ms:
+            first_ms = progress.first_event_ms - work.started_ms
+            self._metrics.first_token(host, name, first_ms)
+            self._metrics.between_tokens(host, name, progress.longest_gap_ms)
+        else:
+            first_ms = elapsed_ms
+        if outcome == "answered":
+            met = (
+                first_ms <= work.route.target_ms
+                and progress.longest_gap_ms <= work.route.target_gap_ms
+            )
+            self._metrics.answered(host, name, elapsed_ms, met=met)
+        elif progress.refusal is not None:
+            self._metrics.refused(host, name, progress.refusal)
+        else:
+            self._metrics.missed(host, name)
+
     def _log(self, work: Work, progress: _Progress, outcome: str) -> None:
         refusal = progress.refusal
         logger.info(
--- a/testing/test_platform_http.py
+++ b/testing/test_platform_http.py
@@ -9,6 +9,7 @@
 from contextlib import asynccontextmanager
 
 from aiohttp import web
+from network import NullMetrics
 from platform_standins import Request
 from platform_standins import Runner
 from platform_standins import answer_whole
@@ -72,6 +73,7 @@
             None,  # no engines in these tests
             DemandMeter("entry", self.timers),
             self.timers,
+            NullMetrics(),
             distance_to=lambda zone: Distance.ZONE,
             budget_for=lambda name: budget,
         )
--- /dev/null
+++ b/testing/test_platform_records.py
@@ -0,0 +1,285 @@
+"""Decoding of the platform's settings, configuration and runner entries."""
+
+from __future__ import annotations
+
+import json
+from pathlib import Path
+from typing import Any
+
+import pytest
+import yaml
+from hypothesis import given
+from hypothesis import strategies as st
+from testtools.assertions import assert_that
+from testtools.matchers import Contains
+from testtools.matchers import Equals
+from testtools.matchers import IsInstance
+
+from copperrun.platform import dialect
+from copperrun.platform.records import decode_catalog
+from copperrun.platform.records import decode_server
+from copperrun.platform.settings import PATH_VARIABLE
+from copperrun.platform.settings import PlatformSettings
+from copperrun.platform.settings import SettingsError
+from copperrun.platform.settings import load_settings
+from copperrun.platform.settings import settings_path
+from copperrun.routing.catalog import Catalog
+from copperrun.routing.catalog import Repetition
+from copperrun.routing.fleet import ServerRecord
+
+JSON = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.floats() | st.text(),
+    lambda inner: st.lists(inner) | st.dictionaries(st.text(), inner),
+    max_leaves=8,
+)
+
+
+def entry(**changes: Any) -> dict[str, Any]:
+    return {
+        "service": "s",
+        "address": "10.0.0.1:80",
+        "zone": "z",
+        "version": "v1",
+        "slots": 4,
+        "state": "ready",
+        "cold-remaining-ms": 0,
+        "sequence": 2,
+        "born": 1_790_000_000_000,
+        "models": [{"name": "m", "version": 3, "adapters": ["a1", "a2"]}],
+        "at-hand": {"in-memory": ["m"], "on-disk": ["m", "n"]},
+        **changes,
+    }
+
+
+def configuration(**changes: Any) -> dict[str, Any]:
+    return {
+        "version": 7,
+        "routes": [
+            {
+                "name": "r1",
+                "hostname": "h.example",
+                "path-prefix": "/a/",
+                "kind": "streaming",
+                "timeout-ms": 20_000,
+                "target-latency-ms": 4_000,
+                "priority": 2,
+                "service": "s",
+                "max-attempts": 1,
+                "session-affinity": True,
+                "resumable": False,
+                "target-gap-ms": 300,
+            },
+            {
+                "name": "r2",
+                "hostname": "h.example",
+                "path-prefix": "/b/",
+                "kind": "safe",
+                "timeout-ms": 1_500,
+                "target-latency-ms": 200,
+                "priority": 2,
+                "traffic-split": [
+                    {"service": "s", "weight": 90},
+                    {"service": "t", "weight": 10},
+                ],
+                "max-attempts": 2,
+            },
+        ],
+        "services": [
+            {
+                "name": "s",
+                "health-check-path": "/health",
+                "max-connections": 630,
+                "engine": {
+                    "slots": 128,
+                    "kv-cache-tokens": 157_677,
+                    "stride": 2,
+                    "weights-mb": 83_000.0,
+                    "max-adapters": 8,
+                    "loads-per-s": 1.8,
+                    "models": [
+                        {
+                            "name": "m",
+                            "weights-mb": 34_300.0,
+                            "load-time-s": 5.4,
+                            "adapters": 37,
+                            "adapter-mb": 40.0,
+                            "warmup-s": 0.78,
+                            "disk-s": 1.1,
+                        }
+                    ],
+                },
+            },
+            {"name": "t", "health-check-path": "/health", "max-connections": 110},
+        ],
+        "limits": {
+            "max-header-bytes": 16_384,
+            "max-body-bytes": 4_194_304,
+            "header-timeout-ms": 3_000,
+            "idle-timeout-ms": 15_000,
+        },
+        **changes,
+    }
+
+
+def test_an_entry_becomes_a_server():
+    record = decode_server("i-1", json.dumps(entry()).encode())
+    assert isinstance(record, ServerRecord)
+    assert_that(
+        (record.pool, record.address, record.leaving, record.slots),
+        Equals(("s", "10.0.0.1:80", False, 4)),
+    )
+    assert_that(record.models[0].adapters, Equals(frozenset({"a1", "a2"})))
+    assert_that(record.on_disk, Equals(frozenset({"m", "n"})))
+
+
+@pytest.mark.parametrize("change", [{"state": "draining"}, {"remaining-ms": 900}])
+def test_an_entry_that_says_it_goes_is_leaving(change: dict[str, Any]) -> None:
+    record = decode_server("i-1", json.dumps(entry(**change)).encode())
+    assert isinstance(record, ServerRecord)
+    assert_that(record.leaving, Equals(True))
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"state": "unknown"},
+        {"state": 1},
+        {"service": None},
+        {"address": "10.0.0.1"},
+        {"address": 5},
+        {"slots": "4"},
+        {"models": [{"version": 1}]},
+        {"models": "m"},
+        {"at-hand": [1]},
+    ],
+)
+def test_an_entry_with_fields_of_another_type_names_no_server(
+    change: dict[str, Any],
+) -> None:
+    record = decode_server("i-1", json.dumps(entry(**change)).encode())
+    assert_that(record, IsInstance(str))
+
+
+@given(st.binary() | JSON.map(lambda value: json.dumps(value).encode()))
+def test_any_bytes_are_decoded_or_refused_with_a_reason(value: bytes) -> None:
+    assert isinstance(decode_server("i-1", value), str)
+    assert isinstance(decode_catalog(value), str)
+
+
+@given(st.sampled_from(sorted(entry())), JSON)
+def test_any_field_of_an_entry_may_be_of_any_type(name: str, value: Any) -> None:
+    record = decode_server("i-1", json.dumps(entry(**{name: value})).encode())
+    assert isinstance(record, str | ServerRecord)
+
+
+def test_a_configuration_becomes_a_catalog():
+    catalog = decode_catalog(json.dumps(configuration()).encode())
+    assert isinstance(catalog, Catalog)
+    stream, safe = catalog.routes
+    assert_that(
+        (stream.streaming, stream.repetition, stream.resumable),
+        Equals((True, Repetition.UNSAFE, False)),
+    )
+    assert_that(stream.patience_ms, Equals(16_000))
+    assert_that((safe.repetition, safe.patience_ms), Equals((Repetition.SAFE, 0)))
+    assert_that([share.pool for share in safe.shares], Equals(["s", "t"]))
+    engine = catalog.pools["s"].engine
+    assert engine is not None
+    assert_that(engine.tokens_per_event, Equals(2))
+    spec = engine.models["m"]
+    assert_that(
+        (spec.store_load_ms, spec.disk_load_ms, spec.host_load_ms),
+        Equals((5_400, 1_100, 780)),
+    )
+    assert_that(catalog.pools["t"].engine, Equals(None))
+
+
+def test_a_configuration_without_routes_is_refused_with_a_reason():
+    fields = configuration()
+    del fields["routes"]
+    assert_that(decode_catalog(json.dumps(fields).encode()), Contains("routes"))
+
+
+def test_headers_of_one_connection_are_not_passed_on():
+    headers = [
+        (b"Connection", b"close, X-One"),
+        (b"X-One", b"1"),
+        (b"Keep-Alive", b"timeout=5"),
+        (b"Transfer-Encoding", b"chunked"),
+        (b"X-Two", b"2"),
+        (b"x-two", b"3"),
+    ]
+    kept = list(dialect.end_to_end(headers))
+    assert_that(kept, Equals([("X-Two", "2"), ("x-two", "3")]))
+
+
+def settings(**changes: Any) -> dict[str, Any]:
+    return {
+        "node-name": "front-1",
+        "zone": "z",
+        "region": "r",
+        "zones": {"z": "r"},
+        "ip": "127.0.0.1",
+        "listen": {"front": "127.0.0.1:8149", "ready": "127.0.0.1:8141"},
+        "internal-port-range": [7380, 7395],
+        "seeds": ["127.0.0.1:8144"],
+        "platform": {"address": "127.0.0.1:8142"},
+        "bounds": {
+            "grace-s": 8,
+            "budget-ratio": 0.2,
+            "budget-slack": 58,
+            "budget-window-s": 10,
+            "ceiling-window-s": 5,
+            "ceiling-overage": 1.1,
+        },
+        **changes,
+    }
+
+
+def write(tmp_path: Path, fields: Any) -> Path:
+    path = tmp_path / "local.yaml"
+    path.write_text(yaml.safe_dump(fields))
+    return path
+
+
+def test_settings_are_read_whole(tmp_path: Path) -> None:
+    cfg = load_settings(write(tmp_path, settings(app="127.0.0.1:9", service="s")))
+    assert isinstance(cfg, PlatformSettings)
+    assert_that((cfg.front_port, cfg.control_port), Equals((8149, 0)))
+    assert_that((cfg.grace_ms, cfg.retries.slack), Equals((8_000, 58.0)))
+    assert_that((cfg.engine_address, cfg.pool), Equals(("127.0.0.1:9", "s")))
+
+
+@pytest.mark.parametrize(
+    ("field", "value", "named"),
+    [
+        ("zone", None, "zone"),
+        ("ip", 5, "ip"),
+        ("internal-port-range", [], "internal-port-range"),
+        ("platform", {}, "address"),
+        ("bounds", {"grace-s": "8"}, "grace-s"),
+        ("listen", {"front": "x"}, "listen.front"),
+    ],
+)
+def test_bad_settings_are_named_in_one_line(
+    tmp_path: Path, field: str, value: Any, named: str
+) -> None:
+    error = load_settings(write(tmp_path, settings(**{field: value})))
+    assert isinstance(error, SettingsError)
+    assert_that(error.detail, Contains(named))
+    assert_that(error.detail.count("\n"), Equals(0))
+
+
+def test_settings_that_are_no_yaml_or_missing_are_named(tmp_path: Path) -> None:
+    path = tmp_path / "local.yaml"
+    path.write_text("a: [")
+    for error in (load_settings(path), load_settings(tmp_path / "none.yaml")):
+        assert isinstance(error, SettingsError)
+        assert_that(error.detail.count("\n"), Equals(0))
+
+
+def test_the_path_comes_from_the_environment(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.delenv(PATH_VARIABLE, raising=False)
+    assert_that(settings_path(), IsInstance(SettingsError))
+    monkeypatch.setenv(PATH_VARIABLE, "/x.yaml")
+    assert_that(settings_path(), Equals(Path("/x.yaml")))
--- a/testing/test_relay.py
+++ b/testing/test_relay.py
@@ -8,6 +8,7 @@
 from collections.abc import Sequence
 from typing import NamedTuple
 
+from network import NullMetrics
 from pool import engine
 from pool import model
 from pool import pool
@@ -202,6 +203,7 @@
             self.engines,
             self.demand,
             self.timers,
+            NullMetrics(),
             distance_to=lambda zone: Distance.ZONE,
             budget_for=lambda name: self.budget,
         )
