--- a/src/copperrun/placement/steward.py
+++ b/src/copperrun/placement/steward.py
@@ -48,7 +48,8 @@
 
     move: Move
     began_ms: int
-    ordered: bool = False
+    ordered_ms: int | None = None
+    load_ms: int = 0
     victims: list[str] = field(default_factory=list)
 
 
@@ -256,7 +257,7 @@
                 if await self._give(OrderKind.UNLOAD, victim) in _DONE:
                     self._metrics.moved("unload", "model")
             return
-        if model in status.held or job.ordered:
+        if model in status.held or job.ordered_ms is not None:
             self._job = None
             self._signal()
             return
@@ -268,8 +269,11 @@
             self._job = None
             self._signal()
             return
+        own = EngineView("", frozenset(status.held), status.in_host, status.on_disk)
         if await self._give(OrderKind.LOAD, model) in _DONE:
-            job.ordered = True
+            job.ordered_ms = now
+            job.load_ms = load_ms(own, spec.models[model])
+            self._signal()
             self._metrics.moved("load", "model")
 
     async def _prepare(self, key: AdapterKey) -> bool:
@@ -372,14 +376,16 @@
         job, spec, status = self._job, self.spec, self.status
         if job is None or spec is None or status is None:
             return {}
-        own = EngineView(
-            "", frozenset(status.held), status.in_host, status.on_disk, is_busy=True
-        )
-        total_ms = load_ms(own, spec.models[job.move.model])
-        if job.move.victims:
-            total_ms += RETIRE_MS + UNLOAD_MS
-        elapsed_ms = self._timers.now_ms() - job.began_ms
-        return {job.move.model: max(total_ms - elapsed_ms, STATUS_MS)}
+        model = job.move.model
+        own = EngineView("", frozenset(status.held), status.in_host, status.on_disk)
+        now = self._timers.now_ms()
+        if job.ordered_ms is not None:
+            left_ms = job.ordered_ms + job.load_ms - now
+            return {model: max(left_ms, STATUS_MS)}
+        total_ms = load_ms(own, spec.models[model])
+        if job.victims:
+            total_ms += max(job.began_ms + RETIRE_MS + UNLOAD_MS - now, UNLOAD_MS // 2)
+        return {model: total_ms}
 
     def _load_delay_ms(self, spec: EngineSpec, status: EngineStatus, model: str) -> int:
         if model in status.in_host or model in status.on_disk:
