Value further copies by the requests that the present ones cannot serve

Change: a copy serves up to 0.6 of an engine's measured capacity; what is beyond counts in full. Test: a model with more demand than its copies serve.

--- a/src/copperrun/admission/prefill.py
+++ b/src/copperrun/admission/prefill.py
@@ -18,6 +18,8 @@
 STEP_MS = 12.0  # one step of a half full batch
 GRANT_LIFETIME_MS = 3_000  # after which a grant counts as lost with its entry
 DEFAULT_RATE = 15.0  # prompt tokens per ms of a large model
+FIRST_READING_MS = 80.0  # before any prompt was read
+READING_WEIGHT = 0.02  # of the newest prompt in the average
 USE_MS = 2_000  # time constant of the share of time in use
 MIN_POLL_MS = 5  # between two looks at the queue
 SAFETY = 1.2  # on expected waits, before a request is refused for them
@@ -104,11 +106,13 @@
     Attributes:
         tokens_per_event: Tokens in one event of a stream.
         first_rates: Tokens per ms of each model, before there are samples.
+        typical_reading_ms: Moving average of the time to read a prompt.
     """
 
     def __init__(self) -> None:
         self.tokens_per_event = 1
         self.first_rates: Mapping[str, float] = {}
+        self.typical_reading_ms = FIRST_READING_MS
         self._speeds: dict[str, ReadingSpeed] = {}
         self._waiting: dict[str, Ticket] = {}
         self._grants: dict[str, _Grant] = {}
@@ -181,6 +185,9 @@
             self._level_ms += reading_ms
             self._fade_use(now_ms)
             self._use_ms += reading_ms
+            self.typical_reading_ms += READING_WEIGHT * (
+                reading_ms - self.typical_reading_ms
+            )
             yield ticket
 
     def next_grant_ms(self, now_ms: int) -> int:
--- a/src/copperrun/placement/moves.py
+++ b/src/copperrun/placement/moves.py
@@ -2,8 +2,8 @@
 
 Answers a demand that moves between many models while each engine holds two to five of
 them. What is resident stays unless a load gains clearly more than its victims are
-worth: a first copy serves callers that nobody serves now, a further copy takes load
-off the others, the more so the busier the engines are. Each side works the same moves
+worth: a first copy serves callers that nobody serves now, a further copy serves those
+that are too many for the others, or takes load off them. Each side works the same moves
 out from the same inputs and makes those of its own engine.
 """
 
@@ -19,6 +19,7 @@
 
 WAITING_RATE = 0.5  # requests per second that one waiting request stands for
 LAST_COPY_RATE = 0.3  # worth of keeping a model loaded that nobody asks for now
+COPY_SHARE = 0.6  # of an engine's capacity that one of its models gets
 IDLE_RELIEF = 0.05  # worth of taking load off engines that are not busy at all
 RELIEF = 0.5  # and off engines that read prompts all the time
 MIN_GAIN = 0.15  # requests per second, below which a move is not worth its price
@@ -86,6 +87,7 @@
     engines: Sequence[EngineView],
     demand: Mapping[str, ModelDemand],
     pressure: float,
+    capacity: float,
 ) -> list[Move]:
     """Return the moves that are worth making now, the best first.
 
@@ -94,8 +96,9 @@
         engines: All engines of the pool that stay.
         demand: Demand by model.
         pressure: Mean share of the time in which the engines read prompts.
+        capacity: Requests per second that one engine can take.
     """
-    state = _State(spec, engines, demand, pressure)
+    state = _State(spec, engines, demand, pressure, capacity)
     moves: list[Move] = []
     while (move := state.best_move()) is not None:
         moves.append(move)
@@ -112,6 +115,7 @@
         engines: Sequence[EngineView],
         demand: Mapping[str, ModelDemand],
         pressure: float,
+        capacity: float,
     ) -> None:
         self._spec = spec
         self._views = {engine.id: engine for engine in engines}
@@ -119,6 +123,7 @@
         self._idle = {engine.id for engine in engines if not engine.is_busy}
         self._demand = demand
         self._relief = IDLE_RELIEF + RELIEF * pressure
+        self._copy_rate = COPY_SHARE * capacity
         self._copies = Counter(
             name for held in self._held.values() for name in held if name in spec.models
         )
@@ -185,7 +190,9 @@
         demand = self._demand.get(name, _NO_DEMAND)
         if copies <= 1:
             return demand.weight
-        return demand.rate * self._relief / (copies * (copies - 1))
+        served = min(demand.rate, copies * self._copy_rate)
+        served -= min(demand.rate, (copies - 1) * self._copy_rate)
+        return served + demand.rate * self._relief / (copies * (copies - 1))
 
     def _balance_cost(self, engine_id: str) -> float:
         rate = sum(
--- a/src/copperrun/placement/steward.py
+++ b/src/copperrun/placement/steward.py
@@ -39,6 +39,7 @@
 RETIRE_MS = 200  # in which entries hear that a model takes no more requests
 UNLOAD_MS = 1_500  # typical rest of the requests that an unload waits for
 ORDER_SETTLE_MS = 600  # after which an unanswered order is given again
+FIRST_CAPACITY = 12.0  # requests per second, before any were measured
 FIRST_DEMAND_MS = 1_500  # after a start, before entries have reported twice
 
 
@@ -62,6 +63,7 @@
         status: Latest status of the engine; None while it cannot be read.
         server_id: Identity of the engine's start; empty while it is not listed.
         use: Share of the time in which the engine reads prompts.
+        capacity: Requests per second that the engine could read all the time.
 
     Every order names how many orders the engine must have accepted before it, so
     that an unanswered order has no effect once a later one was accepted.
@@ -80,6 +82,7 @@
         self.status: EngineStatus | None = None
         self.server_id = ""
         self.use = 0.0
+        self.capacity = FIRST_CAPACITY
         self._control = control
         self._demand = demand
         self._loads = loads
@@ -225,7 +228,7 @@
         uses = [peer.use for peer in self._demand.peers().values()]
         uses.append(self.use)
         pressure = sum(uses) / len(uses)
-        for move in plan_moves(spec, views, demand, pressure):
+        for move in plan_moves(spec, views, demand, pressure, self.capacity):
             if move.engine != self._view_id:
                 continue
             if self._load_delay_ms(spec, status, move.model) > 0:
--- a/src/copperrun/side/door.py
+++ b/src/copperrun/side/door.py
@@ -106,6 +106,7 @@
     def report(self) -> ServerReport | None:
         """Return what entries need to know of the engine."""
         self._steward.use = self._queue.use(self._timers.now_ms())
+        self._steward.capacity = 1000 / self._queue.typical_reading_ms
         report = self._steward.report()
         if report is None:
             return None
--- a/testing/test_moves.py
+++ b/testing/test_moves.py
@@ -28,7 +28,7 @@
     engines = [engine("1", "ab"), engine("2", "cd")]
     demand = {name: ModelDemand(2.0, 2.0) for name in "abcd"}
     few = spec(*(model(name) for name in "abcd"))
-    assert_that(plan_moves(few, engines, demand, 0.2), Equals([]))
+    assert_that(plan_moves(few, engines, demand, 0.2, 12.0), Equals([]))
 
 
 def test_a_model_that_callers_wait_for_is_loaded_where_it_costs_least():
@@ -39,7 +39,7 @@
         "c": ModelDemand(5.0, 5.0),
         "e": ModelDemand(1.0, 1.0, waiting=4),
     }
-    moves = plan_moves(SPEC, engines, demand, 0.2)
+    moves = plan_moves(SPEC, engines, demand, 0.2, 12.0)
     assert_that(moves[0].model, Equals("e"))
     assert_that(moves[0].victims, Equals(("d",)))
 
@@ -49,7 +49,7 @@
     # engine had it on disk; its callers left meanwhile.
     engines = [engine("1", "ab"), engine("2", "ab", on_disk=frozenset("e"))]
     demand = {"a": ModelDemand(5.0, 5.0), "e": ModelDemand(2.0, 2.0, waiting=3)}
-    assert_that(plan_moves(SPEC, engines, demand, 0.2)[0].engine, Equals("2"))
+    assert_that(plan_moves(SPEC, engines, demand, 0.2, 12.0)[0].engine, Equals("2"))
 
 
 def test_a_last_copy_does_not_yield_to_a_further_copy_of_a_busy_model():
@@ -57,7 +57,7 @@
     # was missing when demand moved to it.
     engines = [engine("1", "ab"), engine("2", "ac")]
     demand = {"a": ModelDemand(6.0, 6.0)}
-    moves = plan_moves(SPEC, engines, demand, 0.2)
+    moves = plan_moves(SPEC, engines, demand, 0.2, 12.0)
     victims = [name for move in moves for name in move.victims]
     assert_that(victims, Not(Contains("b")))
     assert_that(victims, Not(Contains("c")))
@@ -67,7 +67,7 @@
     engines = [engine("1", "ab"), engine("2", "bc"), engine("3", "bd")]
     demand = {"a": ModelDemand(20.0, 20.0), "b": ModelDemand(0.1, 0.1)}
     few = spec(*(model(name) for name in "abcd"))
-    moves = plan_moves(few, engines, demand, 0.8)
+    moves = plan_moves(few, engines, demand, 0.8, 12.0)
     assert_that([move.model for move in moves], Contains("a"))
     assert_that({move.victims for move in moves if move.model == "a"}, Equals({("b",)}))
 
@@ -81,19 +81,19 @@
         "d": ModelDemand(0.3, 0.3),
         "e": ModelDemand(0.0, 0.0),
     }
-    assert_that(plan_moves(SPEC, engines, demand, 0.1), Equals([]))
+    assert_that(plan_moves(SPEC, engines, demand, 0.1, 12.0), Equals([]))
 
 
 def test_an_engine_in_the_middle_of_a_move_makes_no_other_one():
     engines = [engine("1", "ab", is_busy=True)]
     demand = {"c": ModelDemand(5.0, 5.0, waiting=9)}
-    assert_that(plan_moves(SPEC, engines, demand, 0.5), Equals([]))
+    assert_that(plan_moves(SPEC, engines, demand, 0.5, 12.0), Equals([]))
 
 
 def test_an_empty_pool_is_filled_with_different_models():
     # Load: the first moments after a restart of everything.
     engines = [engine(str(number)) for number in range(4)]
-    moves = plan_moves(SPEC, engines, {}, 0.0)
+    moves = plan_moves(SPEC, engines, {}, 0.0, 12.0)
     assert_that({move.model for move in moves}, HasLength(4))
 
 
@@ -105,10 +105,18 @@
         "w": ModelDemand(2.0, 2.0),
         "x": ModelDemand(1.0, 1.0),
     }
-    move = plan_moves(mixed, engines, demand, 0.2)[0]
+    move = plan_moves(mixed, engines, demand, 0.2, 12.0)[0]
     assert_that(set(move.victims), Equals({"y", "z"}))
 
 
+def test_a_model_with_more_demand_than_its_copies_serve_gets_copies_from_the_store():
+    # Load: demand moved to a model with two copies, 38 requests/s at 12 an engine.
+    engines = [engine("1", "ab"), engine("2", "ac"), engine("3", "de")]
+    demand = {"a": ModelDemand(38.0, 20.0), "d": ModelDemand(0.2, 0.3)}
+    moves = plan_moves(SPEC, engines, demand, 0.3, 12.0)
+    assert_that(("3", "a"), Equals((moves[0].engine, moves[0].model)))
+
+
 def test_memory_is_never_planned_beyond_the_engine():
     demand = {name: ModelDemand(3.0, 3.0, waiting=2) for name in NAMES}
     engines = [engine("1", "ab"), engine("2", "c"), engine("3")]
@@ -133,7 +141,8 @@
     """Carry out moves until there are none; return the rounds and what is held."""
     for rounds in range(20):
         moves = {
-            move.engine: move for move in plan_moves(pool_spec, engines, demand, 0.3)
+            move.engine: move
+            for move in plan_moves(pool_spec, engines, demand, 0.3, 12.0)
         }
         if not moves:
             return rounds, {view.id: view.held for view in engines}
