--- a/idl/copperrun.thrift
+++ b/idl/copperrun.thrift
@@ -112,7 +112,14 @@
   5: required map<string, i32> loading,
   6: required i32 entries,
   7: required i32 backlog_ms,
-  8: required double use
+  8: required double use,
+  9: required string server_id
+}
+
+// What a side tells the sides of the pool's other engines.
+struct PeerChange {
+  1: required string address,
+  2: required PeerEngine engine
 }
 
 // Asks a side to let one request into its engine.
--- a/src/copperrun/adapters/client.py
+++ b/src/copperrun/adapters/client.py
@@ -8,6 +8,7 @@
 from collections.abc import Mapping
 from enum import Enum
 from functools import lru_cache
+from types import MappingProxyType
 from typing import Any
 from typing import NamedTuple
 
@@ -51,6 +52,7 @@
     status: int
     content_type: str
     body: bytes
+    headers: Mapping[str, str] = MappingProxyType({})
 
     def json(self) -> Any:
         """Return the parsed body, or None when it is not JSON."""
@@ -175,7 +177,7 @@
                 data = await response.read()
         except (aiohttp.ClientError, OSError) as exc:
             return _lost(method, url, exc)
-        return HttpReply(response.status, response.content_type, data)
+        return HttpReply(response.status, response.content_type, data, response.headers)
 
     def _merge(self, headers: Mapping[str, str] | None) -> Mapping[str, str]:
         if not headers:
--- a/src/copperrun/adapters/engines.py
+++ b/src/copperrun/adapters/engines.py
@@ -4,8 +4,10 @@
 
 import asyncio
 from collections.abc import Callable
+from collections.abc import Coroutine
 from collections.abc import Mapping
 from collections.abc import Sequence
+from typing import Any
 
 from aiohttp import web
 
@@ -34,6 +36,7 @@
 EXCHANGE_PATH = "/internal/demand"
 ADMIT_PATH = "/internal/admit"
 PROGRESS_PATH = "/internal/progress"
+PEER_PATH = "/internal/peer"
 VIEW_PATH = "/internal/view"
 EXCHANGE_MARGIN_MS = 400  # on top of the time that a side may hold a reply
 VIEW_TIMEOUT_MS = 1_000
@@ -53,7 +56,7 @@
         self._address_of = address_of
         self._timers = timers
         self._progress: dict[str, ttypes.Progress] = {}
-        self._tasks: set[asyncio.Task[None]] = set()
+        self._tasks: set[asyncio.Task[Any]] = set()
 
     async def exchange(
         self, server: ServerRecord, demand: Demand, hold_ms: int
@@ -64,10 +67,7 @@
             arrivals=dict(demand.arrivals),
             waiting=dict(demand.waiting),
             engines={
-                server_id: ttypes.PeerEngine(
-                    held=set(peer.held), loading=set(peer.loading), use=peer.use
-                )
-                for server_id, peer in demand.engines.items()
+                address: _encode_peer(peer) for address, peer in demand.engines.items()
             },
             hold_ms=hold_ms,
         )
@@ -88,6 +88,7 @@
             reply.entries,
             reply.backlog_ms,
             reply.use,
+            reply.server_id,
         )
 
     async def admit(
@@ -117,15 +118,24 @@
         """Tell the side, soon, that an admitted request has ended."""
         self._pending(server).ended.append(request)
 
+    def tell_peer(self, server: ServerRecord, address: str, engine: PeerEngine) -> None:
+        """Tell the side of another engine what the one at ``address`` holds."""
+        message = ttypes.PeerChange(address=address, engine=_encode_peer(engine))
+        # When it is lost, the entries tell of it within a reporting period.
+        self._start(self._post(server, PEER_PATH, message, PROGRESS_TIMEOUT_MS))
+
+    def _start(self, work: Coroutine[Any, Any, object]) -> None:
+        task = asyncio.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
     def _pending(self, server: ServerRecord) -> ttypes.Progress:
         """Return the message that the side gets next."""
         progress = self._progress.get(server.id)
         if progress is None:
             progress = ttypes.Progress(started=[], ended=[])
             self._progress[server.id] = progress
-            task = asyncio.create_task(self._send_progress(server))
-            self._tasks.add(task)
-            task.add_done_callback(self._tasks.discard)
+            self._start(self._send_progress(server))
         return progress
 
     async def _send_progress(self, server: ServerRecord) -> None:
@@ -168,16 +178,14 @@
         app.router.add_post(EXCHANGE_PATH, self._exchange)
         app.router.add_post(ADMIT_PATH, self._admit)
         app.router.add_post(PROGRESS_PATH, self._take_progress)
+        app.router.add_post(PEER_PATH, self._take_peer)
 
     async def _exchange(self, request: web.Request) -> web.Response:
         message = wire.decode(ttypes.Demand, await request.read())
         if isinstance(message, wire.WireError):
             return web.Response(status=400, text=message.detail)
         engines = {
-            server_id: PeerEngine(
-                frozenset(peer.held), frozenset(peer.loading), peer.use
-            )
-            for server_id, peer in message.engines.items()
+            address: _decode_peer(peer) for address, peer in message.engines.items()
         }
         demand = Demand(message.entry, message.arrivals, message.waiting, engines)
         self._demand.take(demand)
@@ -197,6 +205,7 @@
             entries=self._demand.entries(),
             backlog_ms=report.backlog_ms,
             use=report.use,
+            server_id=report.server_id,
         )
         return web.Response(body=wire.encode(reply))
 
@@ -214,6 +223,13 @@
                 reply = ttypes.AdmitResult(ttypes.Admission.OVERLOADED, retry_after_ms)
         return web.Response(body=wire.encode(reply))
 
+    async def _take_peer(self, request: web.Request) -> web.Response:
+        message = wire.decode(ttypes.PeerChange, await request.read())
+        if isinstance(message, wire.WireError):
+            return web.Response(status=400, text=message.detail)
+        self._demand.take_peer(message.address, _decode_peer(message.engine))
+        return web.Response()
+
     async def _take_progress(self, request: web.Request) -> web.Response:
         message = wire.decode(ttypes.Progress, await request.read())
         if isinstance(message, wire.WireError):
@@ -222,6 +238,16 @@
         return web.Response()
 
 
+def _encode_peer(peer: PeerEngine) -> ttypes.PeerEngine:
+    return ttypes.PeerEngine(
+        held=set(peer.held), loading=set(peer.loading), use=peer.use
+    )
+
+
+def _decode_peer(peer: ttypes.PeerEngine) -> PeerEngine:
+    return PeerEngine(frozenset(peer.held), frozenset(peer.loading), peer.use)
+
+
 class HttpViews:
     """Asks other processes for the topics that they know."""
 
--- a/src/copperrun/admission/waiting.py
+++ b/src/copperrun/admission/waiting.py
@@ -8,7 +8,9 @@
 
 from typing import NamedTuple
 
-ANNOUNCE_MS = 600  # in which a side answers a report with what it will load
+ANNOUNCE_MS = 600  # in which a side answers a report with what it will load; engines
+# in the middle of another move take longer, so patient requests wait up to half of
+# their target
 UNKNOWN_MS = 3_000  # in which sides that start read the store and report
 SERVICE_MS = 500  # least time for the answer itself once the model is there
 MIN_RETRY_AFTER_MS = 200
@@ -28,7 +30,12 @@
 
 
 def decide_wait(
-    *, expected_ms: int | None, waited_ms: int, remaining_ms: int, sides_known: bool
+    *,
+    expected_ms: int | None,
+    waited_ms: int,
+    remaining_ms: int,
+    target_ms: int,
+    sides_known: bool,
 ) -> Wait | TurnAway:
     """Decide for one request.
 
@@ -37,11 +44,12 @@
             announced a load.
         waited_ms: Time that the request has waited.
         remaining_ms: Time left until its caller leaves.
+        target_ms: Time to the first event that earns the full benefit.
         sides_known: Whether any side has reported what it loads.
     """
     budget_ms = remaining_ms - SERVICE_MS
     if expected_ms is None:
-        limit_ms = ANNOUNCE_MS if sides_known else UNKNOWN_MS
+        limit_ms = max(ANNOUNCE_MS, target_ms // 2) if sides_known else UNKNOWN_MS
         if waited_ms >= limit_ms or budget_ms <= 0:
             return TurnAway(UNPLANNED_RETRY_AFTER_MS)
         return Wait(min(limit_ms - waited_ms, budget_ms))
--- a/src/copperrun/entry/front.py
+++ b/src/copperrun/entry/front.py
@@ -219,7 +219,7 @@
 
     def _peers_of(self, server: Server) -> dict[str, PeerEngine]:
         return {
-            other.record.id: PeerEngine(
+            other.record.address: PeerEngine(
                 frozenset(other.held), frozenset(other.loading), other.use
             )
             for other in self.fleet.members(server.record.pool)
--- a/src/copperrun/gen/ttypes.py
+++ b/src/copperrun/gen/ttypes.py
@@ -1370,11 +1370,12 @@
      - entries
      - backlog_ms
      - use
+     - server_id
 
     """
 
 
-    def __init__(self, born_ms=None, held=None, running=None, queued=None, loading=None, entries=None, backlog_ms=None, use=None,):
+    def __init__(self, born_ms=None, held=None, running=None, queued=None, loading=None, entries=None, backlog_ms=None, use=None, server_id=None,):
         self.born_ms = born_ms
         self.held = held
         self.running = running
@@ -1383,6 +1384,7 @@
         self.entries = entries
         self.backlog_ms = backlog_ms
         self.use = use
+        self.server_id = server_id
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1450,6 +1452,11 @@
                     self.use = iprot.readDouble()
                 else:
                     iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.STRING:
+                    self.server_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1503,6 +1510,10 @@
             oprot.writeFieldBegin('use', TType.DOUBLE, 8)
             oprot.writeDouble(self.use)
             oprot.writeFieldEnd()
+        if self.server_id is not None:
+            oprot.writeFieldBegin('server_id', TType.STRING, 9)
+            oprot.writeString(self.server_id.encode('utf-8') if sys.version_info[0] == 2 else self.server_id)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1523,6 +1534,81 @@
             raise TProtocolException(message='Required field backlog_ms is unset!')
         if self.use is None:
             raise TProtocolException(message='Required field use is unset!')
+        if self.server_id is None:
+            raise TProtocolException(message='Required field server_id is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class PeerChange(object):
+    """
+    Attributes:
+     - address
+     - engine
+
+    """
+
+
+    def __init__(self, address=None, engine=None,):
+        self.address = address
+        self.engine = engine
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.address = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRUCT:
+                    self.engine = PeerEngine()
+                    self.engine.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('PeerChange')
+        if self.address is not None:
+            oprot.writeFieldBegin('address', TType.STRING, 1)
+            oprot.writeString(self.address.encode('utf-8') if sys.version_info[0] == 2 else self.address)
+            oprot.writeFieldEnd()
+        if self.engine is not None:
+            oprot.writeFieldBegin('engine', TType.STRUCT, 2)
+            self.engine.write(oprot)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.address is None:
+            raise TProtocolException(message='Required field address is unset!')
+        if self.engine is None:
+            raise TProtocolException(message='Required field engine is unset!')
         return
 
     def __repr__(self):
@@ -2111,6 +2197,13 @@
     (6, TType.I32, 'entries', None, None, ),  # 6
     (7, TType.I32, 'backlog_ms', None, None, ),  # 7
     (8, TType.DOUBLE, 'use', None, None, ),  # 8
+    (9, TType.STRING, 'server_id', 'UTF8', None, ),  # 9
+)
+all_structs.append(PeerChange)
+PeerChange.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'address', 'UTF8', None, ),  # 1
+    (2, TType.STRUCT, 'engine', [PeerEngine, None], None, ),  # 2
 )
 all_structs.append(Admit)
 Admit.thrift_spec = (
--- a/src/copperrun/placement/demand.py
+++ b/src/copperrun/placement/demand.py
@@ -17,6 +17,7 @@
 
 RATE_MS = 4_000  # time constant of a model's recent arrivals
 STEADY_RATE_MS = 40_000  # of its arrivals over a longer time
+PEER_WORD_MS = 1_000  # one reporting period, in which entries may pass on older news
 MIN_COVERED_MS = 1_000  # of arrivals, below which a rate says little
 NEGLIGIBLE = 0.01  # arrivals that are forgotten
 REPORT_LIFETIME_MS = 3_000  # three reporting periods, then an entry counts as gone
@@ -106,6 +107,7 @@
         self._recent = _Rates(RATE_MS, now)
         self._steady = _Rates(STEADY_RATE_MS, now)
         self._peers: dict[str, tuple[int, PeerEngine]] = {}
+        self._told_ms: dict[str, int] = {}
         self._waiting: dict[str, tuple[int, Mapping[str, int]]] = {}
 
     def take(self, demand: Demand) -> None:
@@ -116,8 +118,24 @@
                 self._recent.add(model, count, now)
                 self._steady.add(model, count, now)
         self._waiting[demand.entry] = (now, demand.waiting)
-        for server_id, peer in demand.engines.items():
-            self._peers[server_id] = (now, peer)
+        for address, peer in demand.engines.items():
+            # Its own word is fresher than what an entry passes on.
+            told_ms = self._told_ms.get(address, -PEER_WORD_MS)
+            if now - told_ms >= PEER_WORD_MS:
+                self._peers[address] = (now, peer)
+
+    def take_peer(self, address: str, peer: PeerEngine) -> None:
+        """Take what the side of another engine says of it."""
+        now = self._timers.now_ms()
+        self._told_ms[address] = now
+        self._peers[address] = (now, peer)
+
+    @property
+    def is_known(self) -> bool:
+        """Whether any entry has told of requests."""
+        return bool(self._recent.per_second(self._timers.now_ms())) or bool(
+            self.waiting()
+        )
 
     def demand(self) -> dict[str, ModelDemand]:
         """Return what each model is asked for."""
--- a/src/copperrun/placement/steward.py
+++ b/src/copperrun/placement/steward.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 from collections.abc import Mapping
 from collections.abc import Sequence
 from dataclasses import dataclass
@@ -38,6 +39,7 @@
 PLACE_POLL_MS = 30  # while every place is in use or an order is under way
 RETIRE_MS = 200  # in which entries hear that a model takes no more requests
 UNLOAD_MS = 1_500  # typical rest of the requests that an unload waits for
+REFUSED_MS = 500  # before an order that was refused is given again
 ORDER_SETTLE_MS = 600  # after which an unanswered order is given again
 FIRST_CAPACITY = 12.0  # requests per second, before any were measured
 FIRST_DEMAND_MS = 1_500  # after a start, before entries have reported twice
@@ -61,7 +63,8 @@
         epoch: Fencing number of its orders; None while it may give none.
         spec: Properties of the engine; None while the pool is not known.
         status: Latest status of the engine; None while it cannot be read.
-        server_id: Identity of the engine's start; empty while it is not listed.
+        address: Address of the engine, its name among the pool's engines.
+        on_change: Called when what is held or about to be loaded changes.
         use: Share of the time in which the engine reads prompts.
         capacity: Requests per second that the engine could read all the time.
 
@@ -80,7 +83,8 @@
         self.epoch: int | None = None
         self.spec: EngineSpec | None = None
         self.status: EngineStatus | None = None
-        self.server_id = ""
+        self.address = ""
+        self.on_change: Callable[[], None] | None = None
         self.use = 0.0
         self.capacity = FIRST_CAPACITY
         self._control = control
@@ -89,6 +93,8 @@
         self._timers = timers
         self._metrics = metrics
         self._others: list[ServerRecord] = []
+        self._listed: ServerRecord | None = None
+        self._told_id = ""
         self._job: _Job | None = None
         self._places = AdapterPlaces()
         self._order_lock = asyncio.Lock()
@@ -99,12 +105,21 @@
         self._started_ms = timers.now_ms()
         self._is_stepping = False
 
-    def take_servers(self, own_id: str, servers: Sequence[ServerRecord]) -> None:
-        """Take the pool's servers from the registry."""
-        self.server_id = own_id
-        self._others = [
-            server for server in servers if server.id != own_id and not server.leaving
-        ]
+    @property
+    def server_id(self) -> str:
+        """Identity of the engine's present start; empty while it is not known."""
+        status, listed = self.status, self._listed
+        if listed and status and listed.born_ms == status.born_ms:
+            return listed.id
+        return self._told_id
+
+    def take_servers(
+        self, address: str, listed: ServerRecord | None, others: Sequence[ServerRecord]
+    ) -> None:
+        """Take the registry's records of this engine and of the pool's other ones."""
+        self.address = address
+        self._listed = listed
+        self._others = [server for server in others if not server.leaving]
 
     async def run(self) -> None:
         """Watch the engine and make its moves until cancelled."""
@@ -141,8 +156,20 @@
             status.queued,
             self._announced(),
             use=self.use,
+            server_id=self.server_id,
         )
 
+    def others(self) -> Sequence[ServerRecord]:
+        """Return the registry's records of the pool's other engines."""
+        return self._others
+
+    def as_peer(self) -> PeerEngine | None:
+        """Return what the sides of the other engines need to know."""
+        report = self.report()
+        if report is None:
+            return None
+        return PeerEngine(frozenset(report.held), frozenset(report.loading), self.use)
+
     async def step(self) -> None:
         """Go on with the move under way, or begin the next one."""
         if self._is_stepping:
@@ -212,6 +239,7 @@
             )
             self._job = None
             self._quiet_until_ms = 0
+            self._told_id = ""
         self._sequence = status.sequence
         if before is None or before.held.keys() != status.held.keys():
             self._signal()
@@ -219,8 +247,10 @@
     def _begin_move(self, spec: EngineSpec, status: EngineStatus, now: int) -> None:
         if now - self._planned_ms < PLAN_MS:
             return
-        # Without demand, what is loaded may be dropped for what nobody asks for.
-        if status.held and now - self._started_ms < FIRST_DEMAND_MS:
+        # Without demand, models that nobody asks for would be loaded first.
+        if now - self._started_ms < FIRST_DEMAND_MS and (
+            status.held or not self._demand.is_known
+        ):
             return
         self._planned_ms = now
         demand = self._demand.demand()
@@ -229,7 +259,7 @@
         uses.append(self.use)
         pressure = sum(uses) / len(uses)
         for move in plan_moves(spec, views, demand, pressure, self.capacity):
-            if move.engine != self._view_id:
+            if move.engine != self.address:
                 continue
             if self._load_delay_ms(spec, status, move.model) > 0:
                 return
@@ -338,8 +368,11 @@
         if from_store:
             self._loads.note_load()
         sequence = self._sequence
-        result = await self._control.order(
-            EngineOrder(kind, model, adapter, self.epoch, sequence, self.server_id)
+        # An identity that is not known is left out: the number of orders before this
+        # one, and a new start's empty memory, keep a late one harmless.
+        server_id = self.server_id
+        result, told_id = await self._control.order(
+            EngineOrder(kind, model, adapter, self.epoch, sequence, server_id)
         )
         logger.info(
             "order given",
@@ -359,18 +392,19 @@
                     self._quiet_until_ms = self._timers.now_ms() + STATUS_MS
             case OrderResult.UNANSWERED:
                 self._quiet_until_ms = self._timers.now_ms() + ORDER_SETTLE_MS
+            case OrderResult.WRONG_START:
+                self._told_id = told_id
+                self._quiet_until_ms = self._timers.now_ms() + STATUS_MS
+            case OrderResult.REFUSED:
+                self._quiet_until_ms = self._timers.now_ms() + REFUSED_MS
         return result
 
-    @property
-    def _view_id(self) -> str:
-        return self.server_id or "own"
-
     def _views(self, status: EngineStatus) -> list[EngineView]:
         """Return all engines of the pool, by the newest word on each."""
         peers = self._demand.peers()
         views = [_peer_view(server, peers) for server in self._others]
         own = EngineView(
-            self._view_id, frozenset(status.held), status.in_host, status.on_disk
+            self.address, frozenset(status.held), status.in_host, status.on_disk
         )
         return [*views, own]
 
@@ -396,6 +430,8 @@
         return self._loads.delay_ms(spec.loads_per_s, len(self._others) + 1)
 
     def _signal(self) -> None:
+        if self.on_change is not None:
+            self.on_change()
         self._changed.set()
         self._changed = asyncio.Event()
 
@@ -412,12 +448,12 @@
 
 
 def _peer_view(server: ServerRecord, peers: Mapping[str, PeerEngine]) -> EngineView:
-    peer = peers.get(server.id)
+    peer = peers.get(server.address)
     if peer is None:
         held = frozenset(model.name for model in server.models)
-        return EngineView(server.id, held, server.in_host, server.on_disk)
+        return EngineView(server.address, held, server.in_host, server.on_disk)
     return EngineView(
-        server.id,
+        server.address,
         peer.held | peer.loading,
         server.in_host,
         server.on_disk,
--- a/src/copperrun/platform/daemon.py
+++ b/src/copperrun/platform/daemon.py
@@ -122,6 +122,10 @@
         for runner in self._sites:
             await runner.cleanup()
 
+    def side_address(self, server: ServerRecord) -> str:
+        """A side runs on its engine's machine; ports are alike on all machines."""
+        return f"{server.address.rpartition(':')[0]}:{self.cfg.internal_port}"
+
     async def guard(self, work: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
         """Run ``work`` until the process is told to leave; a failure is raised."""
         loop = asyncio.get_running_loop()
@@ -149,7 +153,7 @@
                 cfg.place,
                 view,
                 HttpRunners(session),
-                HttpEngines(client, self._side_address, self.timers),
+                HttpEngines(client, self.side_address, self.timers),
                 cfg.retries,
                 self.timers,
                 self.metrics,
@@ -214,10 +218,6 @@
     def _max_body_bytes(self) -> int:
         return self._limits().body_bytes
 
-    def _side_address(self, server: ServerRecord) -> str:
-        """A side runs on its engine's machine; ports are alike on all machines."""
-        return f"{server.address.rpartition(':')[0]}:{self.cfg.internal_port}"
-
 
 class SideRole(_Base):
     """A side: orders of the engine beside it."""
@@ -245,6 +245,7 @@
                 feed,
                 STATUS_TOPIC,
                 steward,
+                HttpEngines(client, self.side_address, self.timers),
                 self.timers,
             )
             app = self.internal_app(view)
--- a/src/copperrun/platform/dialect.py
+++ b/src/copperrun/platform/dialect.py
@@ -12,6 +12,7 @@
 TOKENS = "Token-Usage"  # prompt tokens and the most output tokens, by a comma
 LAST_EVENT_ID = "Last-Event-Id"
 EXPECTED_SERVER = "Expect-Instance"
+SERVER_ID = "Instance-Id"  # in a runner's refusal: who it is
 PRIORITY = "Request-Priority"
 NOT_RUN = "Not-Executed"
 PROOF = "Response-Signature"
--- a/src/copperrun/platform/engine.py
+++ b/src/copperrun/platform/engine.py
@@ -10,11 +10,13 @@
 from copperrun.adapters.client import HttpFailure
 from copperrun.adapters.client import HttpFailureReason
 from copperrun.placement.adapters import AdapterKey
+from copperrun.platform import dialect
 from copperrun.platform.records import at_hand
 from copperrun.platform.records import held_models
 from copperrun.ports.engine_control import EngineOrder
 from copperrun.ports.engine_control import EngineStatus
 from copperrun.ports.engine_control import OrderKind
+from copperrun.ports.engine_control import OrderReply
 from copperrun.ports.engine_control import OrderResult
 
 REPORT_TIMEOUT_MS = 500
@@ -25,6 +27,7 @@
     200: OrderResult.HOLDS,
     202: OrderResult.ACCEPTED,
     409: OrderResult.CONFLICT,
+    421: OrderResult.WRONG_START,
 }
 
 
@@ -49,7 +52,7 @@
             logger.warning("engine report skipped", detail=repr(exc))
             return None
 
-    async def order(self, order: EngineOrder) -> OrderResult:
+    async def order(self, order: EngineOrder) -> OrderReply:
         """Give an order."""
         fields: dict[str, Any] = {
             "operation": "load" if order.kind is OrderKind.LOAD else "unload",
@@ -63,7 +66,7 @@
             fields["adapter"] = order.adapter
         headers = {"Content-Type": _JSON}
         if order.server_id:
-            headers["Expect-Instance"] = order.server_id
+            headers[dialect.EXPECTED_SERVER] = order.server_id
         reply = await self._client.call_json(
             "POST",
             f"{self._url}/order",
@@ -73,9 +76,10 @@
         )
         if isinstance(reply, HttpFailure):
             if reply.reason is HttpFailureReason.NOT_SENT:
-                return OrderResult.REFUSED
-            return OrderResult.UNANSWERED
-        return _RESULTS.get(reply.status, OrderResult.REFUSED)
+                return OrderReply(OrderResult.REFUSED)
+            return OrderReply(OrderResult.UNANSWERED)
+        result = _RESULTS.get(reply.status, OrderResult.REFUSED)
+        return OrderReply(result, reply.headers.get(dialect.SERVER_ID, ""))
 
 
 def _status(fields: Any) -> EngineStatus:
--- a/src/copperrun/ports/engine_control.py
+++ b/src/copperrun/ports/engine_control.py
@@ -68,6 +68,7 @@
 
     Attributes:
         ACCEPTED: It is being carried out.
+        WRONG_START: It was meant for another start of the engine; nothing was done.
         HOLDS: What it asks for holds already.
         CONFLICT: Another order is under way or came before; nothing was done.
         REFUSED: The engine will not do it; nothing was done.
@@ -76,17 +77,30 @@
     """
 
     ACCEPTED = "accepted"
+    WRONG_START = "wrong_start"
     HOLDS = "holds"
     CONFLICT = "conflict"
     REFUSED = "refused"
     UNANSWERED = "unanswered"
 
 
+class OrderReply(NamedTuple):
+    """Answer to an order.
+
+    Attributes:
+        result: What became of it.
+        server_id: Identity of the engine's present start; empty when not told.
+    """
+
+    result: OrderResult
+    server_id: str = ""
+
+
 class EngineControl(Protocol):
     """One engine."""
 
     async def status(self) -> EngineStatus | None:
         """Return the engine's status, or None when it cannot be read."""
 
-    async def order(self, order: EngineOrder) -> OrderResult:
+    async def order(self, order: EngineOrder) -> OrderReply:
         """Give an order."""
--- a/src/copperrun/ports/engines.py
+++ b/src/copperrun/ports/engines.py
@@ -32,7 +32,7 @@
         entry: Name of the entry.
         arrivals: Requests since the previous report, served or not.
         waiting: Requests that wait now because no server holds the model.
-        engines: The pool's engines by id, as their sides told this entry.
+        engines: The pool's engines by address, as their sides told this entry.
     """
 
     entry: str
@@ -104,3 +104,6 @@
 
     def note_ended(self, server: ServerRecord, request: str) -> None:
         """Tell the side, soon, that an admitted request has ended."""
+
+    def tell_peer(self, server: ServerRecord, address: str, engine: PeerEngine) -> None:
+        """Tell the side of another engine what the one at ``address`` holds."""
--- a/src/copperrun/routing/fleet.py
+++ b/src/copperrun/routing/fleet.py
@@ -64,6 +64,7 @@
         entries: Entries that the side hears from; 0 when not known.
         backlog_ms: Time that the engine takes to read the prompts that wait for it.
         use: Share of the time in which the engine reads prompts.
+        server_id: Identity of that start; empty when the side does not know it.
     """
 
     born_ms: int
@@ -74,6 +75,7 @@
     entries: int = 0
     backlog_ms: int = 0
     use: float = 0.0
+    server_id: str = ""
 
 
 class Server:
@@ -95,6 +97,14 @@
         self._failures_ms = 0
         self._avoid_until_ms = 0
         self._born_by_side = 0
+        self._id_by_side = ""
+
+    @property
+    def target(self) -> ServerRecord:
+        """The record to send requests by: that of the newest start known."""
+        if self._id_by_side and self._born_by_side > self.record.born_ms:
+            return self.record._replace(id=self._id_by_side)
+        return self.record
 
     @property
     def failure_share(self) -> float:
@@ -159,6 +169,7 @@
         if report.born_ms < self.record.born_ms:
             return
         self._born_by_side = report.born_ms
+        self._id_by_side = report.server_id
         self.held = report.held
         self.loading = report.loading
         self.reported = report.running + report.queued
--- a/src/copperrun/routing/relay.py
+++ b/src/copperrun/routing/relay.py
@@ -279,6 +279,7 @@
                     waited_ms=self._timers.now_ms() - began_ms,
                     remaining_ms=work.first_event_by_ms - self._timers.now_ms(),
                     sides_known=self._sides_known(work),
+                    target_ms=work.route.target_ms,
                 )
                 match decision:
                     case TurnAway(retry_after_ms):
@@ -429,7 +430,7 @@
         try:
             async with self._timers.timeout_ms(self._head_limit_ms(work, progress)):
                 answer = await self._runners.open(
-                    server.record,
+                    server.target,
                     work.call,
                     remaining_ms=self._remaining_ms(work),
                     priority=work.route.priority,
--- a/src/copperrun/side/stewardship.py
+++ b/src/copperrun/side/stewardship.py
@@ -10,6 +10,7 @@
 from copperrun.membership.lifecycle import State
 from copperrun.membership.view import PlatformView
 from copperrun.placement.steward import Steward
+from copperrun.ports.engines import Engines
 from copperrun.ports.feed import Feed
 from copperrun.ports.feed import FeedError
 from copperrun.ports.timers import Timers
@@ -31,6 +32,7 @@
         feed: Feed,
         claims_topic: str,
         steward: Steward,
+        engines: Engines,
         timers: Timers,
     ) -> None:
         self.lifecycle = Lifecycle(instance)
@@ -41,10 +43,12 @@
         self._feed = feed
         self._claims_topic = claims_topic
         self._steward = steward
+        self._engines = engines
         self._timers = timers
 
     async def run(self) -> None:
         """Work until cancelled."""
+        self._steward.on_change = self._tell_peers
         self._view.subscribe(self._take_servers)
         async with asyncio.TaskGroup() as tasks:
             tasks.create_task(self._view.run())
@@ -54,6 +58,14 @@
             if self.lifecycle.state is State.STARTING:
                 self.lifecycle.serve()
 
+    def _tell_peers(self) -> None:
+        """Tell the other sides at once, so that two do not drop the same model."""
+        engine = self._steward.as_peer()
+        if engine is None:
+            return
+        for server in self._steward.others():
+            self._engines.tell_peer(server, self._engine_address, engine)
+
     async def _claim(self) -> None:
         """Append a claim; its offset is the epoch of this side's orders.
 
@@ -79,13 +91,11 @@
         self._steward.spec = (
             catalog.pools[pool].engine if pool in catalog.pools else None
         )
-        # The newest start counts while an earlier record has not lapsed yet.
-        newest = max(own, key=lambda item: item.born_ms, default=None)
-        self._steward.take_servers(
-            newest.id if newest is not None else "",
-            [
-                item
-                for item in servers
-                if item.pool == pool and (item not in own or item is newest)
-            ],
-        )
+        # Earlier starts of engines may be listed until their entries lapse.
+        newest: dict[str, ServerRecord] = {}
+        for item in servers:
+            known = newest.get(item.address)
+            if item.pool == pool and (known is None or known.born_ms < item.born_ms):
+                newest[item.address] = item
+        listed = newest.pop(self._engine_address, None)
+        self._steward.take_servers(self._engine_address, listed, list(newest.values()))
--- a/testing/test_decisions.py
+++ b/testing/test_decisions.py
@@ -31,24 +31,40 @@
 
 def test_a_load_in_time_is_waited_for():
     decision = decide_wait(
-        expected_ms=1_000, waited_ms=0, remaining_ms=4_000, sides_known=True
+        expected_ms=1_000,
+        waited_ms=0,
+        remaining_ms=4_000,
+        target_ms=1_000,
+        sides_known=True,
     )
     assert_that(decision, IsInstance(Wait))
 
 
 def test_a_load_that_comes_too_late_is_told_at_once_with_its_time():
     decision = decide_wait(
-        expected_ms=5_400, waited_ms=0, remaining_ms=4_800, sides_known=True
+        expected_ms=5_400,
+        waited_ms=0,
+        remaining_ms=4_800,
+        target_ms=1_000,
+        sides_known=True,
     )
     assert_that(decision, Equals(TurnAway(5_400)))
 
 
 def test_without_an_announced_load_the_wait_is_short():
     first = decide_wait(
-        expected_ms=None, waited_ms=0, remaining_ms=9_000, sides_known=True
+        expected_ms=None,
+        waited_ms=0,
+        remaining_ms=9_000,
+        target_ms=1_000,
+        sides_known=True,
     )
     later = decide_wait(
-        expected_ms=None, waited_ms=ANNOUNCE_MS, remaining_ms=9_000, sides_known=True
+        expected_ms=None,
+        waited_ms=ANNOUNCE_MS,
+        remaining_ms=9_000,
+        target_ms=1_000,
+        sides_known=True,
     )
     assert_that(first, Equals(Wait(ANNOUNCE_MS)))
     assert_that(later, IsInstance(TurnAway))
@@ -58,7 +74,11 @@
     # Case: after a restart of everything requests were refused before any side knew
     # what was asked for.
     decision = decide_wait(
-        expected_ms=None, waited_ms=ANNOUNCE_MS, remaining_ms=9_000, sides_known=False
+        expected_ms=None,
+        waited_ms=ANNOUNCE_MS,
+        remaining_ms=9_000,
+        target_ms=1_000,
+        sides_known=False,
     )
     assert_that(decision, IsInstance(Wait))
 
--- a/testing/test_steward.py
+++ b/testing/test_steward.py
@@ -8,6 +8,7 @@
 
 from network import NullMetrics
 from pool import model
+from pool import server
 from pool import spec
 from testtools.assertions import assert_that
 from testtools.matchers import Contains
@@ -24,8 +25,10 @@
 from copperrun.ports.engine_control import EngineOrder
 from copperrun.ports.engine_control import EngineStatus
 from copperrun.ports.engine_control import OrderKind
+from copperrun.ports.engine_control import OrderReply
 from copperrun.ports.engine_control import OrderResult
 from copperrun.ports.engines import Demand
+from copperrun.ports.engines import PeerEngine
 
 SPEC = spec(model("a"), model("b"), model("c"), memory_mb=68.0, adapters=2)
 BOUND = LoadBound(5_000, 1.1, 3)
@@ -64,18 +67,20 @@
             on_disk=frozenset(),
         )
 
-    async def order(self, order: EngineOrder) -> OrderResult:
+    async def order(self, order: EngineOrder) -> OrderReply:
         self.orders.append(order)
+        if order.server_id not in ("", f"i-{self.born_ms}"):
+            return OrderReply(OrderResult.WRONG_START, f"i-{self.born_ms}")
         await self.timers.sleep_ms(1)
         if self.late_orders:
             self.late_orders -= 1
             self.late.append(order)
-            return OrderResult.UNANSWERED
+            return OrderReply(OrderResult.UNANSWERED)
         result = self.carry_out(order)
         if self.lose_answers:
             self.lose_answers -= 1
-            return OrderResult.UNANSWERED
-        return result
+            return OrderReply(OrderResult.UNANSWERED)
+        return OrderReply(result)
 
     def carry_out(self, order: EngineOrder) -> OrderResult:
         if order.after_sequence != self.sequence:
@@ -121,7 +126,7 @@
         )
         self.steward.spec = SPEC
         self.steward.epoch = 7
-        self.steward.server_id = "i-1"
+        self.steward.take_servers("addr", server("i-1", born_ms=1), [])
         self._task: asyncio.Task[None] | None = None
 
     def ask(self, waiting: int = 0, **arrivals: float) -> None:
@@ -204,6 +209,41 @@
         assert_that(bench.engine.overloads, Equals(0))
 
 
+async def test_an_empty_engine_waits_a_moment_for_the_first_demand():
+    # Case: scale-2 of the terrain office; after all machines had lost power, engines
+    # spent seconds on loading models that nobody asked for.
+    bench = Bench()
+    await bench.advance(400)
+    assert_that(bench.engine.orders, Equals([]))
+    bench.ask(waiting=3, c=3)
+    await bench.advance(400)
+    assert_that(bench.loads()[0], Equals("c"))
+
+
+async def test_what_peers_say_themselves_goes_before_what_entries_pass_on():
+    bench = Bench(a=set(), b=set())
+    fresh = PeerEngine(frozenset("a"), frozenset("c"), 0.5)
+    bench.demand.take_peer("other", fresh)
+    stale = {"other": PeerEngine(frozenset("ab"), frozenset(), 0.5)}
+    bench.demand.take(Demand("entry", {}, {}, stale))
+    assert_that(bench.demand.peers()["other"], Equals(fresh))
+
+
+async def test_other_sides_hear_of_a_move_when_it_begins():
+    # Case: scale-2 of the terrain office; two sides dropped the last two copies of a
+    # busy model within 0.1 s of one another.
+    bench = Bench(a=set(), b=set())
+    told: list[PeerEngine | None] = []
+    bench.steward.on_change = lambda: told.append(bench.steward.as_peer())
+    await bench.advance(2_000)
+    bench.ask(a=10)
+    bench.ask(waiting=5, c=5)
+    await bench.advance(310)
+    last = told[-1]
+    assert last is not None
+    assert_that((last.held, last.loading), Equals((frozenset("a"), frozenset("c"))))
+
+
 async def test_a_restarted_engine_is_filled_again():
     bench = Bench(a=set(), b=set())
     await bench.advance(2_000)
@@ -215,6 +255,35 @@
     assert_that(bench.engine.overloads, Equals(0))
 
 
+async def test_an_engine_that_the_registry_lists_by_an_earlier_start_is_ordered():
+    # Case: scale-2 of the terrain office; after all machines had lost power, orders
+    # named the starts before, and engines stayed empty until the registry caught up.
+    bench = Bench()
+    bench.engine.born_ms = 2
+    bench.steward.take_servers("addr", server("i-1", born_ms=1), [])
+    bench.ask(waiting=5, c=5)
+    await bench.advance(900)
+    assert_that(set(bench.engine.held), Contains("c"))
+    report = bench.steward.report()
+    assert report is not None
+    assert_that(report.server_id in ("i-2", ""), Equals(True))
+
+
+async def test_a_refused_order_is_not_repeated_at_once():
+    bench = Bench()
+
+    async def refuse(order: EngineOrder) -> OrderReply:
+        bench.engine.orders.append(order)
+        return OrderReply(OrderResult.REFUSED)
+
+    bench.engine.order = refuse
+    for _ in range(20):
+        bench.ask(waiting=5, c=5)
+        await bench.advance(50)
+        await bench.steward.step()
+    assert_that(len(bench.engine.orders) <= 3, Equals(True))
+
+
 async def test_orders_name_the_start_that_they_are_meant_for():
     bench = Bench()
     bench.ask(waiting=5, c=5)
