--- a/src/copperrun/admission/prefill.py
+++ b/src/copperrun/admission/prefill.py
@@ -146,18 +146,18 @@
         return int(self._unread_ms + waiting_ms)
 
     def expected_wait_ms(self, ticket: Ticket, now_ms: int) -> int:
-        """Return when the first event of a new request can be expected."""
+        """Return when the first event of a request can be expected."""
         key = _order(ticket, now_ms)
         ahead_ms = sum(
             self._reading_ms(other)
             for other in self._waiting.values()
-            if _order(other, now_ms) <= key
+            if other.id != ticket.id and _order(other, now_ms) <= key
         )
         own_ms = self.speed(ticket.model).delay_ms + self._reading_ms(ticket)
         return int(self._unread_ms + ahead_ms + own_ms)
 
     def can_serve(self, ticket: Ticket, now_ms: int) -> bool:
-        """Return whether a new request can get its first event before its deadline."""
+        """Return whether a request can get its first event before its deadline."""
         wait_ms = self.expected_wait_ms(ticket, now_ms) * SAFETY
         return now_ms + wait_ms < ticket.deadline_ms
 
--- a/src/copperrun/routing/relay.py
+++ b/src/copperrun/routing/relay.py
@@ -272,6 +272,7 @@
         if holder is not None:
             return holder
         began_ms = self._timers.now_ms()
+        progress.detail = "waits for the model"
         with self._demand.waiting(work.pool.name, model):
             while True:
                 decision = decide_wait(
@@ -343,6 +344,8 @@
             remaining_ms=work.first_event_by_ms - now,
         )
         server.begin()
+        progress.admission = "waiting"
+        progress.detail = f"waits to be admitted at {server.record.id}"
         try:
             admission = await self._admit(work, server, entrance)
         finally:
@@ -419,7 +422,7 @@
             return end
         finally:
             server.end()
-            if progress.admission:
+            if progress.admission == Granted.__name__:
                 self._engines.note_ended(server.record, work.call.id)
             if end is not End.NOT_RUN:
                 progress.may_have_run = True
--- a/src/copperrun/side/door.py
+++ b/src/copperrun/side/door.py
@@ -39,6 +39,7 @@
         self._spec: EngineSpec | None = None
         self._numbers = 0
         self._tickets: dict[str, str] = {}
+        self._prepared: set[str] = set()
 
     async def admit(self, entrance: Entrance) -> Admission:
         """Wait for the request's adapter, then for its turn."""
@@ -49,7 +50,7 @@
         ticket = self._ticket(entrance, began_ms)
         if not self._queue.can_serve(ticket, began_ms):
             return Overloaded(self._queue.backlog_ms())
-        admission: Admission = NotHeld()
+        admission: Admission | None = None
         try:
             admission = await self._let_in(entrance, ticket)
         finally:
@@ -57,7 +58,8 @@
                 self._queue.withdraw(ticket.id)
                 self._steward.end_use(ticket.id)
                 self._grant()
-        self._log(entrance, admission, self._timers.now_ms() - began_ms)
+            self._log(entrance, ticket, admission, self._timers.now_ms() - began_ms)
+            self._prepared.discard(ticket.id)
         return admission
 
     def note_progress(self, started: Iterable[str], ended: Iterable[str]) -> None:
@@ -80,6 +82,7 @@
         )
         if not ready:
             return NotHeld()
+        self._prepared.add(ticket.id)
         if not await self._wait_turn(ticket):
             return Overloaded(self._queue.backlog_ms())
         if not self._steward.holds(entrance.model):
@@ -87,14 +90,22 @@
         self._tickets[entrance.request] = ticket.id
         return Granted()
 
-    def _log(self, entrance: Entrance, admission: Admission, waited_ms: int) -> None:
+    def _log(
+        self,
+        entrance: Entrance,
+        ticket: Ticket,
+        admission: Admission | None,
+        waited_ms: int,
+    ) -> None:
+        """Log the outcome; a request without one left while it waited."""
         speed = self._queue.speed(entrance.model)
         logger.info(
             "request admitted" if isinstance(admission, Granted) else "not admitted",
             request=entrance.request,
             model=entrance.model,
             adapter=entrance.adapter,
-            outcome=type(admission).__name__,
+            outcome=type(admission).__name__ if admission else "left",
+            had_adapter=ticket.id in self._prepared,
             waited_ms=waited_ms,
             remaining_ms=entrance.remaining_ms - waited_ms,
             tokens=entrance.tokens,
@@ -141,7 +152,7 @@
         }
 
     async def _wait_turn(self, ticket: Ticket) -> bool:
-        """Return whether the turn came before the deadline."""
+        """Return whether the turn came; False once it would come too late."""
         admitted = asyncio.get_running_loop().create_future()
         self._waiters[ticket.id] = _Waiter(ticket, admitted)
         self._queue.offer(ticket)
@@ -150,7 +161,8 @@
         try:
             while not admitted.done():
                 now = self._timers.now_ms()
-                if now >= ticket.deadline_ms:
+                # More urgent requests may have come since it was let wait.
+                if not self._queue.can_serve(ticket, now):
                     return False
                 limit_ms = min(self._queue.next_grant_ms(now), ticket.deadline_ms - now)
                 try:
--- /dev/null
+++ b/testing/test_door.py
@@ -0,0 +1,134 @@
+"""Admission to one engine: waits, refusals and what is given back."""
+
+from __future__ import annotations
+
+import asyncio
+
+from network import NullMetrics
+from pool import model
+from pool import server
+from pool import spec
+from test_steward import BOUND
+from test_steward import Engine
+from testtools.assertions import assert_that
+from testtools.matchers import Equals
+from testtools.matchers import IsInstance
+from testtools.matchers import LessThan
+
+from copperrun.embedded.clock import ManualTimers
+from copperrun.placement.demand import DemandView
+from copperrun.placement.loads import LoadShare
+from copperrun.placement.steward import Steward
+from copperrun.ports.engines import Entrance
+from copperrun.ports.engines import Granted
+from copperrun.ports.engines import NotHeld
+from copperrun.ports.engines import Overloaded
+from copperrun.side.door import EngineDoor
+
+
+def entrance(name: str, **changes: object) -> Entrance:
+    plain = Entrance(
+        name,
+        "a",
+        "",
+        priority=1,
+        tokens=1_500,
+        gap_ms=300,
+        target_ms=1_000,
+        remaining_ms=4_000,
+    )
+    return plain._replace(**changes)
+
+
+class Bench:
+    def __init__(self) -> None:
+        self.timers = ManualTimers()
+        self.engine = Engine(self.timers, {"a": set()})
+        self.steward = Steward(
+            self.engine,
+            DemandView(self.timers),
+            LoadShare(BOUND, self.timers),
+            self.timers,
+            NullMetrics(),
+        )
+        self.steward.spec = spec(model("a"), adapters=2)
+        self.steward.epoch = 1
+        self.steward.take_servers("addr", server("i-1", born_ms=1), [])
+        self.door = EngineDoor(self.steward, self.timers)
+
+    async def start(self) -> None:
+        self._task = asyncio.create_task(self.steward.run())
+        await self.timers.advance(1)
+
+    def admit(self, wanted: Entrance) -> asyncio.Task:
+        return asyncio.create_task(self.door.admit(wanted))
+
+    async def read_all(self, until_ms: int, *, each_ms: int) -> None:
+        """Let the engine read one admitted prompt every ``each_ms``."""
+        while self.timers.now_ms() < until_ms:
+            await self.timers.advance(each_ms)
+            admitted = list(self.door._tickets)
+            if admitted:
+                self.door.note_progress([admitted[0]], [admitted[0]])
+
+
+async def test_a_request_enters_an_idle_engine_at_once():
+    bench = Bench()
+    await bench.start()
+    admitted = bench.admit(entrance("r"))
+    await bench.timers.advance(5)
+    assert_that(admitted.result(), IsInstance(Granted))
+
+
+async def test_a_model_that_is_not_held_is_told_at_once():
+    bench = Bench()
+    await bench.start()
+    admitted = bench.admit(entrance("r", model="b"))
+    await bench.timers.advance(1)
+    assert_that(admitted.result(), IsInstance(NotHeld))
+
+
+async def test_one_that_urgent_requests_push_back_is_refused_before_its_time_is_over():
+    # Case: scale-1 of the joint venture; hundreds of requests waited behind more
+    # urgent ones that came later, until their callers left.
+    bench = Bench()
+    await bench.start()
+    first = [bench.admit(entrance(f"u{n}", priority=0)) for n in range(5)]
+    pushed = bench.admit(entrance("pushed", priority=2))
+    ended_ms: list[int] = []
+    pushed.add_done_callback(lambda _: ended_ms.append(bench.timers.now_ms()))
+    await bench.timers.advance(200)
+    late = [bench.admit(entrance(f"v{n}", priority=0)) for n in range(60)]
+    await bench.read_all(3_900, each_ms=100)
+    result = pushed.result()
+    assert isinstance(result, Overloaded)
+    assert_that(ended_ms[0], LessThan(3_000))
+    assert_that(result.retry_after_ms > 0, Equals(True))
+    for task in (*first, *late):
+        task.cancel()
+
+
+async def test_a_caller_that_leaves_gives_its_place_back():
+    bench = Bench()
+    await bench.start()
+    running = bench.admit(entrance("big", tokens=50_000, remaining_ms=60_000))
+    await bench.timers.advance(5)
+    assert running.done()
+    waiting = bench.admit(entrance("gone", remaining_ms=60_000))
+    await bench.timers.advance(5)
+    waiting.cancel()
+    await bench.timers.advance(5)
+    report = bench.door.report()
+    assert report is not None
+    assert_that(report.queued, Equals(0))
+
+
+async def test_an_adapter_is_free_again_after_the_end_of_its_request():
+    bench = Bench()
+    await bench.start()
+    for name in ("a1", "a2", "a3", "a4"):
+        admitted = bench.admit(entrance(name, adapter=name))
+        await bench.timers.advance(200)
+        assert_that(admitted.result(), IsInstance(Granted))
+        bench.door.note_progress([name], [name])
+    assert_that(bench.engine.overloads, Equals(0))
