--- a/src/copperrun/ctl/main.py
+++ b/src/copperrun/ctl/main.py
@@ -13,6 +13,7 @@
 from copperrun.adapters.logs import configure_logs
 from copperrun.adapters.timers import SystemTimers
 from copperrun.ctl import commands
+from copperrun.ctl import stories
 from copperrun.ctl.errors import ToolError
 from copperrun.ctl.errors import ToolErrorReason
 from copperrun.ctl.output import Output
@@ -52,6 +53,7 @@
     subparsers = parser.add_subparsers(dest="command", required=True)
     _add_configuration_commands(subparsers)
     _add_instance_commands(subparsers)
+    _add_log_commands(subparsers)
     namespace: argparse.Namespace = parser.parse_args(argv[1:])
     return namespace
 
@@ -92,6 +94,15 @@
     create.set_defaults(run=commands.create_token)
 
 
+def _add_log_commands(subparsers: argparse._SubParsersAction) -> None:
+    explain = subparsers.add_parser(
+        "explain", help="tell one request's story from JSON logs"
+    )
+    explain.add_argument("request", help="the request's id")
+    explain.add_argument("files", nargs="*", help="log files; standard input if none")
+    explain.set_defaults(run=stories.explain)
+
+
 def _add_publication_flags(parser: argparse.ArgumentParser) -> None:
     parser.add_argument(
         "--dry-run", action="store_true", help="only show the difference"
--- /dev/null
+++ b/src/copperrun/ctl/stories.py
@@ -0,0 +1,176 @@
+"""One request's story from the JSON log lines of all processes."""
+
+from __future__ import annotations
+
+import argparse
+import json
+import sys
+from collections.abc import Iterable
+from collections.abc import Iterator
+from datetime import datetime
+from datetime import timedelta
+from pathlib import Path
+from typing import Any
+from typing import NamedTuple
+
+from copperrun.ctl.errors import ToolError
+from copperrun.ctl.errors import ToolErrorReason
+from copperrun.ctl.output import Output
+
+STANDARD_INPUT = "-"
+# Beliefs that explain a request although their lines do not name it.
+CONTEXT_MESSAGES = frozenset(
+    {
+        "catalog in force",
+        "engine found",
+        "engine lost",
+        "lifecycle",
+        "model retired",
+        "move begun",
+        "move dropped: no room",
+        "server left the registry",
+        "side lost",
+        "side regained",
+        "store lost",
+        "store regained",
+    }
+)
+_OWN_FIELDS = frozenset({"time", "level", "instance", "message", "request"})
+
+
+class LogLine(NamedTuple):
+    """One line of a process's log.
+
+    Attributes:
+        time: ISO 8601 time by that process's clock.
+        instance: Process that wrote it.
+        message: What happened.
+        fields: The other fields.
+        is_about: Whether it names the request; otherwise it is context.
+    """
+
+    time: str
+    instance: str
+    message: str
+    fields: dict[str, Any]
+    is_about: bool
+
+
+async def explain(arguments: argparse.Namespace, output: Output) -> ToolError | None:
+    """Print what all processes logged of a request, with what they believed."""
+    try:
+        story = tell_story(arguments.request, _read_lines(arguments.files))
+    except OSError as exc:
+        return ToolError(ToolErrorReason.USAGE, f"{exc.filename}: {exc.strerror}")
+    if not story:
+        detail = (
+            f"no line names request {arguments.request!r}; give all logs of its time"
+        )
+        return ToolError(ToolErrorReason.FAILED, detail)
+    output.emit([line._asdict() for line in story], [_render(line) for line in story])
+    return None
+
+
+def tell_story(request: str, lines: Iterable[str]) -> list[LogLine]:
+    """Return the request's lines in order, with the context of their time.
+
+    Context is told for the models and servers that the request's lines name, from the
+    first of those lines to the last.
+    """
+    about: list[LogLine] = []
+    context: list[LogLine] = []
+    for text in lines:
+        line = _parse(text, request)
+        if line is None:
+            continue
+        if line.is_about:
+            about.append(line)
+        elif line.message in CONTEXT_MESSAGES:
+            context.append(line)
+    if not about:
+        return []
+    about.sort(key=lambda line: line.time)
+    began, ended = _began(about), about[-1].time
+    names = _names(about)
+    instances = {line.instance for line in about}
+    told = [
+        line
+        for line in context
+        if began <= line.time <= ended
+        and (line.instance in instances or names & _names([line]))
+    ]
+    return sorted([*about, *told], key=lambda line: line.time)
+
+
+def _read_lines(files: list[str]) -> Iterator[str]:
+    for name in files or [STANDARD_INPUT]:
+        if name == STANDARD_INPUT:
+            yield from sys.stdin
+            continue
+        with Path(name).open(encoding="utf-8", errors="replace") as stream:
+            yield from stream
+
+
+def _parse(text: str, request: str) -> LogLine | None:
+    # Collectors put their own words before a line.
+    start = text.find("{")
+    if start < 0:
+        return None
+    try:
+        fields = json.loads(text[start:])
+    except ValueError:
+        return None
+    if not isinstance(fields, dict) or "message" not in fields:
+        return None
+    return LogLine(
+        str(fields.get("time", "")),
+        str(fields.get("instance", "")),
+        str(fields["message"]),
+        {name: value for name, value in fields.items() if name not in _OWN_FIELDS},
+        fields.get("request") == request,
+    )
+
+
+def _began(about: list[LogLine]) -> str:
+    """Return when the request arrived, as far as its lines tell."""
+    return min(
+        _earlier(
+            line.time, line.fields.get("elapsed_ms") or line.fields.get("waited_ms")
+        )
+        for line in about
+    )
+
+
+def _earlier(time: str, by_ms: object) -> str:
+    if not isinstance(by_ms, int):
+        return time
+    try:
+        moment = datetime.fromisoformat(time) - timedelta(milliseconds=by_ms)
+    except ValueError:
+        return time
+    return moment.isoformat(timespec="milliseconds")
+
+
+def _names(lines: Iterable[LogLine]) -> set[str]:
+    """Return the models and servers that lines name."""
+    names: set[str] = set()
+    for line in lines:
+        for field in ("model", "server"):
+            if isinstance(line.fields.get(field), str):
+                names.add(line.fields[field])
+        for field in ("servers", "victims"):
+            values = line.fields.get(field)
+            if isinstance(values, list):
+                names.update(str(value) for value in values)
+    names.discard("")
+    return names
+
+
+def _render(line: LogLine) -> str:
+    fields = " ".join(
+        f"{name}={value}"
+        for name, value in line.fields.items()
+        if value not in ("", None)
+    )
+    mark = "*" if line.is_about else " "
+    return f"{mark} {line.time} {line.instance}: {line.message}  {fields}".rstrip()
--- /dev/null
+++ b/testing/test_stories.py
@@ -0,0 +1,91 @@
+"""One request's story from the logs of all processes."""
+
+from __future__ import annotations
+
+import json
+import subprocess
+from pathlib import Path
+
+from cluster import BIN
+from testtools.assertions import assert_that
+from testtools.matchers import Contains
+from testtools.matchers import Equals
+from testtools.matchers import Not
+
+from copperrun.ctl.stories import tell_story
+
+
+def line(second: int, instance: str, message: str, **fields: object) -> str:
+    at = f"2026-01-01T00:00:{second:02d}.000+00:00"
+    entry = {"time": at, "level": "info", "instance": instance, "message": message}
+    return json.dumps({**entry, **fields})
+
+
+LOGS = [
+    line(1, "side-9", "move begun", model="m", victims=[]),
+    line(11, "side-2", "not admitted", request="r1", model="m", waited_ms=900),
+    line(4, "front-7", "store lost"),
+    line(12, "front-1", "request ended", request="r1", model="m", elapsed_ms=5_000),
+    line(8, "side-3", "move begun", model="m", victims=["n"]),
+    line(9, "side-4", "move begun", model="x", victims=["y"]),
+    line(10, "front-1", "store lost"),
+    line(10, "front-2", "store lost"),
+    line(12, "front-1", "request ended", request="r2", model="m", elapsed_ms=1),
+    "a collector's own line",
+    "{broken",
+    "[1]",
+]
+
+
+def test_lines_of_the_request_come_in_order_with_the_context_of_their_time():
+    story = tell_story("r1", LOGS)
+    told = [(item.instance, item.message) for item in story]
+    assert_that(
+        told,
+        Equals(
+            [
+                ("front-1", "store lost"),
+                ("side-2", "not admitted"),
+                ("front-1", "request ended"),
+            ]
+        ),
+    )
+
+
+def test_context_goes_back_to_the_arrival():
+    logs = [item for item in LOGS if "not admitted" not in item]
+    told = [item.message for item in tell_story("r1", logs)]
+    assert_that(told, Equals(["move begun", "store lost", "request ended"]))
+
+
+def test_a_request_that_no_line_names_has_no_story():
+    assert_that(tell_story("r9", LOGS), Equals([]))
+
+
+def run(*arguments: str, text: str = "") -> subprocess.CompletedProcess[str]:
+    return subprocess.run(
+        [BIN / "copperrunctl", *arguments],
+        input=text,
+        capture_output=True,
+        text=True,
+        check=False,
+    )
+
+
+def test_the_tool_reads_files_and_standard_input(tmp_path: Path) -> None:
+    path = tmp_path / "a.jsonl"
+    path.write_text("\n".join(LOGS))
+    from_file = run("explain", "r1", str(path))
+    from_input = run("explain", "r1", text="\n".join(LOGS))
+    assert_that(from_file.returncode, Equals(0))
+    assert_that(from_file.stdout, Equals(from_input.stdout))
+    assert_that(from_file.stdout, Contains("elapsed_ms=5000"))
+
+
+def test_a_missing_file_and_an_unknown_id_are_told_in_one_line() -> None:
+    missing = run("explain", "r1", "none.jsonl")
+    unknown = run("explain", "r9", text="\n".join(LOGS))
+    assert_that((missing.returncode, unknown.returncode), Equals((2, 1)))
+    for result in (missing, unknown):
+        assert_that(result.stderr.count("\n"), Equals(1))
+        assert_that(result.stderr, Not(Contains("Traceback")))
