--- a/testing/test_stories.py
+++ b/testing/test_stories.py
@@ -44,6 +44,7 @@
         told,
         Equals(
             [
+                ("side-3", "move begun"),
                 ("front-1", "store lost"),
                 ("side-2", "not admitted"),
                 ("front-1", "request ended"),
