Let unused models yield first, and count the drain of used ones

Change: sides tell which models have requests running; those yield last, and the wait counts against the gain and in the announced time.

--- a/idl/copperrun.thrift
+++ b/idl/copperrun.thrift
@@ -91,7 +91,8 @@
 struct PeerEngine {
   1: required set<string> held,
   2: required set<string> loading,
-  3: required double use
+  3: required double use,
+  4: required set<string> active
 }
 
 // What one entry was asked for, by model; the reply is an EngineReport.
@@ -113,7 +114,8 @@
   6: required i32 entries,
   7: required i32 backlog_ms,
   8: required double use,
-  9: required string server_id
+  9: required string server_id,
+  10: required set<string> active
 }
 
 // What a side tells the sides of the pool's other engines.
--- a/src/copperrun/adapters/engines.py
+++ b/src/copperrun/adapters/engines.py
@@ -89,6 +89,7 @@
             reply.backlog_ms,
             reply.use,
             reply.server_id,
+            frozenset(reply.active),
         )
 
     async def admit(
@@ -206,6 +207,7 @@
             backlog_ms=report.backlog_ms,
             use=report.use,
             server_id=report.server_id,
+            active=set(report.active),
         )
         return web.Response(body=wire.encode(reply))
 
@@ -240,12 +242,20 @@
 
 def _encode_peer(peer: PeerEngine) -> ttypes.PeerEngine:
     return ttypes.PeerEngine(
-        held=set(peer.held), loading=set(peer.loading), use=peer.use
+        held=set(peer.held),
+        loading=set(peer.loading),
+        use=peer.use,
+        active=set(peer.active),
     )
 
 
 def _decode_peer(peer: ttypes.PeerEngine) -> PeerEngine:
-    return PeerEngine(frozenset(peer.held), frozenset(peer.loading), peer.use)
+    return PeerEngine(
+        frozenset(peer.held),
+        frozenset(peer.loading),
+        peer.use,
+        frozenset(peer.active),
+    )
 
 
 class HttpViews:
--- a/src/copperrun/entry/front.py
+++ b/src/copperrun/entry/front.py
@@ -220,7 +220,10 @@
     def _peers_of(self, server: Server) -> dict[str, PeerEngine]:
         return {
             other.record.address: PeerEngine(
-                frozenset(other.held), frozenset(other.loading), other.use
+                frozenset(other.held),
+                frozenset(other.loading),
+                other.use,
+                other.active,
             )
             for other in self.fleet.members(server.record.pool)
             if other is not server and other.has_report
--- a/src/copperrun/gen/ttypes.py
+++ b/src/copperrun/gen/ttypes.py
@@ -1122,14 +1122,16 @@
      - held
      - loading
      - use
+     - active
 
     """
 
 
-    def __init__(self, held=None, loading=None, use=None,):
+    def __init__(self, held=None, loading=None, use=None, active=None,):
         self.held = held
         self.loading = loading
         self.use = use
+        self.active = active
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1165,6 +1167,16 @@
                     self.use = iprot.readDouble()
                 else:
                     iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.SET:
+                    self.active = set()
+                    (_etype22, _size19) = iprot.readSetBegin()
+                    for _i23 in range(_size19):
+                        _elem24 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.active.add(_elem24)
+                    iprot.readSetEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1178,21 +1190,28 @@
         if self.held is not None:
             oprot.writeFieldBegin('held', TType.SET, 1)
             oprot.writeSetBegin(TType.STRING, len(self.held))
-            for iter19 in self.held:
-                oprot.writeString(iter19.encode('utf-8') if sys.version_info[0] == 2 else iter19)
+            for iter25 in self.held:
+                oprot.writeString(iter25.encode('utf-8') if sys.version_info[0] == 2 else iter25)
             oprot.writeSetEnd()
             oprot.writeFieldEnd()
         if self.loading is not None:
             oprot.writeFieldBegin('loading', TType.SET, 2)
             oprot.writeSetBegin(TType.STRING, len(self.loading))
-            for iter20 in self.loading:
-                oprot.writeString(iter20.encode('utf-8') if sys.version_info[0] == 2 else iter20)
+            for iter26 in self.loading:
+                oprot.writeString(iter26.encode('utf-8') if sys.version_info[0] == 2 else iter26)
             oprot.writeSetEnd()
             oprot.writeFieldEnd()
         if self.use is not None:
             oprot.writeFieldBegin('use', TType.DOUBLE, 3)
             oprot.writeDouble(self.use)
             oprot.writeFieldEnd()
+        if self.active is not None:
+            oprot.writeFieldBegin('active', TType.SET, 4)
+            oprot.writeSetBegin(TType.STRING, len(self.active))
+            for iter27 in self.active:
+                oprot.writeString(iter27.encode('utf-8') if sys.version_info[0] == 2 else iter27)
+            oprot.writeSetEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1203,6 +1222,8 @@
             raise TProtocolException(message='Required field loading is unset!')
         if self.use is None:
             raise TProtocolException(message='Required field use is unset!')
+        if self.active is None:
+            raise TProtocolException(message='Required field active is unset!')
         return
 
     def __repr__(self):
@@ -1253,34 +1274,34 @@
             elif fid == 2:
                 if ftype == TType.MAP:
                     self.arrivals = {}
-                    (_ktype22, _vtype23, _size21) = iprot.readMapBegin()
-                    for _i25 in range(_size21):
-                        _key26 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        _val27 = iprot.readDouble()
-                        self.arrivals[_key26] = _val27
+                    (_ktype29, _vtype30, _size28) = iprot.readMapBegin()
+                    for _i32 in range(_size28):
+                        _key33 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val34 = iprot.readDouble()
+                        self.arrivals[_key33] = _val34
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
                 if ftype == TType.MAP:
                     self.waiting = {}
-                    (_ktype29, _vtype30, _size28) = iprot.readMapBegin()
-                    for _i32 in range(_size28):
-                        _key33 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        _val34 = iprot.readI32()
-                        self.waiting[_key33] = _val34
+                    (_ktype36, _vtype37, _size35) = iprot.readMapBegin()
+                    for _i39 in range(_size35):
+                        _key40 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val41 = iprot.readI32()
+                        self.waiting[_key40] = _val41
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 4:
                 if ftype == TType.MAP:
                     self.engines = {}
-                    (_ktype36, _vtype37, _size35) = iprot.readMapBegin()
-                    for _i39 in range(_size35):
-                        _key40 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        _val41 = PeerEngine()
-                        _val41.read(iprot)
-                        self.engines[_key40] = _val41
+                    (_ktype43, _vtype44, _size42) = iprot.readMapBegin()
+                    for _i46 in range(_size42):
+                        _key47 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val48 = PeerEngine()
+                        _val48.read(iprot)
+                        self.engines[_key47] = _val48
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
@@ -1306,25 +1327,25 @@
         if self.arrivals is not None:
             oprot.writeFieldBegin('arrivals', TType.MAP, 2)
             oprot.writeMapBegin(TType.STRING, TType.DOUBLE, len(self.arrivals))
-            for kiter42, viter43 in self.arrivals.items():
-                oprot.writeString(kiter42.encode('utf-8') if sys.version_info[0] == 2 else kiter42)
-                oprot.writeDouble(viter43)
+            for kiter49, viter50 in self.arrivals.items():
+                oprot.writeString(kiter49.encode('utf-8') if sys.version_info[0] == 2 else kiter49)
+                oprot.writeDouble(viter50)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         if self.waiting is not None:
             oprot.writeFieldBegin('waiting', TType.MAP, 3)
             oprot.writeMapBegin(TType.STRING, TType.I32, len(self.waiting))
-            for kiter44, viter45 in self.waiting.items():
-                oprot.writeString(kiter44.encode('utf-8') if sys.version_info[0] == 2 else kiter44)
-                oprot.writeI32(viter45)
+            for kiter51, viter52 in self.waiting.items():
+                oprot.writeString(kiter51.encode('utf-8') if sys.version_info[0] == 2 else kiter51)
+                oprot.writeI32(viter52)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         if self.engines is not None:
             oprot.writeFieldBegin('engines', TType.MAP, 4)
             oprot.writeMapBegin(TType.STRING, TType.STRUCT, len(self.engines))
-            for kiter46, viter47 in self.engines.items():
-                oprot.writeString(kiter46.encode('utf-8') if sys.version_info[0] == 2 else kiter46)
-                viter47.write(oprot)
+            for kiter53, viter54 in self.engines.items():
+                oprot.writeString(kiter53.encode('utf-8') if sys.version_info[0] == 2 else kiter53)
+                viter54.write(oprot)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         if self.hold_ms is not None:
@@ -1371,11 +1392,12 @@
      - backlog_ms
      - use
      - server_id
+     - active
 
     """
 
 
-    def __init__(self, born_ms=None, held=None, running=None, queued=None, loading=None, entries=None, backlog_ms=None, use=None, server_id=None,):
+    def __init__(self, born_ms=None, held=None, running=None, queued=None, loading=None, entries=None, backlog_ms=None, use=None, server_id=None, active=None,):
         self.born_ms = born_ms
         self.held = held
         self.running = running
@@ -1385,6 +1407,7 @@
         self.backlog_ms = backlog_ms
         self.use = use
         self.server_id = server_id
+        self.active = active
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1403,16 +1426,16 @@
             elif fid == 2:
                 if ftype == TType.MAP:
                     self.held = {}
-                    (_ktype49, _vtype50, _size48) = iprot.readMapBegin()
-                    for _i52 in range(_size48):
-                        _key53 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        _val54 = set()
-                        (_etype58, _size55) = iprot.readSetBegin()
-                        for _i59 in range(_size55):
-                            _elem60 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                            _val54.add(_elem60)
+                    (_ktype56, _vtype57, _size55) = iprot.readMapBegin()
+                    for _i59 in range(_size55):
+                        _key60 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val61 = set()
+                        (_etype65, _size62) = iprot.readSetBegin()
+                        for _i66 in range(_size62):
+                            _elem67 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                            _val61.add(_elem67)
                         iprot.readSetEnd()
-                        self.held[_key53] = _val54
+                        self.held[_key60] = _val61
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
@@ -1429,11 +1452,11 @@
             elif fid == 5:
                 if ftype == TType.MAP:
                     self.loading = {}
-                    (_ktype62, _vtype63, _size61) = iprot.readMapBegin()
-                    for _i65 in range(_size61):
-                        _key66 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        _val67 = iprot.readI32()
-                        self.loading[_key66] = _val67
+                    (_ktype69, _vtype70, _size68) = iprot.readMapBegin()
+                    for _i72 in range(_size68):
+                        _key73 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val74 = iprot.readI32()
+                        self.loading[_key73] = _val74
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
@@ -1457,6 +1480,16 @@
                     self.server_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
+            elif fid == 10:
+                if ftype == TType.SET:
+                    self.active = set()
+                    (_etype78, _size75) = iprot.readSetBegin()
+                    for _i79 in range(_size75):
+                        _elem80 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.active.add(_elem80)
+                    iprot.readSetEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1474,11 +1507,11 @@
         if self.held is not None:
             oprot.writeFieldBegin('held', TType.MAP, 2)
             oprot.writeMapBegin(TType.STRING, TType.SET, len(self.held))
-            for kiter68, viter69 in self.held.items():
-                oprot.writeString(kiter68.encode('utf-8') if sys.version_info[0] == 2 else kiter68)
-                oprot.writeSetBegin(TType.STRING, len(viter69))
-                for iter70 in viter69:
-                    oprot.writeString(iter70.encode('utf-8') if sys.version_info[0] == 2 else iter70)
+            for kiter81, viter82 in self.held.items():
+                oprot.writeString(kiter81.encode('utf-8') if sys.version_info[0] == 2 else kiter81)
+                oprot.writeSetBegin(TType.STRING, len(viter82))
+                for iter83 in viter82:
+                    oprot.writeString(iter83.encode('utf-8') if sys.version_info[0] == 2 else iter83)
                 oprot.writeSetEnd()
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
@@ -1493,9 +1526,9 @@
         if self.loading is not None:
             oprot.writeFieldBegin('loading', TType.MAP, 5)
             oprot.writeMapBegin(TType.STRING, TType.I32, len(self.loading))
-            for kiter71, viter72 in self.loading.items():
-                oprot.writeString(kiter71.encode('utf-8') if sys.version_info[0] == 2 else kiter71)
-                oprot.writeI32(viter72)
+            for kiter84, viter85 in self.loading.items():
+                oprot.writeString(kiter84.encode('utf-8') if sys.version_info[0] == 2 else kiter84)
+                oprot.writeI32(viter85)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         if self.entries is not None:
@@ -1514,6 +1547,13 @@
             oprot.writeFieldBegin('server_id', TType.STRING, 9)
             oprot.writeString(self.server_id.encode('utf-8') if sys.version_info[0] == 2 else self.server_id)
             oprot.writeFieldEnd()
+        if self.active is not None:
+            oprot.writeFieldBegin('active', TType.SET, 10)
+            oprot.writeSetBegin(TType.STRING, len(self.active))
+            for iter86 in self.active:
+                oprot.writeString(iter86.encode('utf-8') if sys.version_info[0] == 2 else iter86)
+            oprot.writeSetEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1536,6 +1576,8 @@
             raise TProtocolException(message='Required field use is unset!')
         if self.server_id is None:
             raise TProtocolException(message='Required field server_id is unset!')
+        if self.active is None:
+            raise TProtocolException(message='Required field active is unset!')
         return
 
     def __repr__(self):
@@ -1870,20 +1912,20 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.started = []
-                    (_etype76, _size73) = iprot.readListBegin()
-                    for _i77 in range(_size73):
-                        _elem78 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.started.append(_elem78)
+                    (_etype90, _size87) = iprot.readListBegin()
+                    for _i91 in range(_size87):
+                        _elem92 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.started.append(_elem92)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.ended = []
-                    (_etype82, _size79) = iprot.readListBegin()
-                    for _i83 in range(_size79):
-                        _elem84 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.ended.append(_elem84)
+                    (_etype96, _size93) = iprot.readListBegin()
+                    for _i97 in range(_size93):
+                        _elem98 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.ended.append(_elem98)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1900,15 +1942,15 @@
         if self.started is not None:
             oprot.writeFieldBegin('started', TType.LIST, 1)
             oprot.writeListBegin(TType.STRING, len(self.started))
-            for iter85 in self.started:
-                oprot.writeString(iter85.encode('utf-8') if sys.version_info[0] == 2 else iter85)
+            for iter99 in self.started:
+                oprot.writeString(iter99.encode('utf-8') if sys.version_info[0] == 2 else iter99)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.ended is not None:
             oprot.writeFieldBegin('ended', TType.LIST, 2)
             oprot.writeListBegin(TType.STRING, len(self.ended))
-            for iter86 in self.ended:
-                oprot.writeString(iter86.encode('utf-8') if sys.version_info[0] == 2 else iter86)
+            for iter100 in self.ended:
+                oprot.writeString(iter100.encode('utf-8') if sys.version_info[0] == 2 else iter100)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1958,11 +2000,11 @@
             if fid == 1:
                 if ftype == TType.MAP:
                     self.items = {}
-                    (_ktype88, _vtype89, _size87) = iprot.readMapBegin()
-                    for _i91 in range(_size87):
-                        _key92 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        _val93 = iprot.readBinary()
-                        self.items[_key92] = _val93
+                    (_ktype102, _vtype103, _size101) = iprot.readMapBegin()
+                    for _i105 in range(_size101):
+                        _key106 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val107 = iprot.readBinary()
+                        self.items[_key106] = _val107
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
@@ -1984,9 +2026,9 @@
         if self.items is not None:
             oprot.writeFieldBegin('items', TType.MAP, 1)
             oprot.writeMapBegin(TType.STRING, TType.STRING, len(self.items))
-            for kiter94, viter95 in self.items.items():
-                oprot.writeString(kiter94.encode('utf-8') if sys.version_info[0] == 2 else kiter94)
-                oprot.writeBinary(viter95)
+            for kiter108, viter109 in self.items.items():
+                oprot.writeString(kiter108.encode('utf-8') if sys.version_info[0] == 2 else kiter108)
+                oprot.writeBinary(viter109)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         if self.end is not None:
@@ -2038,12 +2080,12 @@
             if fid == 1:
                 if ftype == TType.MAP:
                     self.topics = {}
-                    (_ktype97, _vtype98, _size96) = iprot.readMapBegin()
-                    for _i100 in range(_size96):
-                        _key101 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        _val102 = TopicView()
-                        _val102.read(iprot)
-                        self.topics[_key101] = _val102
+                    (_ktype111, _vtype112, _size110) = iprot.readMapBegin()
+                    for _i114 in range(_size110):
+                        _key115 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val116 = TopicView()
+                        _val116.read(iprot)
+                        self.topics[_key115] = _val116
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
@@ -2060,9 +2102,9 @@
         if self.topics is not None:
             oprot.writeFieldBegin('topics', TType.MAP, 1)
             oprot.writeMapBegin(TType.STRING, TType.STRUCT, len(self.topics))
-            for kiter103, viter104 in self.topics.items():
-                oprot.writeString(kiter103.encode('utf-8') if sys.version_info[0] == 2 else kiter103)
-                viter104.write(oprot)
+            for kiter117, viter118 in self.topics.items():
+                oprot.writeString(kiter117.encode('utf-8') if sys.version_info[0] == 2 else kiter117)
+                viter118.write(oprot)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2176,6 +2218,7 @@
     (1, TType.SET, 'held', (TType.STRING, 'UTF8', False), None, ),  # 1
     (2, TType.SET, 'loading', (TType.STRING, 'UTF8', False), None, ),  # 2
     (3, TType.DOUBLE, 'use', None, None, ),  # 3
+    (4, TType.SET, 'active', (TType.STRING, 'UTF8', False), None, ),  # 4
 )
 all_structs.append(Demand)
 Demand.thrift_spec = (
@@ -2198,6 +2241,7 @@
     (7, TType.I32, 'backlog_ms', None, None, ),  # 7
     (8, TType.DOUBLE, 'use', None, None, ),  # 8
     (9, TType.STRING, 'server_id', 'UTF8', None, ),  # 9
+    (10, TType.SET, 'active', (TType.STRING, 'UTF8', False), None, ),  # 10
 )
 all_structs.append(PeerChange)
 PeerChange.thrift_spec = (
--- a/src/copperrun/placement/moves.py
+++ b/src/copperrun/placement/moves.py
@@ -24,7 +24,9 @@
 RELIEF = 0.5  # and off engines that read prompts all the time
 MIN_GAIN = 0.15  # requests per second, below which a move is not worth its price
 PAYBACK_S = 10.0  # time that a move should take to be worth the wait for its load
-DRAIN_S = 1.5  # typical rest of the requests that an unload waits for
+DRAIN_S = 3.0  # typical rest of the requests that an unload waits for
+RETIRE_S = 0.3  # in which entries hear that an unused model takes no more requests
+ACTIVE_LOSS = 0.3  # requests per second, for a victim that has to be waited for
 BALANCE_COST = 0.02  # for an engine that has the pool's mean demand already
 
 
@@ -36,6 +38,7 @@
         held: Models that it holds or is about to hold.
         in_host: Models whose weights are in its host memory.
         on_disk: Models whose weights are on its disk.
+        active: Models that have requests running.
         is_busy: Whether a move is under way there.
     """
 
@@ -43,6 +46,7 @@
     held: frozenset[str]
     in_host: frozenset[str] = frozenset()
     on_disk: frozenset[str] = frozenset()
+    active: frozenset[str] = frozenset()
     is_busy: bool = False
 
 
@@ -158,16 +162,23 @@
     def _move(self, engine_id: str, model: ModelSpec, value: float) -> Move | None:
         held = self._held[engine_id]
         needed_mb = model.size_mb - (self._memory_mb - self._used_mb(held))
+        active = self._views[engine_id].active
+        # Unused ones first: an unload waits for the requests that run.
         losses = sorted(
-            (self._marginal(name, self._copies[name]), name) for name in held
+            (
+                self._marginal(name, self._copies[name])
+                + ACTIVE_LOSS * (name in active),
+                name,
+            )
+            for name in held
         )
         victims: list[str] = []
         lost = 0.0
-        for loss, name in losses:
+        for _, name in losses:
             if needed_mb <= 0:
                 break
             victims.append(name)
-            lost += loss
+            lost += self._marginal(name, self._copies[name])
             needed_mb -= self._size_mb(name)
         if needed_mb > 0:
             return None
@@ -179,7 +190,7 @@
                 lost -= self._marginal(name, self._copies[name])
         delay_s = load_ms(self._views[engine_id], model) / 1000
         if victims:
-            delay_s += DRAIN_S
+            delay_s += DRAIN_S if active.intersection(victims) else RETIRE_S
         # What is not served during the move has to be gained back.
         gain = value * max(1 - delay_s / PAYBACK_S, 0.0) - lost
         gain -= self._balance_cost(engine_id)
--- a/src/copperrun/placement/steward.py
+++ b/src/copperrun/placement/steward.py
@@ -15,6 +15,7 @@
 from copperrun.placement.adapters import AdapterPlaces
 from copperrun.placement.demand import DemandView
 from copperrun.placement.loads import LoadShare
+from copperrun.placement.moves import DRAIN_S
 from copperrun.placement.moves import EngineView
 from copperrun.placement.moves import ModelDemand
 from copperrun.placement.moves import Move
@@ -38,7 +39,7 @@
 ADAPTER_STATUS_MS = 5  # adapters load in 7 to 130 ms
 PLACE_POLL_MS = 30  # while every place is in use or an order is under way
 RETIRE_MS = 200  # in which entries hear that a model takes no more requests
-UNLOAD_MS = 1_500  # typical rest of the requests that an unload waits for
+UNLOAD_MS = int(DRAIN_S * 1000)
 REFUSED_MS = 500  # before an order that was refused is given again
 ORDER_SETTLE_MS = 600  # after which an unanswered order is given again
 FIRST_CAPACITY = 12.0  # requests per second, before any were measured
@@ -66,6 +67,7 @@
         address: Address of the engine, its name among the pool's engines.
         on_change: Called when what is held or about to be loaded changes.
         use: Share of the time in which the engine reads prompts.
+        active: Models that have requests running.
         capacity: Requests per second that the engine could read all the time.
 
     Every order names how many orders the engine must have accepted before it, so
@@ -86,6 +88,7 @@
         self.address = ""
         self.on_change: Callable[[], None] | None = None
         self.use = 0.0
+        self.active: frozenset[str] = frozenset()
         self.capacity = FIRST_CAPACITY
         self._control = control
         self._demand = demand
@@ -157,6 +160,7 @@
             self._announced(),
             use=self.use,
             server_id=self.server_id,
+            active=self.active,
         )
 
     def others(self) -> Sequence[ServerRecord]:
@@ -168,7 +172,9 @@
         report = self.report()
         if report is None:
             return None
-        return PeerEngine(frozenset(report.held), frozenset(report.loading), self.use)
+        return PeerEngine(
+            frozenset(report.held), frozenset(report.loading), self.use, self.active
+        )
 
     async def step(self) -> None:
         """Go on with the move under way, or begin the next one."""
@@ -404,7 +410,11 @@
         peers = self._demand.peers()
         views = [_peer_view(server, peers) for server in self._others]
         own = EngineView(
-            self.address, frozenset(status.held), status.in_host, status.on_disk
+            self.address,
+            frozenset(status.held),
+            status.in_host,
+            status.on_disk,
+            self.active,
         )
         return [*views, own]
 
@@ -421,7 +431,9 @@
             return {model: max(left_ms, STATUS_MS)}
         total_ms = load_ms(own, spec.models[model])
         if job.victims:
-            total_ms += max(job.began_ms + RETIRE_MS + UNLOAD_MS - now, UNLOAD_MS // 2)
+            drain_ms = UNLOAD_MS if self.active.intersection(job.victims) else 0
+            drained_ms = job.began_ms + RETIRE_MS + drain_ms
+            total_ms += max(drained_ms - now, STATUS_MS + drain_ms // 2)
         return {model: total_ms}
 
     def _load_delay_ms(self, spec: EngineSpec, status: EngineStatus, model: str) -> int:
@@ -457,5 +469,6 @@
         peer.held | peer.loading,
         server.in_host,
         server.on_disk,
+        peer.active,
         is_busy=bool(peer.loading),
     )
--- a/src/copperrun/ports/engines.py
+++ b/src/copperrun/ports/engines.py
@@ -18,11 +18,13 @@
         held: Models that new requests may use.
         loading: Models that it is about to load.
         use: Share of the time in which it reads prompts.
+        active: Models that have requests running.
     """
 
     held: frozenset[str]
     loading: frozenset[str]
     use: float
+    active: frozenset[str] = frozenset()
 
 
 class Demand(NamedTuple):
--- a/src/copperrun/routing/fleet.py
+++ b/src/copperrun/routing/fleet.py
@@ -65,6 +65,7 @@
         backlog_ms: Time that the engine takes to read the prompts that wait for it.
         use: Share of the time in which the engine reads prompts.
         server_id: Identity of that start; empty when the side does not know it.
+        active: Models that have requests running.
     """
 
     born_ms: int
@@ -76,6 +77,7 @@
     backlog_ms: int = 0
     use: float = 0.0
     server_id: str = ""
+    active: frozenset[str] = frozenset()
 
 
 class Server:
@@ -90,6 +92,7 @@
         self.reported = 0
         self.backlog_ms = 0
         self.use = 0.0
+        self.active: frozenset[str] = frozenset()
         self._timers = timers
         self._reported_ms = -LOAD_FRESH_MS
         self._sent_since_report = 0
@@ -175,6 +178,7 @@
         self.reported = report.running + report.queued
         self.backlog_ms = report.backlog_ms
         self.use = report.use
+        self.active = report.active
         self._reported_ms = self._timers.now_ms()
         self._sent_since_report = 0
 
--- a/src/copperrun/side/door.py
+++ b/src/copperrun/side/door.py
@@ -11,6 +11,7 @@
 from copperrun.admission.prefill import DEFAULT_RATE
 from copperrun.admission.prefill import PrefillQueue
 from copperrun.admission.prefill import Ticket
+from copperrun.placement.adapters import USE_LIFETIME_MS
 from copperrun.placement.steward import Steward
 from copperrun.ports.engines import Admission
 from copperrun.ports.engines import Entrance
@@ -39,6 +40,7 @@
         self._spec: EngineSpec | None = None
         self._numbers = 0
         self._tickets: dict[str, str] = {}
+        self._models: dict[str, tuple[str, int]] = {}
         self._prepared: set[str] = set()
 
     async def admit(self, entrance: Entrance) -> Admission:
@@ -74,6 +76,8 @@
             if ticket_id is not None:
                 self._queue.withdraw(ticket_id)
                 self._steward.end_use(ticket_id)
+            self._models.pop(request, None)
+        self._note_active()
         self._grant()
 
     async def _let_in(self, entrance: Entrance, ticket: Ticket) -> Admission:
@@ -88,6 +92,8 @@
         if not self._steward.holds(entrance.model):
             return NotHeld()
         self._tickets[entrance.request] = ticket.id
+        self._models[entrance.request] = (entrance.model, self._timers.now_ms())
+        self._note_active()
         return Granted()
 
     def _log(
@@ -116,6 +122,7 @@
 
     def report(self) -> ServerReport | None:
         """Return what entries need to know of the engine."""
+        self._note_active()
         self._steward.use = self._queue.use(self._timers.now_ms())
         self._steward.capacity = 1000 / self._queue.typical_reading_ms
         report = self._steward.report()
@@ -126,6 +133,16 @@
             backlog_ms=self._queue.backlog_ms(),
         )
 
+    def _note_active(self) -> None:
+        """Tell the steward which models have requests that were let in."""
+        oldest = self._timers.now_ms() - USE_LIFETIME_MS
+        self._models = {
+            request: (model, began_ms)
+            for request, (model, began_ms) in self._models.items()
+            if began_ms > oldest
+        }
+        self._steward.active = frozenset(model for model, _ in self._models.values())
+
     def _ticket(self, entrance: Entrance, now: int) -> Ticket:
         # A caller may send two attempts under one id.
         self._numbers += 1
--- a/testing/test_moves.py
+++ b/testing/test_moves.py
@@ -117,6 +117,20 @@
     assert_that(("3", "a"), Equals((moves[0].engine, moves[0].model)))
 
 
+def test_an_unused_victim_goes_before_one_that_has_to_be_waited_for():
+    # Load: time-sharing of many rare models; unloads of models in use took 2 to 10 s.
+    engines = [engine("1", "ab", active=frozenset("a")), engine("2", "cd")]
+    demand = {
+        "a": ModelDemand(0.2, 0.2),
+        "b": ModelDemand(0.3, 0.3),
+        "c": ModelDemand(5.0, 5.0),
+        "d": ModelDemand(5.0, 5.0),
+        "e": ModelDemand(1.0, 1.0, waiting=2),
+    }
+    move = plan_moves(SPEC, engines, demand, 0.2, 12.0)[0]
+    assert_that((move.engine, move.victims), Equals(("1", ("b",))))
+
+
 def test_memory_is_never_planned_beyond_the_engine():
     demand = {name: ModelDemand(3.0, 3.0, waiting=2) for name in NAMES}
     engines = [engine("1", "ab"), engine("2", "c"), engine("3")]
