Add a randomized fault soak of the real programs on the platform's protocol

Entries and sides run as processes on loopback addresses of their own; proxies delay, reset, cut one way or silence the ways to runners and store; processes are killed, paused, ended and restarted; the store is away and the configuration changes, in series and overlapping. Checked from outside: each answer is its own and whole, unsafe requests run at most once and never after a refusal, engines are never overloaded, everything is served again within 12 s, no process logs a traceback.

Found at seed 1: resets of answered connections were reported as unretrieved errors, as the close was watched for every answer; now only for bodies without a length.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN := $(VENV)/bin
 READY := $(VENV)/.ready
 
-.PHONY: demo test format matrix mutants slopes bench acceptance clean
+.PHONY: demo test soak format matrix mutants slopes bench acceptance clean
 
 $(READY): requirements.txt constraints.txt pyproject.toml
 	$(PYTHON) -m venv $(VENV)
@@ -36,6 +36,9 @@
 bench: $(READY)
 	$(BIN)/python benchmarks/latency.py
 
+soak: $(READY)
+	$(BIN)/python testing/soak.py --seed=1 --seeds=50
+
 slopes: $(READY)
 	$(BIN)/python benchmarks/slopes.py
 
--- a/src/copperrun/platform/runners.py
+++ b/src/copperrun/platform/runners.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections.abc import AsyncGenerator
 
 import aiohttp
@@ -32,7 +33,11 @@
         # Tells a close from a reset; it has to be asked for before either.
         connection = response.connection
         protocol = connection.protocol if connection is not None else None
-        self._closed = protocol.closed if protocol is not None else None
+        self._closed = None
+        if not self._is_framed and protocol is not None:
+            self._closed = protocol.closed
+        if self._closed is not None:
+            self._closed.add_done_callback(_take_exception)
         self.head = AnswerHead(
             response.status,
             dialect.end_to_end(response.raw_headers),
@@ -108,6 +113,12 @@
         return RunnerAnswer(response)
 
 
+def _take_exception(closed: asyncio.Future[None]) -> None:
+    """Mark a reset as seen, also when the body had been read before it."""
+    if not closed.cancelled():
+        closed.exception()
+
+
 def _execution(response: aiohttp.ClientResponse) -> Execution:
     if response.status == 421:
         return Execution.WRONG_SERVER
--- /dev/null
+++ b/testing/platform_engine.py
@@ -0,0 +1,137 @@
+"""A runner stand-in that holds models, streams events and remembers what it ran."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from collections import Counter
+from typing import Any
+
+from aiohttp import web
+
+from copperrun.adapters.timers import SystemTimers
+
+EVENTS = 6  # of each stream
+EVENT_MS = 15
+LOAD_MS = 80
+TIMERS = SystemTimers()
+
+
+class EngineRunner:
+    """Serves every path; requests that name a model need it loaded."""
+
+    def __init__(self, server_id: str, models: int = 0) -> None:
+        self.id = server_id
+        self.born = time.time_ns() // 1_000_000
+        self.max_models = models
+        self.held: dict[str, set[str]] = {}
+        self.sequence = 0
+        self.busy = False
+        self.overloads = 0
+        self.runs: Counter[str] = Counter()
+        self.refused: set[str] = set()
+        self.port = 0
+        self._runner: web.AppRunner | None = None
+
+    async def start(self, host: str) -> None:
+        app = web.Application()
+        app.router.add_get("/report", self._report)
+        app.router.add_post("/order", self._order)
+        app.router.add_route("*", "/{path:.*}", self._serve)
+        self._runner = web.AppRunner(
+            app, handler_cancellation=True, access_log=None, shutdown_timeout=0.1
+        )
+        await self._runner.setup()
+        await web.TCPSite(self._runner, host, 0).start()
+        self.port = self._runner.addresses[0][1]
+
+    async def close(self) -> None:
+        if self._runner is not None:
+            await self._runner.cleanup()
+
+    def entry(self, service: str, address: str, zone: str) -> dict[str, Any]:
+        """Return what the runner writes into the registry."""
+        return {
+            "service": service,
+            "address": address,
+            "zone": zone,
+            "slots": 16,
+            "state": "ready",
+            "born": self.born,
+            "sequence": self.sequence,
+            "models": self._models(),
+        }
+
+    def _models(self) -> list[dict[str, Any]]:
+        return [
+            {"name": name, "version": 1, "adapters": sorted(adapters)}
+            for name, adapters in self.held.items()
+        ]
+
+    async def _report(self, request: web.Request) -> web.Response:
+        return web.json_response(
+            {
+                "born": self.born,
+                "models": self._models(),
+                "busy": self.busy,
+                "sequence": self.sequence,
+                "queued": 0,
+                "running": 0,
+            }
+        )
+
+    async def _order(self, request: web.Request) -> web.Response:
+        fields = await request.json()
+        if request.headers.get("Expect-Instance", self.id) != self.id:
+            return web.Response(status=421)
+        if fields.get("precondition", self.sequence) != self.sequence or self.busy:
+            return web.Response(status=409)
+        self.sequence += 1
+        model, load = fields["model"], fields["operation"] == "load"
+        if "adapter" in fields:
+            adapters = self.held.get(model, set())
+            (adapters.add if load else adapters.discard)(fields["adapter"])
+            return web.Response(status=202 if load else 200)
+        self.busy = True
+        self._task = asyncio.create_task(self._carry_out(model, load))
+        return web.Response(status=202)
+
+    async def _carry_out(self, model: str, load: bool) -> None:
+        await TIMERS.sleep_ms(LOAD_MS)
+        if load:
+            self.held[model] = set()
+            self.overloads += len(self.held) > self.max_models
+        else:
+            self.held.pop(model, None)
+        self.busy = False
+
+    async def _serve(self, request: web.Request) -> web.StreamResponse:
+        request_id = request.headers["Request-Id"]
+        headers = {"Request-Id": request_id, "Response-Signature": f"sig.{request_id}"}
+        if request.headers.get("Expect-Instance", self.id) != self.id:
+            return web.Response(status=421, headers={"Instance-Id": self.id})
+        model, _, adapter = request.headers.get("Model", "").partition("/")
+        missing = model and model not in self.held
+        if missing or (adapter and adapter not in self.held[model]):
+            return web.Response(status=421, headers={"Instance-Id": self.id})
+        body = await request.read()
+        self.runs[request_id] += 1
+        if not model:
+            await TIMERS.sleep_ms(EVENT_MS)
+            text = f"{request_id}:{len(body)}"
+            return web.Response(text=text, headers=headers)
+        response = web.StreamResponse(headers=headers)
+        response.content_type = "text/event-stream"
+        response.enable_chunked_encoding()
+        await response.prepare(request)
+        first = int(request.headers.get("Last-Event-Id") or 0) + 1
+        for number in range(first, EVENTS + 1):
+            await TIMERS.sleep_ms(EVENT_MS)
+            await response.write(event(request_id, number))
+        await response.write_eof()
+        return response
+
+
+def event(request_id: str, number: int) -> bytes:
+    """Return one event of a request's stream."""
+    return f"id: {number}\ndata: {request_id}/{number}\n\n".encode()
--- a/testing/platform_standins.py
+++ b/testing/platform_standins.py
@@ -36,7 +36,7 @@
         app.router.add_get("/log-read", self._read)
         app.router.add_get("/log-newest", self._newest)
         app.router.add_post("/log-append", self._append)
-        self._runner = web.AppRunner(app, shutdown_timeout=0.1)
+        self._runner = web.AppRunner(app, access_log=None, shutdown_timeout=0.1)
         await self._runner.setup()
         site = web.TCPSite(self._runner, "127.0.0.1", 0)
         await site.start()
--- /dev/null
+++ b/testing/soak.py
@@ -0,0 +1,412 @@
+"""Randomized soak: real entries and sides, faults from outside, promises checked.
+
+Run ``python testing/soak.py --seed=1 --seeds=50 --seconds=8``. Only processes that the
+soak started are signalled, by their ids.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import signal
+import subprocess
+import sys
+import tempfile
+from pathlib import Path
+from random import Random
+from typing import Any
+
+import aiohttp
+import yaml
+from absl import app
+from absl import flags
+from cluster import free_ports
+from platform_engine import EVENTS
+from platform_engine import EngineRunner
+from platform_engine import event
+from platform_standins import Store
+from soak_proxy import Fault
+from soak_proxy import Proxy
+
+from copperrun.adapters.timers import SystemTimers
+
+_SEED = flags.DEFINE_integer("seed", 1, "First seed.")
+_SEEDS = flags.DEFINE_integer("seeds", 1, "How many seeds to run.")
+_SECONDS = flags.DEFINE_float("seconds", 8.0, "Length of each run with faults.")
+
+TIMERS = SystemTimers()
+ENTRIES, ENGINES, SERVICES, CLIENTS = 2, 2, 2, 6
+MODELS = ("m1", "m2", "m3")
+START_MS = 20_000
+RECOVER_MS = 12_000  # the platform's bound for the time after all machines are back
+GRACE_S = 8
+HOST_PREFIX = "127.0.7."
+
+
+class Machine:
+    """One process of ours on a loopback address of its own."""
+
+    def __init__(self, folder: Path, role: str, host: str, settings: dict) -> None:
+        self.role = role
+        self.host = host
+        self.settings = settings
+        self.process: subprocess.Popen[bytes] | None = None
+        self._path = folder / f"{role}-{host}.yaml"
+        self._log = folder / f"{role}-{host}.log"
+        self._path.write_text(yaml.safe_dump(settings))
+
+    def start(self) -> None:
+        command = [sys.executable, "-m", "copperrun.platform", self.role]
+        env = {**os.environ, "COPPERRUN_BOOT": str(self._path)}
+        with self._log.open("ab") as log:
+            self.process = subprocess.Popen(command, stdout=log, stderr=log, env=env)
+
+    def signal(self, number: signal.Signals) -> None:
+        if self.process is not None and self.process.poll() is None:
+            self.process.send_signal(number)
+
+    async def wait_end(self) -> None:
+        assert self.process is not None
+        await asyncio.to_thread(self.process.wait)
+
+    def tracebacks(self) -> list[str]:
+        return [
+            line for line in self._log.read_text().splitlines() if "Traceback" in line
+        ]
+
+
+class Soak:
+    """One run of one seed."""
+
+    def __init__(self, seed: int, folder: Path) -> None:
+        self.broken: list[str] = []
+        self.outcomes: dict[str, int] = {}
+        self._random = Random(seed)
+        self._folder = folder
+        self._store = Store()
+        self._runners: list[EngineRunner] = []
+        self._proxies: list[Proxy] = []
+        self._machines: list[Machine] = []
+        self._promised: set[str] = set()
+        self._unsafe: set[str] = set()
+        self._count = 0
+        self._stopping = False
+
+    async def run(self, seconds: float) -> list[str]:
+        """Play the run and return the promises that were broken."""
+        try:
+            await self._start()
+            clients = [asyncio.create_task(self._client(n)) for n in range(CLIENTS)]
+            await self._inject(seconds)
+            await self._heal()
+            await self._check_recovery()
+            self._stopping = True
+            await asyncio.gather(*clients)
+            self._check_runs()
+        finally:
+            for machine in self._machines:
+                machine.signal(signal.SIGCONT)
+                machine.signal(signal.SIGKILL)
+                if machine.process is not None:
+                    machine.process.wait()
+            for item in (*self._proxies, *self._runners, self._store):
+                await item.close()
+        for machine in self._machines:
+            if machine.tracebacks():
+                self.broken.append(f"{machine.host}: {machine.tracebacks()[0][:300]}")
+        return self.broken
+
+    async def _start(self) -> None:
+        await self._store.start()
+        store = await self._proxy(("127.0.0.1", int(self._store.address.split(":")[1])))
+        ports = free_ports(4)
+        engines = [f"{HOST_PREFIX}{10 + n}" for n in range(ENGINES)]
+        services = [f"{HOST_PREFIX}{50 + n}" for n in range(SERVICES)]
+        for host in (*engines, *services):
+            is_engine = host in engines
+            runner = EngineRunner(f"i-{host}", models=2 if is_engine else 0)
+            await runner.start(host)
+            proxy = await self._proxy((host, runner.port), host)
+            self._runners.append(runner)
+            pool = "llm" if is_engine else "pay"
+            entry = runner.entry(pool, proxy.address, "z")
+            self._store.put("keyed.servers", runner.id, entry)
+            if is_engine:
+                more = {"app": proxy.address, "service": "llm"}
+                self._add_machine("side", host, store.address, ports, more)
+        self._store.put("keyed.op", "config", _configuration())
+        for number in range(ENTRIES):
+            host = f"{HOST_PREFIX}{100 + number}"
+            self._add_machine("entry", host, store.address, ports, {})
+        for machine in self._machines:
+            machine.start()
+        for machine in self._entries():
+            await self._until_served(machine, START_MS)
+
+    def _add_machine(
+        self, role: str, host: str, store: str, ports: list[int], more: dict
+    ) -> None:
+        front, ready, control, internal = ports
+        listen = {
+            "front": f"{host}:{front}",
+            "ready": f"{host}:{ready}",
+            "control": f"{host}:{control}",
+        }
+        settings = {
+            "node-name": f"{role}-{host}",
+            "zone": "z",
+            "region": "r",
+            "zones": {"z": "r"},
+            "ip": host,
+            "listen": listen if role == "entry" else {},
+            "internal-port-range": [internal, internal + 1],
+            "seeds": [f"{HOST_PREFIX}{100 + n}:{control}" for n in range(ENTRIES)],
+            "platform": {"address": store},
+            "bounds": {
+                "grace-s": GRACE_S,
+                "budget-ratio": 0.2,
+                "budget-slack": 58,
+                "budget-window-s": 10,
+                "ceiling-window-s": 5,
+                "ceiling-overage": 1.1,
+            },
+            **more,
+        }
+        self._machines.append(Machine(self._folder, role, host, settings))
+
+    async def _proxy(self, target: tuple[str, int], host: str = "127.0.0.1") -> Proxy:
+        proxy = Proxy(target)
+        await proxy.start(host)
+        self._proxies.append(proxy)
+        return proxy
+
+    def _entries(self) -> list[Machine]:
+        return [machine for machine in self._machines if machine.role == "entry"]
+
+    async def _inject(self, seconds: float) -> None:
+        """Let faults begin at random, in series and overlapping."""
+        end_ms = TIMERS.now_ms() + int(seconds * 1000)
+        running: set[asyncio.Task[None]] = set()
+        while TIMERS.now_ms() < end_ms:
+            await TIMERS.sleep_ms(self._random.uniform(100, 900))
+            fault = self._random.choice(
+                [self._kill, self._pause, self._terminate, self._hang_up]
+                + [self._cut] * 3
+                + [self._store_down, self._change]
+            )
+            running.add(asyncio.create_task(fault()))
+        await asyncio.gather(*running)
+
+    def _any_machine(self) -> Machine:
+        return self._random.choice(self._machines)
+
+    async def _kill(self) -> None:
+        machine = self._any_machine()
+        machine.signal(signal.SIGKILL)
+        await machine.wait_end()
+        machine.start()
+
+    async def _pause(self) -> None:
+        machine = self._any_machine()
+        machine.signal(signal.SIGSTOP)
+        await TIMERS.sleep_ms(self._random.uniform(200, 2_500))
+        machine.signal(signal.SIGCONT)
+
+    async def _terminate(self) -> None:
+        machine = self._any_machine()
+        process = machine.process
+        machine.signal(signal.SIGTERM)
+        began_ms = TIMERS.now_ms()
+        await machine.wait_end()
+        if TIMERS.now_ms() - began_ms > GRACE_S * 1000 + 2_500:
+            self.broken.append(f"{machine.host} ended after its grace time")
+        if machine.process is process:
+            machine.start()
+
+    async def _hang_up(self) -> None:
+        self._any_machine().signal(signal.SIGHUP)
+
+    async def _cut(self) -> None:
+        proxy = self._random.choice(self._proxies)
+        proxy.set_fault(self._random.choice(list(Fault)))
+        await TIMERS.sleep_ms(self._random.uniform(200, 2_500))
+        proxy.set_fault(Fault.NONE)
+
+    async def _store_down(self) -> None:
+        self._store.is_down = True
+        await TIMERS.sleep_ms(self._random.uniform(500, 3_000))
+        self._store.is_down = False
+
+    async def _change(self) -> None:
+        self._store.put("keyed.op", "config", _configuration())
+
+    async def _heal(self) -> None:
+        self._store.is_down = False
+        for proxy in self._proxies:
+            proxy.set_fault(Fault.NONE)
+        for machine in self._machines:
+            machine.signal(signal.SIGCONT)
+            if machine.process is not None and machine.process.poll() is not None:
+                machine.start()
+
+    async def _check_recovery(self) -> None:
+        for machine in self._entries():
+            try:
+                await self._until_served(machine, RECOVER_MS)
+            except AssertionError as exc:
+                self.broken.append(f"not served after recovery: {exc}")
+
+    async def _until_served(self, machine: Machine, limit_ms: int) -> None:
+        """Wait until an entry answers a plain request and one for each model."""
+        end_ms = TIMERS.now_ms() + limit_ms
+        wanted = ["", *MODELS]
+        async with aiohttp.ClientSession() as session:
+            while wanted:
+                outcome = await self._ask(session, machine, "safe", wanted[0])
+                if outcome == "answered":
+                    wanted.pop(0)
+                    continue
+                if TIMERS.now_ms() > end_ms:
+                    raise AssertionError(f"{machine.host} {wanted[0]!r}: {outcome}")
+                await TIMERS.sleep_ms(50)
+
+    async def _client(self, number: int) -> None:
+        """Send requests over kept connections until the run ends."""
+        random = Random(self._random.random() + number)
+        async with aiohttp.ClientSession() as session:
+            while not self._stopping:
+                machine = random.choice(self._entries())
+                kind = random.choice(["safe", "unsafe", "stream"])
+                model = random.choice(MODELS) if kind == "stream" else ""
+                outcome = await self._ask(session, machine, kind, model)
+                self.outcomes[outcome] = self.outcomes.get(outcome, 0) + 1
+                await TIMERS.sleep_ms(random.uniform(5, 60))
+
+    async def _ask(
+        self, session: aiohttp.ClientSession, machine: Machine, kind: str, model: str
+    ) -> str:
+        """Send one request, check its answer and return the outcome."""
+        self._count += 1
+        request_id = f"{kind}-{self._count}"
+        if kind == "unsafe":
+            self._unsafe.add(request_id)
+        path = "/stream/x" if model else f"/{kind}/x"
+        headers = {"Host": "h", "Request-Id": request_id, "Deadline-Ms": "3000"}
+        if model:
+            headers.update({"Model": model, "Token-Usage": "100,20"})
+        url = f"http://{machine.settings['listen']['front']}{path}"
+        limit = aiohttp.ClientTimeout(total=5.0)
+        try:
+            async with session.post(
+                url, headers=headers, data=b"x" * 10, timeout=limit
+            ) as response:
+                body = await response.read()
+        except TimeoutError:
+            return "no answer"
+        except (aiohttp.ClientError, OSError):
+            return "connection broken"
+        if response.status in (429, 503):
+            self._promised.add(request_id)
+            return "refused"
+        if response.status != 200:
+            return str(response.status)
+        self._check_answer(request_id, model, body, response.headers)
+        return "answered"
+
+    def _check_answer(
+        self, request_id: str, model: str, body: bytes, headers: Any
+    ) -> None:
+        expected = f"{request_id}:10".encode()
+        if model:
+            numbers = range(1, EVENTS + 1)
+            expected = b"".join(event(request_id, number) for number in numbers)
+        if body != expected:
+            self.broken.append(f"{request_id}: answer is not its own: {body[:80]!r}")
+        if headers.get("Response-Signature") != f"sig.{request_id}":
+            self.broken.append(f"{request_id}: answer without its signature")
+
+    def _check_runs(self) -> None:
+        runs = sum(
+            (runner.runs for runner in self._runners),
+            start=type(self._runners[0].runs)(),
+        )
+        for request_id in self._unsafe:
+            if runs[request_id] > 1:
+                self.broken.append(f"{request_id} ran {runs[request_id]} times")
+        for request_id in self._promised & self._unsafe:
+            if runs[request_id]:
+                self.broken.append(f"{request_id} ran though it was refused")
+        for runner in self._runners:
+            if runner.overloads:
+                self.broken.append(f"{runner.id} was overloaded")
+
+
+_versions = iter(range(1, 1 << 30))
+
+
+def _configuration() -> dict[str, Any]:
+    def route(name: str, kind: str, service: str, **more: Any) -> dict[str, Any]:
+        return {
+            "name": name,
+            "hostname": "h",
+            "path-prefix": f"/{name}/",
+            "kind": kind,
+            "timeout-ms": 3_000,
+            "target-latency-ms": 500,
+            "priority": 1,
+            "service": service,
+            "max-attempts": 2,
+            **more,
+        }
+
+    models = [
+        {"name": name, "weights-mb": 30.0, "load-time-s": 0.1, "adapter-mb": 0.1}
+        for name in MODELS
+    ]
+    engine = {
+        "slots": 16,
+        "kv-cache-tokens": 10_000,
+        "stride": 1,
+        "weights-mb": 64.0,
+        "max-adapters": 4,
+        "loads-per-s": 20.0,
+        "models": models,
+    }
+    return {
+        "version": next(_versions),
+        "routes": [
+            route("safe", "safe", "pay"),
+            route("unsafe", "unsafe", "pay"),
+            route("stream", "streaming", "llm", resumable=True)
+            | {"target-gap-ms": 300},
+        ],
+        "services": [
+            {"name": "pay", "max-connections": 100},
+            {"name": "llm", "max-connections": 100, "engine": engine},
+        ],
+    }
+
+
+async def run_seed(seed: int, seconds: float) -> tuple[list[str], dict[str, int]]:
+    """Run one seed; return the broken promises and the outcomes of requests."""
+    with tempfile.TemporaryDirectory(prefix="copperrun-soak-") as folder:
+        soak = Soak(seed, Path(folder))
+        broken = await soak.run(seconds)
+        return broken, soak.outcomes
+
+
+def main(argv: list[str]) -> None:
+    """Run the seeds one after another."""
+    failed = 0
+    for seed in range(_SEED.value, _SEED.value + _SEEDS.value):
+        broken, outcomes = asyncio.run(run_seed(seed, _SECONDS.value))
+        print(f"seed {seed}: {outcomes}", flush=True)
+        for line in broken[:10]:
+            print(f"  BROKEN: {line}", flush=True)
+        failed += bool(broken)
+    print(f"{_SEEDS.value - failed} of {_SEEDS.value} seeds kept every promise")
+    sys.exit(1 if failed else 0)
+
+
+if __name__ == "__main__":
+    app.run(main)
--- /dev/null
+++ b/testing/soak_proxy.py
@@ -0,0 +1,112 @@
+"""A loopback proxy that delays, resets, cuts one way or silences connections."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+import struct
+from enum import Enum
+
+from copperrun.adapters.timers import SystemTimers
+
+READ_BYTES = 65_536
+TIMERS = SystemTimers()
+
+
+class Fault(Enum):
+    """What the proxy does to its connections."""
+
+    NONE = "none"
+    DELAY = "delay"
+    RESET = "reset"
+    NO_REQUESTS = "no_requests"
+    NO_ANSWERS = "no_answers"
+    SILENT = "silent"
+
+
+class Proxy:
+    """Forwards one address to another one.
+
+    Bytes that a cut holds back are dropped with their connection, as a partition that
+    outlives its connection would.
+    """
+
+    def __init__(self, target: tuple[str, int]) -> None:
+        self.target = target
+        self.address = ""
+        self.fault = Fault.NONE
+        self.delay_ms = 50
+        self._server: asyncio.Server | None = None
+        self._writers: set[asyncio.StreamWriter] = set()
+        self._healed = asyncio.Event()
+
+    async def start(self, host: str) -> None:
+        self._server = await asyncio.start_server(self._accept, host, 0)
+        port = self._server.sockets[0].getsockname()[1]
+        self.address = f"{host}:{port}"
+
+    def set_fault(self, fault: Fault) -> None:
+        """Begin a fault, or heal."""
+        self.fault = fault
+        if fault is Fault.RESET:
+            for writer in list(self._writers):
+                _reset(writer)
+        if fault is Fault.NONE:
+            self._healed.set()
+            self._healed = asyncio.Event()
+
+    async def close(self) -> None:
+        if self._server is not None:
+            self._server.close()
+        for writer in list(self._writers):
+            writer.close()
+
+    async def _accept(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        if self.fault is Fault.RESET:
+            _reset(writer)
+            return
+        try:
+            back_reader, back_writer = await asyncio.open_connection(*self.target)
+        except OSError:
+            _reset(writer)
+            return
+        self._writers.update((writer, back_writer))
+        forth = self._pump(reader, back_writer, Fault.NO_REQUESTS)
+        back = self._pump(back_reader, writer, Fault.NO_ANSWERS)
+        try:
+            await asyncio.gather(forth, back)
+        finally:
+            self._writers.difference_update((writer, back_writer))
+            writer.close()
+            back_writer.close()
+
+    async def _pump(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, cut: Fault
+    ) -> None:
+        try:
+            while data := await reader.read(READ_BYTES):
+                if self.fault is Fault.DELAY:
+                    await TIMERS.sleep_ms(self.delay_ms)
+                if self.fault in (cut, Fault.SILENT):
+                    # The connection stays silent for good; new ones may work.
+                    await self._healed.wait()
+                    _reset(writer)
+                    return
+                writer.write(data)
+                await writer.drain()
+        except OSError:
+            _reset(writer)
+            return
+        finally:
+            if not writer.is_closing():
+                writer.close()
+
+
+def _reset(writer: asyncio.StreamWriter) -> None:
+    sock = writer.get_extra_info("socket")
+    if sock is not None and not writer.is_closing():
+        linger = struct.pack("ii", 1, 0)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+    writer.transport.abort()
--- /dev/null
+++ b/testing/test_soak.py
@@ -0,0 +1,19 @@
+"""A short seeded run of the fault soak, with real entries and sides."""
+
+from __future__ import annotations
+
+import asyncio
+
+from soak import run_seed
+from testtools.assertions import assert_that
+from testtools.matchers import Equals
+from testtools.matchers import GreaterThan
+
+CI_SEED = 4  # kills, pauses, cuts and an outage of the store within the first seconds
+CI_SECONDS = 4.0
+
+
+def test_every_promise_is_kept_in_a_short_soak() -> None:
+    broken, outcomes = asyncio.run(run_seed(CI_SEED, CI_SECONDS))
+    assert_that(broken, Equals([]))
+    assert_that(outcomes.get("answered", 0), GreaterThan(50))
