Tell of a port in use in one line, and restart a machine of the soak once for each end

Cause: kill and terminate overlapped on one machine, and the soak started it twice; the process that was replaced went on unwatched. The soak's fault, not the product's; the product's part was a trace in place of one line.

--- a/src/copperrun/platform/__main__.py
+++ b/src/copperrun/platform/__main__.py
@@ -15,6 +15,7 @@
 from copperrun.platform.settings import load_settings
 from copperrun.platform.settings import settings_path
 
+EXIT_FAILED = 1
 EXIT_USAGE = 2
 ROLES: dict[str, type[EntryRole | SideRole]] = {"entry": EntryRole, "side": SideRole}
 
@@ -32,13 +33,16 @@
     writer = configure_logs("info", instance, sys.stdout.fileno(), SystemTimers())
     try:
         asyncio.run(ROLES[argv[1]](cfg).run())
+    except OSError as exc:
+        # The usual cause is a port in use; a trace would not help.
+        _fail(f"copperrun: {exc.strerror or exc}", EXIT_FAILED)
     finally:
         writer.flush()
 
 
-def _fail(detail: str) -> None:
+def _fail(detail: str, code: int = EXIT_USAGE) -> None:
     print(detail, file=sys.stderr)
-    sys.exit(EXIT_USAGE)
+    sys.exit(code)
 
 
 if __name__ == "__main__":
--- a/testing/soak.py
+++ b/testing/soak.py
@@ -40,6 +40,7 @@
 START_MS = 20_000
 RECOVER_MS = 12_000  # the platform's bound for the time after all machines are back
 GRACE_S = 8
+LONGEST_PAUSE_MS = 2_500
 HOST_PREFIX = "127.0.7."
 
 
@@ -65,14 +66,29 @@
         if self.process is not None and self.process.poll() is None:
             self.process.send_signal(number)
 
-    async def wait_end(self) -> None:
-        assert self.process is not None
-        await asyncio.to_thread(self.process.wait)
+    async def restart_after_end(self) -> None:
+        """Wait for the process's end and start it again, once for each end."""
+        process = self.process
+        assert process is not None
+        await asyncio.to_thread(process.wait)
+        # Faults overlap: another one may have started it again already.
+        if self.process is process:
+            self.start()
 
-    def tracebacks(self) -> list[str]:
-        return [
-            line for line in self._log.read_text().splitlines() if "Traceback" in line
-        ]
+    def traceback(self) -> str:
+        """Return the end of the first traceback in the log, or an empty string."""
+        lines = self._log.read_text().splitlines()
+        for at, line in enumerate(lines):
+            if "Traceback" in line:
+                # One in a JSON line is whole; a bare one goes on.
+                return line[-400:] if line.startswith("{") else _bare(lines[at:])
+        return ""
+
+
+def _bare(lines: list[str]) -> str:
+    """Return the frames and the error of a traceback that is not a JSON line."""
+    own = [line.strip() for line in lines if not line.startswith("{")]
+    return " | ".join(own[:40])[-1_500:]
 
 
 class Soak:
@@ -112,8 +128,10 @@
             for item in (*self._proxies, *self._runners, self._store):
                 await item.close()
         for machine in self._machines:
-            if machine.tracebacks():
-                self.broken.append(f"{machine.host}: {machine.tracebacks()[0][:300]}")
+            if machine.traceback():
+                self.broken.append(
+                    f"{machine.role} {machine.host}: {machine.traceback()}"
+                )
         return self.broken
 
     async def _start(self) -> None:
@@ -203,25 +221,21 @@
     async def _kill(self) -> None:
         machine = self._any_machine()
         machine.signal(signal.SIGKILL)
-        await machine.wait_end()
-        machine.start()
+        await machine.restart_after_end()
 
     async def _pause(self) -> None:
         machine = self._any_machine()
         machine.signal(signal.SIGSTOP)
-        await TIMERS.sleep_ms(self._random.uniform(200, 2_500))
+        await TIMERS.sleep_ms(self._random.uniform(200, LONGEST_PAUSE_MS))
         machine.signal(signal.SIGCONT)
 
     async def _terminate(self) -> None:
         machine = self._any_machine()
-        process = machine.process
         machine.signal(signal.SIGTERM)
         began_ms = TIMERS.now_ms()
-        await machine.wait_end()
-        if TIMERS.now_ms() - began_ms > GRACE_S * 1000 + 2_500:
+        await machine.restart_after_end()
+        if TIMERS.now_ms() - began_ms > GRACE_S * 1000 + LONGEST_PAUSE_MS:
             self.broken.append(f"{machine.host} ended after its grace time")
-        if machine.process is process:
-            machine.start()
 
     async def _hang_up(self) -> None:
         self._any_machine().signal(signal.SIGHUP)
@@ -246,7 +260,7 @@
             proxy.set_fault(Fault.NONE)
         for machine in self._machines:
             machine.signal(signal.SIGCONT)
-            if machine.process is not None and machine.process.poll() is not None:
+            if machine.process is None or machine.process.poll() is not None:
                 machine.start()
 
     async def _check_recovery(self) -> None:
