--- a/src/copperrun/entry/front.py
+++ b/src/copperrun/entry/front.py
@@ -30,9 +30,9 @@
 from copperrun.routing.fleet import ServerRecord
 from copperrun.routing.fleet import ServerReport
 from copperrun.routing.relay import Relay
-from copperrun.routing.relay import Work
 from copperrun.routing.retries import WindowBudget
 from copperrun.routing.selection import Distance
+from copperrun.routing.work import Work
 
 REPORT_MS = 800  # longest time between two demand reports to a side
 RETRY_MS = 300  # after a side did not answer
--- a/testing/test_platform_http.py
+++ b/testing/test_platform_http.py
@@ -36,9 +36,9 @@
 from copperrun.routing.catalog import Route
 from copperrun.routing.fleet import Fleet
 from copperrun.routing.relay import Relay
-from copperrun.routing.relay import Work
 from copperrun.routing.retries import WindowBudget
 from copperrun.routing.selection import Distance
+from copperrun.routing.work import Work
 
 from pool import pool  # isort: skip
 
--- a/testing/test_relay.py
+++ b/testing/test_relay.py
@@ -45,9 +45,9 @@
 from copperrun.routing.fleet import ServerRecord
 from copperrun.routing.fleet import ServerReport
 from copperrun.routing.relay import Relay
-from copperrun.routing.relay import Work
 from copperrun.routing.retries import WindowBudget
 from copperrun.routing.selection import Distance
+from copperrun.routing.work import Work
 
 NEVER_MS = 1 << 30
 SAFE = route(repetition=Repetition.SAFE, max_attempts=2)
