--- a/src/copperrun/placement/steward.py
+++ b/src/copperrun/placement/steward.py
@@ -34,6 +34,7 @@
 from copperrun.routing.catalog import EngineSpec
 from copperrun.routing.fleet import ServerRecord
 from copperrun.routing.fleet import ServerReport
+from copperrun.signals import ChangeSignal
 
 STATUS_MS = 100  # an engine's own side reads it free of charge
 PLAN_MS = 300  # entries report a change within this time
@@ -103,7 +104,7 @@
         self._places = AdapterPlaces()
         self._order_lock = asyncio.Lock()
         self._sequence = 0
-        self._changed = asyncio.Event()
+        self._changed = ChangeSignal(timers)
         self._quiet_until_ms = 0
         self._planned_ms = timers.now_ms() - PLAN_MS
         self._started_ms = timers.now_ms()
@@ -135,12 +136,7 @@
 
     async def wait_change(self, timeout_ms: int) -> None:
         """Wait until what the report says of models changes."""
-        event = self._changed
-        try:
-            async with self._timers.timeout_ms(timeout_ms):
-                await event.wait()
-        except TimeoutError:
-            return
+        await self._changed.wait(timeout_ms)
 
     def report(self) -> ServerReport | None:
         """Return what entries need to know of the engine."""
@@ -449,8 +445,7 @@
     def _signal(self) -> None:
         if self.on_change is not None:
             self.on_change()
-        self._changed.set()
-        self._changed = asyncio.Event()
+        self._changed.send()
 
 
 _DONE: frozenset[OrderResult] = frozenset({OrderResult.ACCEPTED, OrderResult.HOLDS})
--- a/src/copperrun/routing/fleet.py
+++ b/src/copperrun/routing/fleet.py
@@ -2,12 +2,12 @@
 
 from __future__ import annotations
 
-import asyncio
 from collections.abc import Iterable
 from collections.abc import Mapping
 from typing import NamedTuple
 
 from copperrun.ports.timers import Timers
+from copperrun.signals import ChangeSignal
 
 FAILURE_WEIGHT = 0.2  # of the newest answer in the moving failure share
 FAILURE_HALF_LIFE_MS = 4_000  # after which a grey server is probed again
@@ -204,7 +204,7 @@
         self._timers = timers
         self._servers: dict[str, Server] = {}
         self._pools: dict[str, list[Server]] = {}
-        self._changed = asyncio.Event()
+        self._changed = ChangeSignal(timers)
 
     def take_records(self, records: Iterable[ServerRecord]) -> None:
         """Replace the list of servers; observations of those that stay are kept."""
@@ -243,17 +243,11 @@
 
     def signal(self) -> None:
         """Wake those that wait for a change."""
-        self._changed.set()
-        self._changed = asyncio.Event()
+        self._changed.send()
 
     async def wait_change(self, timeout_ms: float) -> None:
         """Wait for a change, at most ``timeout_ms`` milliseconds."""
-        event = self._changed
-        try:
-            async with self._timers.timeout_ms(timeout_ms):
-                await event.wait()
-        except TimeoutError:
-            return
+        await self._changed.wait(timeout_ms)
 
 
 def _held_of(record: ServerRecord) -> Mapping[str, frozenset[str]]:
