--- a/src/copperrun/placement/moves.py
+++ b/src/copperrun/placement/moves.py
@@ -10,6 +10,7 @@
 from __future__ import annotations
 
 from collections import Counter
+from collections.abc import Iterator
 from collections.abc import Mapping
 from collections.abc import Sequence
 from typing import NamedTuple
@@ -100,8 +101,8 @@
     demand: Mapping[str, ModelDemand],
     pressure: float,
     capacity: float,
-) -> list[Move]:
-    """Return the moves that are worth making now, the best first.
+) -> Iterator[Move]:
+    """Yield the moves that are worth making now, the best first.
 
     Args:
         spec: Properties of the pool's engines.
@@ -111,11 +112,9 @@
         capacity: Requests per second that one engine can take.
     """
     state = _State(spec, engines, demand, pressure, capacity)
-    moves: list[Move] = []
     while (move := state.best_move()) is not None:
-        moves.append(move)
+        yield move
         state.apply(move)
-    return moves
 
 
 class _State:
--- a/src/copperrun/side/door.py
+++ b/src/copperrun/side/door.py
@@ -110,7 +110,7 @@
             request=entrance.request,
             model=entrance.model,
             adapter=entrance.adapter,
-            outcome=type(admission).__name__ if admission else "left",
+            outcome="left" if admission is None else type(admission).__name__,
             had_adapter=ticket.id in self._prepared,
             waited_ms=waited_ms,
             remaining_ms=entrance.remaining_ms - waited_ms,
--- a/testing/test_door.py
+++ b/testing/test_door.py
@@ -4,6 +4,7 @@
 
 import asyncio
 
+from loguru import logger
 from network import NullMetrics
 from pool import model
 from pool import server
@@ -80,6 +81,22 @@
     assert_that(admitted.result(), IsInstance(Granted))
 
 
+async def test_the_log_tells_what_became_of_a_request():
+    # Case: admitted requests were logged as having left.
+    lines: list[dict] = []
+    sink = logger.add(lambda message: lines.append(dict(message.record["extra"])))
+    bench = Bench()
+    await bench.start()
+    bench.admit(entrance("in"))
+    gone = bench.admit(entrance("gone", tokens=50_000, remaining_ms=60_000))
+    await bench.timers.advance(5)
+    gone.cancel()
+    await bench.timers.advance(5)
+    logger.remove(sink)
+    told = {line["request"]: line["outcome"] for line in lines if "outcome" in line}
+    assert_that(told, Equals({"in": "Granted", "gone": "left"}))
+
+
 async def test_a_model_that_is_not_held_is_told_at_once():
     bench = Bench()
     await bench.start()
--- a/testing/test_moves.py
+++ b/testing/test_moves.py
@@ -29,7 +29,7 @@
     engines = [engine("1", "ab"), engine("2", "cd")]
     demand = {name: ModelDemand(2.0, 2.0) for name in "abcd"}
     few = spec(*(model(name) for name in "abcd"))
-    assert_that(plan_moves(few, engines, demand, 0.2, 12.0), Equals([]))
+    assert_that(list(plan_moves(few, engines, demand, 0.2, 12.0)), Equals([]))
 
 
 def test_a_model_that_callers_wait_for_is_loaded_where_it_costs_least():
@@ -40,7 +40,7 @@
         "c": ModelDemand(5.0, 5.0),
         "e": ModelDemand(1.0, 1.0, waiting=4),
     }
-    moves = plan_moves(SPEC, engines, demand, 0.2, 12.0)
+    moves = list(plan_moves(SPEC, engines, demand, 0.2, 12.0))
     assert_that(moves[0].model, Equals("e"))
     assert_that(moves[0].victims, Equals(("d",)))
 
@@ -50,7 +50,7 @@
     # engine had it on disk; its callers left meanwhile.
     engines = [engine("1", "ab"), engine("2", "ab", on_disk=frozenset("e"))]
     demand = {"a": ModelDemand(5.0, 5.0), "e": ModelDemand(2.0, 2.0, waiting=3)}
-    assert_that(plan_moves(SPEC, engines, demand, 0.2, 12.0)[0].engine, Equals("2"))
+    assert_that(next(plan_moves(SPEC, engines, demand, 0.2, 12.0)).engine, Equals("2"))
 
 
 def test_a_last_copy_does_not_yield_to_a_further_copy_of_a_busy_model():
@@ -58,7 +58,7 @@
     # was missing when demand moved to it.
     engines = [engine("1", "ab"), engine("2", "ac")]
     demand = {"a": ModelDemand(6.0, 6.0)}
-    moves = plan_moves(SPEC, engines, demand, 0.2, 12.0)
+    moves = list(plan_moves(SPEC, engines, demand, 0.2, 12.0))
     victims = [name for move in moves for name in move.victims]
     assert_that(victims, Not(Contains("b")))
     assert_that(victims, Not(Contains("c")))
@@ -68,7 +68,7 @@
     engines = [engine("1", "ab"), engine("2", "bc"), engine("3", "bd")]
     demand = {"a": ModelDemand(20.0, 20.0), "b": ModelDemand(0.1, 0.1)}
     few = spec(*(model(name) for name in "abcd"))
-    moves = plan_moves(few, engines, demand, 0.8, 12.0)
+    moves = list(plan_moves(few, engines, demand, 0.8, 12.0))
     assert_that([move.model for move in moves], Contains("a"))
     assert_that({move.victims for move in moves if move.model == "a"}, Equals({("b",)}))
 
@@ -82,19 +82,19 @@
         "d": ModelDemand(0.3, 0.3),
         "e": ModelDemand(0.0, 0.0),
     }
-    assert_that(plan_moves(SPEC, engines, demand, 0.1, 12.0), Equals([]))
+    assert_that(list(plan_moves(SPEC, engines, demand, 0.1, 12.0)), Equals([]))
 
 
 def test_an_engine_in_the_middle_of_a_move_makes_no_other_one():
     engines = [engine("1", "ab", is_busy=True)]
     demand = {"c": ModelDemand(5.0, 5.0, waiting=9)}
-    assert_that(plan_moves(SPEC, engines, demand, 0.5, 12.0), Equals([]))
+    assert_that(list(plan_moves(SPEC, engines, demand, 0.5, 12.0)), Equals([]))
 
 
 def test_an_empty_pool_is_filled_with_different_models():
     # Load: the first moments after a restart of everything.
     engines = [engine(str(number)) for number in range(4)]
-    moves = plan_moves(SPEC, engines, {}, 0.0, 12.0)
+    moves = list(plan_moves(SPEC, engines, {}, 0.0, 12.0))
     assert_that({move.model for move in moves}, HasLength(4))
 
 
@@ -106,7 +106,7 @@
         "w": ModelDemand(2.0, 2.0),
         "x": ModelDemand(1.0, 1.0),
     }
-    move = plan_moves(mixed, engines, demand, 0.2, 12.0)[0]
+    move = next(plan_moves(mixed, engines, demand, 0.2, 12.0))
     assert_that(set(move.victims), Equals({"y", "z"}))
 
 
@@ -114,7 +114,7 @@
     # Load: demand moved to a model with two copies, 38 requests/s at 12 an engine.
     engines = [engine("1", "ab"), engine("2", "ac"), engine("3", "de")]
     demand = {"a": ModelDemand(38.0, 20.0), "d": ModelDemand(0.2, 0.3)}
-    moves = plan_moves(SPEC, engines, demand, 0.3, 12.0)
+    moves = list(plan_moves(SPEC, engines, demand, 0.3, 12.0))
     assert_that(("3", "a"), Equals((moves[0].engine, moves[0].model)))
 
 
@@ -128,7 +128,7 @@
         "d": ModelDemand(5.0, 5.0),
         "e": ModelDemand(1.0, 1.0, waiting=2),
     }
-    move = plan_moves(SPEC, engines, demand, 0.2, 12.0)[0]
+    move = next(plan_moves(SPEC, engines, demand, 0.2, 12.0))
     assert_that((move.engine, move.victims), Equals(("1", ("b",))))
 
 
@@ -136,9 +136,9 @@
     # Load: demand that rises faster than its moving average shows.
     engines = [engine("1", "ab"), engine("2", "cd")]
     demand = {name: ModelDemand(2.0, 2.0) for name in "acd"}
-    calm = plan_moves(SPEC, engines, demand, 0.3, 12.0)
+    calm = list(plan_moves(SPEC, engines, demand, 0.3, 12.0))
     demand["a"] = ModelDemand(2.0, 2.0, queued=30)
-    pressed = plan_moves(SPEC, engines, demand, 0.3, 12.0)
+    pressed = list(plan_moves(SPEC, engines, demand, 0.3, 12.0))
     assert_that("a" in [move.model for move in calm], Equals(False))
     assert_that("a" in [move.model for move in pressed], Equals(True))
 
@@ -148,7 +148,7 @@
     # dropped for models that nobody asked for, before the first request.
     engines = [engine(str(number), "a" + name) for number, name in enumerate("bcde")]
     demand = demand_from_copies(engines, 12.0)
-    moves = plan_moves(SPEC, engines, demand, 0.0, 12.0)
+    moves = list(plan_moves(SPEC, engines, demand, 0.0, 12.0))
     dropped = [name for move in moves for name in move.victims].count("a")
     assert_that(4 - dropped >= 2, Equals(True))
 
@@ -178,7 +178,7 @@
     for rounds in range(20):
         moves = {
             move.engine: move
-            for move in plan_moves(pool_spec, engines, demand, 0.3, 12.0)
+            for move in list(plan_moves(pool_spec, engines, demand, 0.3, 12.0))
         }
         if not moves:
             return rounds, {view.id: view.held for view in engines}
