--- a/testing/soak.py
+++ b/testing/soak.py
@@ -75,6 +75,12 @@
         if self.process is process:
             self.start()
 
+    def last_words(self) -> str:
+        """Return the exit code, if any, and the last line of the log."""
+        code = self.process.poll() if self.process is not None else None
+        lines = self._log.read_text().splitlines() if self._log.exists() else []
+        return f"exit code {code}, {''.join(lines[-1:])[-300:]}"
+
     def traceback(self) -> str:
         """Return the end of the first traceback in the log, or an empty string."""
         lines = self._log.read_text().splitlines()
@@ -111,7 +117,10 @@
     async def run(self, seconds: float) -> list[str]:
         """Play the run and return the promises that were broken."""
         try:
-            await self._start()
+            try:
+                await self._start()
+            except AssertionError as exc:
+                return [f"not served at the start: {exc}", *self._ends()]
             clients = [asyncio.create_task(self._client(n)) for n in range(CLIENTS)]
             await self._inject(seconds)
             await self._heal()
@@ -134,6 +143,13 @@
                 )
         return self.broken
 
+    def _ends(self) -> list[str]:
+        """Return how each process stands, with the last line of its log."""
+        return [
+            f"{machine.role} {machine.host}: {machine.last_words()}"
+            for machine in self._machines
+        ]
+
     async def _start(self) -> None:
         await self._store.start()
         store = await self._proxy(("127.0.0.1", int(self._store.address.split(":")[1])))
