--- a/testing/test_moves.py
+++ b/testing/test_moves.py
@@ -153,6 +153,17 @@
     assert_that(4 - dropped >= 2, Equals(True))
 
 
+def test_a_rare_model_is_not_starved_by_further_copies_of_a_busy_one():
+    # Case: inc-905d of the joint venture; 147 of 227 requests for rare models were
+    # refused, while every engine kept a copy of the busiest model.
+    engines = [engine(str(number), "a" + name) for number, name in enumerate("bcdefg")]
+    demand = {name: ModelDemand(1.0, 1.0) for name in "bcdefg"}
+    demand["a"] = ModelDemand(60.0, 60.0)
+    demand["h"] = ModelDemand(0.3, 0.3, waiting=2)
+    moves = plan_moves(SPEC, engines, demand, 0.6, 12.0)
+    assert_that([move.model for move in moves], Contains("h"))
+
+
 def test_memory_is_never_planned_beyond_the_engine():
     demand = {name: ModelDemand(3.0, 3.0, waiting=2) for name in NAMES}
     engines = [engine("1", "ab"), engine("2", "c"), engine("3")]
