--- a/src/copperrun/admission/waiting.py
+++ b/src/copperrun/admission/waiting.py
@@ -8,13 +8,13 @@
 
 from typing import NamedTuple
 
-ANNOUNCE_MS = 600  # in which a side answers a report with what it will load; engines
-# in the middle of another move take longer, so patient requests wait up to half of
-# their target
+# In which a side answers a report with what it will load. Engines in the middle of another
+# move take longer, so patient requests wait up to half of their target.
+ANNOUNCE_MS = 600
 UNKNOWN_MS = 3_000  # in which sides that start read the store and report
 SERVICE_MS = 500  # least time for the answer itself once the model is there
 MIN_RETRY_AFTER_MS = 200
-UNPLANNED_RETRY_AFTER_MS = 2_000  # two planning periods
+UNPLANNED_RETRY_AFTER_MS = 2_000  # a typical move under way ends within it
 
 
 class Wait(NamedTuple):
