--- a/src/copperrun/admission/waiting.py
+++ b/src/copperrun/admission/waiting.py
@@ -8,8 +8,8 @@
 
 from typing import NamedTuple
 
-# In which a side answers a report with what it will load. Engines in the middle of another
-# move take longer, so patient requests wait up to half of their target.
+# In which a side answers a report with what it will load. Engines in the middle of
+# another move take longer, so patient requests wait up to half of their target.
 ANNOUNCE_MS = 600
 UNKNOWN_MS = 3_000  # in which sides that start read the store and report
 SERVICE_MS = 500  # least time for the answer itself once the model is there
