--- a/src/copperrun/entry/front.py
+++ b/src/copperrun/entry/front.py
@@ -102,7 +102,7 @@
         self._timers = timers
         self._budgets: dict[str, WindowBudget] = {}
         self._entries = ASSUMED_ENTRIES
-        self._demand = DemandMeter(place.instance, timers)
+        self._demand = DemandMeter()
         self._demand.on_wait(self._report_urgently)
         self._urgent: set[asyncio.Task[None]] = set()
         self._urgent_ms: dict[str, int] = {}
--- a/src/copperrun/placement/demand.py
+++ b/src/copperrun/placement/demand.py
@@ -26,9 +26,7 @@
 class DemandMeter:
     """Counts arrivals and waiting requests of one entry."""
 
-    def __init__(self, entry: str, timers: Timers) -> None:
-        self._entry = entry
-        self._timers = timers
+    def __init__(self) -> None:
         self._arrivals: dict[str, Counter[str]] = {}
         self._waiting: defaultdict[str, Counter[str]] = defaultdict(Counter[str])
         self._queued: defaultdict[str, Counter[str]] = defaultdict(Counter[str])
--- a/src/copperrun/placement/steward.py
+++ b/src/copperrun/placement/steward.py
@@ -23,10 +23,10 @@
 from copperrun.placement.moves import load_ms
 from copperrun.placement.moves import model_memory_mb
 from copperrun.placement.moves import plan_moves
+from copperrun.ports.engine import OrderKind
 from copperrun.ports.engine_control import EngineControl
 from copperrun.ports.engine_control import EngineOrder
 from copperrun.ports.engine_control import EngineStatus
-from copperrun.ports.engine_control import OrderKind
 from copperrun.ports.engine_control import OrderResult
 from copperrun.ports.engines import PeerEngine
 from copperrun.ports.metrics import Metrics
--- a/src/copperrun/platform/dialect.py
+++ b/src/copperrun/platform/dialect.py
@@ -15,7 +15,6 @@
 SERVER_ID = "Instance-Id"  # in a runner's refusal: who it is
 PRIORITY = "Request-Priority"
 NOT_RUN = "Not-Executed"
-PROOF = "Response-Signature"
 RETRY_AFTER = "Retry-After"
 
 # Set by copperrun alone; a client's own are dropped.
--- a/src/copperrun/platform/engine.py
+++ b/src/copperrun/platform/engine.py
@@ -13,9 +13,9 @@
 from copperrun.platform import dialect
 from copperrun.platform.records import at_hand
 from copperrun.platform.records import held_models
+from copperrun.ports.engine import OrderKind
 from copperrun.ports.engine_control import EngineOrder
 from copperrun.ports.engine_control import EngineStatus
-from copperrun.ports.engine_control import OrderKind
 from copperrun.ports.engine_control import OrderReply
 from copperrun.ports.engine_control import OrderResult
 
--- a/src/copperrun/ports/engine_control.py
+++ b/src/copperrun/ports/engine_control.py
@@ -8,6 +8,7 @@
 from typing import Protocol
 
 from copperrun.placement.adapters import AdapterKey
+from copperrun.ports.engine import OrderKind
 
 
 class EngineStatus(NamedTuple):
@@ -36,13 +37,6 @@
     on_disk: frozenset[str]
 
 
-class OrderKind(Enum):
-    """What an order asks of an engine."""
-
-    LOAD = "load"
-    UNLOAD = "unload"
-
-
 class EngineOrder(NamedTuple):
     """One order.
 
--- a/src/copperrun/side/door.py
+++ b/src/copperrun/side/door.py
@@ -4,7 +4,6 @@
 
 import asyncio
 from collections.abc import Iterable
-from dataclasses import dataclass
 
 from loguru import logger
 
@@ -23,12 +22,6 @@
 from copperrun.routing.fleet import ServerReport
 
 
-@dataclass
-class _Waiter:
-    ticket: Ticket
-    admitted: asyncio.Future[None]
-
-
 class EngineDoor:
     """Admission to one engine; each waiting request is held by its own task."""
 
@@ -36,7 +29,7 @@
         self._steward = steward
         self._timers = timers
         self._queue = PrefillQueue()
-        self._waiters: dict[str, _Waiter] = {}
+        self._waiters: dict[str, asyncio.Future[None]] = {}
         self._spec: EngineSpec | None = None
         self._numbers = 0
         self._tickets: dict[str, str] = {}
@@ -170,8 +163,8 @@
 
     async def _wait_turn(self, ticket: Ticket) -> bool:
         """Return whether the turn came; False once it would come too late."""
-        admitted = asyncio.get_running_loop().create_future()
-        self._waiters[ticket.id] = _Waiter(ticket, admitted)
+        admitted: asyncio.Future[None] = asyncio.get_running_loop().create_future()
+        self._waiters[ticket.id] = admitted
         self._queue.offer(ticket)
         self._grant()
         granted = False
@@ -198,6 +191,6 @@
 
     def _grant(self) -> None:
         for ticket in self._queue.grants(self._timers.now_ms()):
-            waiter = self._waiters.get(ticket.id)
-            if waiter is not None and not waiter.admitted.done():
-                waiter.admitted.set_result(None)
+            admitted = self._waiters.get(ticket.id)
+            if admitted is not None and not admitted.done():
+                admitted.set_result(None)
--- a/src/copperrun/side/stewardship.py
+++ b/src/copperrun/side/stewardship.py
@@ -6,6 +6,7 @@
 
 from loguru import logger
 
+from copperrun.membership.claims import FIRST_EPOCH
 from copperrun.membership.lifecycle import Lifecycle
 from copperrun.membership.lifecycle import State
 from copperrun.membership.view import PlatformView
@@ -17,7 +18,6 @@
 from copperrun.routing.fleet import ServerRecord
 
 CLAIM_RETRY_MS = 1_000
-FIRST_EPOCH = 1  # offset 0 must be greater than an engine's initial epoch
 
 
 class StewardProcess:
--- a/testing/test_platform_http.py
+++ b/testing/test_platform_http.py
@@ -71,7 +71,7 @@
             self.fleet,
             HttpRunners(session),
             None,  # no engines in these tests
-            DemandMeter("entry", self.timers),
+            DemandMeter(),
             self.timers,
             NullMetrics(),
             distance_to=lambda zone: Distance.ZONE,
--- a/testing/test_relay.py
+++ b/testing/test_relay.py
@@ -195,7 +195,7 @@
         self.fleet.take_records(records)
         self.runners = Runners(self.timers)
         self.engines = Engines(self.timers)
-        self.demand = DemandMeter("entry", self.timers)
+        self.demand = DemandMeter()
         self.budget = WindowBudget(self.timers, ratio=1.0, slack=100, window_ms=10_000)
         self.relay = Relay(
             self.fleet,
--- a/testing/test_steward.py
+++ b/testing/test_steward.py
@@ -22,9 +22,9 @@
 from copperrun.placement.loads import LoadBound
 from copperrun.placement.loads import LoadShare
 from copperrun.placement.steward import Steward
+from copperrun.ports.engine import OrderKind
 from copperrun.ports.engine_control import EngineOrder
 from copperrun.ports.engine_control import EngineStatus
-from copperrun.ports.engine_control import OrderKind
 from copperrun.ports.engine_control import OrderReply
 from copperrun.ports.engine_control import OrderResult
 from copperrun.ports.engines import Demand
