Read settings again on SIGHUP and when the file changes

Cause: SIGHUP was only logged; new seeds or bounds, and a file changed without a signal, were taken at the next start of the process. Ruled out: a full restart of the parts (it would cut requests that run). Change: SettingsFile compares the file with what is in force, each second and at SIGHUP; seeds, grace time, retry and load bounds are handed to the parts that use them, what binds ports or names the machine is named in the log as kept until a restart. A seeds field that is no list raised TypeError; it is an error that names the field now. Before: the new process test fails (no reload line with changes).

--- a/src/copperrun/adapters/engines.py
+++ b/src/copperrun/adapters/engines.py
@@ -262,16 +262,20 @@
 
 
 class HttpViews:
-    """Asks other processes for the topics that they know."""
+    """Asks other processes for the topics that they know.
+
+    Attributes:
+        addresses: ``host:port`` of the processes that are asked.
+    """
 
     def __init__(self, client: HttpClient, addresses: Sequence[str]) -> None:
+        self.addresses = addresses
         self._client = client
-        self._addresses = addresses
 
     async def fetch(self) -> Mapping[str, FeedSnapshot]:
         """Return the newest view of each topic among the peers asked."""
         newest: dict[str, FeedSnapshot] = {}
-        for address in self._addresses:
+        for address in self.addresses:
             reply = await self._client.call(
                 "GET", f"http://{address}{VIEW_PATH}", timeout_ms=VIEW_TIMEOUT_MS
             )
--- a/src/copperrun/entry/front.py
+++ b/src/copperrun/entry/front.py
@@ -30,6 +30,7 @@
 from copperrun.routing.fleet import ServerRecord
 from copperrun.routing.fleet import ServerReport
 from copperrun.routing.relay import Relay
+from copperrun.routing.retries import RetryBounds
 from copperrun.routing.retries import WindowBudget
 from copperrun.routing.selection import Distance
 from copperrun.routing.work import Work
@@ -42,20 +43,6 @@
 NOT_READY_RETRY_AFTER_MS = 1_000
 
 
-class RetryBounds(NamedTuple):
-    """Bound on further attempts over all entries.
-
-    Attributes:
-        ratio: Further attempts for each request.
-        slack: Further attempts besides, in one window.
-        window_ms: Length of the sliding window.
-    """
-
-    ratio: float
-    slack: float
-    window_ms: int
-
-
 class Place(NamedTuple):
     """Where a process runs.
 
@@ -138,6 +125,12 @@
             for task in self._exchanges.values():
                 task.cancel()
 
+    def take_bounds(self, bounds: RetryBounds) -> None:
+        """Take changed bounds on further attempts."""
+        self._bounds = bounds
+        for budget in self._budgets.values():
+            budget.bounds = bounds
+
     def give_up_unsent(self) -> None:
         """Refuse the requests that no server has yet, and all later ones."""
         self._relay.give_up_unsent()
@@ -265,13 +258,7 @@
     def _budget_for(self, pool: str) -> WindowBudget:
         budget = self._budgets.get(pool)
         if budget is None:
-            bounds = self._bounds
-            budget = self._budgets[pool] = WindowBudget(
-                self._timers,
-                ratio=bounds.ratio,
-                slack=bounds.slack,
-                window_ms=bounds.window_ms,
-            )
+            budget = self._budgets[pool] = WindowBudget(self._timers, self._bounds)
             budget.entries = self._entries
         return budget
 
--- a/src/copperrun/placement/loads.py
+++ b/src/copperrun/placement/loads.py
@@ -23,16 +23,20 @@
 
 
 class LoadShare:
-    """Spaces the loads of one engine so that all engines together keep the bound."""
+    """Spaces the loads of one engine so that all engines together keep the bound.
+
+    Attributes:
+        bound: Bound in force.
+    """
 
     def __init__(self, bound: LoadBound, timers: Timers) -> None:
-        self._bound = bound
+        self.bound = bound
         self._timers = timers
         self._started: deque[int] = deque()
 
     def delay_ms(self, loads_per_s: float, engines: int) -> int:
         """Return how long to wait before the next load from the store; 0 for now."""
-        bound = self._bound
+        bound = self.bound
         allowed = loads_per_s * bound.window_ms / 1000 * bound.overage + bound.slack
         share = allowed / max(engines, 1)
         per_window = max(int(share), 1)
--- a/src/copperrun/platform/__main__.py
+++ b/src/copperrun/platform/__main__.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import sys
+from typing import NoReturn
 
 from absl import app
 
@@ -12,6 +13,7 @@
 from copperrun.platform.daemon import EntryRole
 from copperrun.platform.daemon import SideRole
 from copperrun.platform.settings import SettingsError
+from copperrun.platform.settings import SettingsFile
 from copperrun.platform.settings import load_settings
 from copperrun.platform.settings import settings_path
 
@@ -25,14 +27,15 @@
     if len(argv) != 2 or argv[1] not in ROLES:
         _fail(f"usage: python -m copperrun.platform {'|'.join(ROLES)}")
     path = settings_path()
-    cfg = path if isinstance(path, SettingsError) else load_settings(path)
+    if isinstance(path, SettingsError):
+        _fail(f"copperrun: {path.detail}")
+    cfg = load_settings(path)
     if isinstance(cfg, SettingsError):
         _fail(f"copperrun: {cfg.detail}")
-        return
     instance = cfg.place.instance
     writer = configure_logs("info", instance, sys.stdout.fileno(), SystemTimers())
     try:
-        asyncio.run(ROLES[argv[1]](cfg).run())
+        asyncio.run(ROLES[argv[1]](SettingsFile(path, cfg)).run())
     except OSError as exc:
         # The usual cause is a port in use; a trace would not help.
         _fail(f"copperrun: {exc.strerror or exc}", EXIT_FAILED)
@@ -40,7 +43,7 @@
         writer.flush()
 
 
-def _fail(detail: str, code: int = EXIT_USAGE) -> None:
+def _fail(detail: str, code: int = EXIT_USAGE) -> NoReturn:
     print(detail, file=sys.stderr)
     sys.exit(code)
 
--- a/src/copperrun/platform/daemon.py
+++ b/src/copperrun/platform/daemon.py
@@ -38,6 +38,8 @@
 from copperrun.platform.records import decode_server
 from copperrun.platform.runners import HttpRunners
 from copperrun.platform.settings import PlatformSettings
+from copperrun.platform.settings import SettingsError
+from copperrun.platform.settings import SettingsFile
 from copperrun.platform.store import CATALOG_KEY
 from copperrun.platform.store import OPERATOR_TOPIC
 from copperrun.platform.store import SERVERS_TOPIC
@@ -58,13 +60,16 @@
 DRAIN_POLL_MS = 50
 QUIET_MS = 300  # without a request, after which the remaining connections close
 BACKLOG = 1024
+SETTINGS_PERIOD_MS = 1_000  # the file may change without a signal
+RELOADED = ("seeds", "grace_ms", "retries", "loads")
 
 
 class _Base:
     """Parts that both roles have."""
 
-    def __init__(self, cfg: PlatformSettings) -> None:
-        self.cfg = cfg
+    def __init__(self, file: SettingsFile) -> None:
+        self.file = file
+        self.cfg = file.cfg
         self.timers = SystemTimers()
         self.metrics = Metrics()
         self.departure = Departure()
@@ -75,12 +80,11 @@
         self, client: HttpClient, servers_period_ms: int
     ) -> tuple[StoreFeed, PlatformView]:
         feed = StoreFeed(client, self.cfg.store_address)
-        own = f"{self.cfg.host}:{self.cfg.control_port}"
-        seeds = [seed for seed in self.cfg.seeds if seed != own]
+        self.views = HttpViews(client, _peer_seeds(self.cfg))
         view = PlatformView(
             TOPICS,
             feed,
-            HttpViews(client, seeds),
+            self.views,
             self.catalog,
             Registry(decode_server, self.timers),
             self.timers,
@@ -130,14 +134,41 @@
         """Run ``work`` until the process is told to leave; a failure is raised."""
         loop = asyncio.get_running_loop()
         loop.add_signal_handler(signal.SIGTERM, self.departure.request)
-        loop.add_signal_handler(signal.SIGHUP, self._reload)
+        loop.add_signal_handler(signal.SIGHUP, self.reload, "signal")
         task = asyncio.create_task(work)
+        watch = self.timers.subscribe(SETTINGS_PERIOD_MS, self._watch_settings)
         await self.departure.wait(task)
+        watch.cancel()
         return task
 
-    def _reload(self) -> None:
-        # Nothing that this process uses of its settings may change while it runs.
-        logger.info("reload", instance=self.cfg.place.instance)
+    def reload(self, cause: str) -> None:
+        """Take the settings file's changes; what binds ports stays until a restart."""
+        cfg = self.file.reload()
+        match cfg:
+            case None:
+                if cause == "signal":
+                    logger.info("reload", cause=cause, changed=[])
+            case SettingsError(detail):
+                logger.error("settings not taken", cause=cause, detail=detail)
+            case _:
+                changed = [
+                    name
+                    for name, value in cfg._asdict().items()
+                    if value != getattr(self.cfg, name)
+                ]
+                kept = [name for name in changed if name not in RELOADED]
+                logger.info("reload", cause=cause, changed=changed, at_restart=kept)
+                self.cfg = self.cfg._replace(
+                    **{name: getattr(cfg, name) for name in RELOADED}
+                )
+                self.apply(self.cfg)
+
+    def apply(self, cfg: PlatformSettings) -> None:
+        """Hand changed settings to the parts that use them."""
+        self.views.addresses = _peer_seeds(cfg)
+
+    async def _watch_settings(self) -> None:
+        self.reload("file")
 
 
 class EntryRole(_Base):
@@ -149,7 +180,7 @@
         async with open_session() as session:
             client = HttpClient(session, self.timers)
             _, view = self.build_view(client, SERVERS_PERIOD_MS)
-            process = FrontProcess(
+            process = self._process = FrontProcess(
                 cfg.place,
                 view,
                 HttpRunners(session),
@@ -182,6 +213,11 @@
             await _stop(task)
             await self.close()
 
+    def apply(self, cfg: PlatformSettings) -> None:
+        """Hand changed settings to the parts that use them."""
+        super().apply(cfg)
+        self._process.take_bounds(cfg.retries)
+
     async def _leave(
         self,
         process: FrontProcess,
@@ -229,10 +265,11 @@
             client = HttpClient(session, self.timers)
             feed, view = self.build_view(client, SIDE_SERVERS_PERIOD_MS)
             demand = DemandView(self.timers)
+            loads = self._loads = LoadShare(cfg.loads, self.timers)
             steward = Steward(
                 RunnerControl(client, cfg.engine_address, cfg.place.instance),
                 demand,
-                LoadShare(cfg.loads, self.timers),
+                loads,
                 self.timers,
                 self.metrics,
             )
@@ -260,6 +297,16 @@
             await self.close()
             process.lifecycle.finish()
 
+    def apply(self, cfg: PlatformSettings) -> None:
+        """Hand changed settings to the parts that use them."""
+        super().apply(cfg)
+        self._loads.bound = cfg.loads
+
+
+def _peer_seeds(cfg: PlatformSettings) -> list[str]:
+    own = f"{cfg.host}:{cfg.control_port}"
+    return [seed for seed in cfg.seeds if seed != own]
+
 
 def _readiness(process: FrontProcess) -> Any:
     async def answer(request: web.Request) -> web.Response:
--- a/src/copperrun/platform/settings.py
+++ b/src/copperrun/platform/settings.py
@@ -11,8 +11,8 @@
 import yaml
 
 from copperrun.entry.front import Place
-from copperrun.entry.front import RetryBounds
 from copperrun.placement.loads import LoadBound
+from copperrun.routing.retries import RetryBounds
 
 PATH_VARIABLE = "COPPERRUN_BOOT"
 CEILING_SLACK = 3  # loads in a window that the rule allows besides its rate
@@ -62,6 +62,29 @@
     loads: LoadBound
 
 
+class SettingsFile:
+    """The settings file of a running process, whose content may change."""
+
+    def __init__(self, path: Path, cfg: PlatformSettings) -> None:
+        self.cfg = cfg
+        self._path = path
+        self._error: SettingsError | None = None
+
+    def reload(self) -> PlatformSettings | SettingsError | None:
+        """Return changed settings, or a new reason why they cannot be used."""
+        cfg = load_settings(self._path)
+        if isinstance(cfg, SettingsError):
+            # The platform replaces the file at any time; the process goes on with
+            # what it has.
+            known, self._error = self._error, cfg
+            return None if cfg == known else cfg
+        self._error = None
+        if cfg == self.cfg:
+            return None
+        self.cfg = cfg
+        return cfg
+
+
 def settings_path() -> Path | SettingsError:
     """Return the path that the platform names in the environment."""
     path = os.environ.get(PATH_VARIABLE)
@@ -112,7 +135,10 @@
         _port(listen, "ready"),
         _port(listen, "control"),
         ports[0],
-        tuple(str(seed) for seed in fields.get("seeds") or ()),
+        tuple(
+            str(seed)
+            for seed in _get({"seeds": fields.get("seeds") or []}, "seeds", list)
+        ),
         _get(_get(fields, "platform", dict), "address", str),
         str(fields.get("app") or ""),
         str(fields.get("service") or ""),
--- a/src/copperrun/routing/retries.py
+++ b/src/copperrun/routing/retries.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections import deque
+from typing import NamedTuple
 
 from copperrun.ports.timers import Timers
 
@@ -29,20 +30,36 @@
         return True
 
 
+class RetryBounds(NamedTuple):
+    """Bound on further attempts over all entries.
+
+    Attributes:
+        ratio: Further attempts for each request.
+        slack: Further attempts besides, in one window.
+        window_ms: Length of the sliding window.
+    """
+
+    ratio: float
+    slack: float
+    window_ms: int
+
+
 class WindowBudget:
     """Further attempts of one pool in a sliding window, as this entry's share.
 
     All entries together may send ``ratio`` further attempts for each request and
     ``slack`` besides; an entry that counts its own requests keeps to the ratio alone
     and gets its even share of the slack.
+
+    Attributes:
+        bounds: Bounds in force.
+        entries: Number of entries that share the slack.
     """
 
-    def __init__(self, timers: Timers, *, ratio: float, slack: float, window_ms: int):
+    def __init__(self, timers: Timers, bounds: RetryBounds) -> None:
+        self.bounds = bounds
         self.entries = 1
         self._timers = timers
-        self._ratio = ratio
-        self._slack = slack
-        self._window_ms = window_ms
         self._requests: deque[int] = deque()
         self._extras: deque[int] = deque()
 
@@ -54,14 +71,16 @@
     def take(self) -> bool:
         """Take one further attempt; False when the share is used up."""
         self._forget_old()
-        allowed = self._ratio * len(self._requests) + self._slack / self.entries
+        allowed = (
+            self.bounds.ratio * len(self._requests) + self.bounds.slack / self.entries
+        )
         if len(self._extras) + 1 > allowed * BUDGET_MARGIN:
             return False
         self._extras.append(self._timers.now_ms())
         return True
 
     def _forget_old(self) -> None:
-        oldest = self._timers.now_ms() - self._window_ms
+        oldest = self._timers.now_ms() - self.bounds.window_ms
         for times in (self._requests, self._extras):
             while times and times[0] < oldest:
                 times.popleft()
--- a/testing/test_decisions.py
+++ b/testing/test_decisions.py
@@ -20,6 +20,7 @@
 from copperrun.placement.loads import LoadBound
 from copperrun.placement.loads import LoadShare
 from copperrun.routing.retries import BUDGET_MARGIN
+from copperrun.routing.retries import RetryBounds
 from copperrun.routing.retries import WindowBudget
 from copperrun.routing.selection import Candidate
 from copperrun.routing.selection import Distance
@@ -168,7 +169,7 @@
 
 def test_further_attempts_keep_to_the_ratio_and_a_share_of_the_slack():
     timers = ManualTimers()
-    budget = WindowBudget(timers, ratio=0.2, slack=50, window_ms=10_000)
+    budget = WindowBudget(timers, RetryBounds(0.2, 50, 10_000))
     budget.entries = 5
     for _ in range(100):
         budget.note_request()
@@ -178,8 +179,21 @@
 
 def test_the_budget_comes_back_with_time():
     timers = ManualTimers()
-    budget = WindowBudget(timers, ratio=0.2, slack=5, window_ms=10_000)
+    budget = WindowBudget(timers, RetryBounds(0.2, 5, 10_000))
     while budget.take():
         pass
     timers._now_ms += 10_001
     assert_that(budget.take(), Equals(True))
+
+
+def test_changed_bounds_hold_at_once():
+    timers = ManualTimers()
+    budget = WindowBudget(timers, RetryBounds(0.2, 100, 10_000))
+    assert_that(budget.take(), Equals(True))
+    budget.bounds = RetryBounds(0.2, 1, 10_000)
+    assert_that(budget.take(), Equals(False))
+    loads = LoadShare(LoadBound(window_ms=5_000, overage=1.1, slack=100), timers)
+    loads.note_load()
+    assert_that(loads.delay_ms(2.0, 9), Equals(0))
+    loads.bound = LoadBound(window_ms=5_000, overage=1.1, slack=0)
+    assert_that(loads.delay_ms(2.0, 20), GreaterThan(0))
--- a/testing/test_platform_http.py
+++ b/testing/test_platform_http.py
@@ -36,6 +36,7 @@
 from copperrun.routing.catalog import Route
 from copperrun.routing.fleet import Fleet
 from copperrun.routing.relay import Relay
+from copperrun.routing.retries import RetryBounds
 from copperrun.routing.retries import WindowBudget
 from copperrun.routing.selection import Distance
 from copperrun.routing.work import Work
@@ -66,7 +67,7 @@
         self.fleet.take_records(
             server(item.id, address=item.address) for item in self.runners
         )
-        budget = WindowBudget(self.timers, ratio=1, slack=100, window_ms=10_000)
+        budget = WindowBudget(self.timers, RetryBounds(1, 100, 10_000))
         self.relay = Relay(
             self.fleet,
             HttpRunners(session),
--- a/testing/test_platform_process.py
+++ b/testing/test_platform_process.py
@@ -2,11 +2,16 @@
 
 from __future__ import annotations
 
+import json
 import os
+import signal
 import socket
 import subprocess
 import sys
+from collections.abc import Iterator
+from contextlib import contextmanager
 from pathlib import Path
+from typing import Any
 
 from test_platform_records import settings
 from test_platform_records import write
@@ -49,3 +54,52 @@
     assert_that(result.returncode, Equals(1))
     assert_that(result.stderr, Contains("in use"))
     assert_that(result.stderr.count("\n"), Equals(1))
+
+
+@contextmanager
+def running(path: Path) -> Iterator[subprocess.Popen[str]]:
+    env = {**os.environ, "COPPERRUN_BOOT": str(path)}
+    command = [sys.executable, "-m", "copperrun.platform", "entry"]
+    process = subprocess.Popen(command, env=env, stdout=subprocess.PIPE, text=True)
+    try:
+        yield process
+    finally:
+        process.kill()
+        process.wait()
+        assert process.stdout is not None
+        process.stdout.close()
+
+
+def next_line(process: subprocess.Popen[str], message: str) -> dict[str, Any]:
+    """Return the next log line with a message."""
+    assert process.stdout is not None
+    for line in process.stdout:
+        fields = json.loads(line)
+        if fields["message"] == message:
+            return fields
+    raise AssertionError(f"the process ended without {message!r}")
+
+
+def test_changed_settings_are_taken_with_and_without_a_signal(tmp_path: Path) -> None:
+    # Case: SIGHUP was logged, and the changed file was read at the next start only.
+    with socket.socket() as taken:
+        taken.bind(("127.0.0.1", 0))
+        store = f"127.0.0.1:{taken.getsockname()[1]}"
+        fields = settings(listen={}, platform={"address": store})
+        fields["internal-port-range"] = [0, 0]
+        path = write(tmp_path, fields)
+        with running(path) as process:
+            next_line(process, "store lost")
+            write(tmp_path, {**fields, "seeds": ["127.0.0.1:1"]})
+            line = next_line(process, "reload")
+            assert_that(line["changed"], Equals(["seeds"]))
+            write(tmp_path, {**fields, "seeds": 5})
+            line = next_line(process, "settings not taken")
+            assert_that(line["detail"], Contains("seeds"))
+            write(tmp_path, {**fields, "seeds": ["127.0.0.1:2"], "zone": "other"})
+            process.send_signal(signal.SIGHUP)
+            line = next_line(process, "reload")
+            assert_that(line["at_restart"], Equals(["place"]))
+            process.send_signal(signal.SIGHUP)
+            line = next_line(process, "reload")
+            assert_that((line["cause"], line["changed"]), Equals(("signal", [])))
--- a/testing/test_platform_records.py
+++ b/testing/test_platform_records.py
@@ -254,6 +254,7 @@
     ("field", "value", "named"),
     [
         ("zone", None, "zone"),
+        ("seeds", 5, "seeds"),
         ("ip", 5, "ip"),
         ("internal-port-range", [], "internal-port-range"),
         ("platform", {}, "address"),
--- a/testing/test_relay.py
+++ b/testing/test_relay.py
@@ -45,6 +45,7 @@
 from copperrun.routing.fleet import ServerRecord
 from copperrun.routing.fleet import ServerReport
 from copperrun.routing.relay import Relay
+from copperrun.routing.retries import RetryBounds
 from copperrun.routing.retries import WindowBudget
 from copperrun.routing.selection import Distance
 from copperrun.routing.work import Work
@@ -196,7 +197,7 @@
         self.runners = Runners(self.timers)
         self.engines = Engines(self.timers)
         self.demand = DemandMeter()
-        self.budget = WindowBudget(self.timers, ratio=1.0, slack=100, window_ms=10_000)
+        self.budget = WindowBudget(self.timers, RetryBounds(1.0, 100, 10_000))
         self.relay = Relay(
             self.fleet,
             self.runners,
@@ -299,7 +300,7 @@
 
 async def test_further_attempts_stop_when_the_budget_is_used_up():
     bench = Bench(server("a"), server("b"))
-    bench.budget = WindowBudget(bench.timers, ratio=0.0, slack=0, window_ms=10_000)
+    bench.budget = WindowBudget(bench.timers, RetryBounds(0.0, 0, 10_000))
     bench.runners.plans = {"a": [FULL], "b": [FULL]}
     caller = await bench.handle(SAFE)
     assert_that(bench.runners.calls, HasLength(1))
