Do not log a caller that leaves during a write as a server error

Cause: Ingress.handle logged the broken write and raised it again; the HTTP server takes any exception of a handler for its own failure and logs 'Error handling request'. Ruled out: the runner's side; its failures are values and never raised here. Change: the connection is aborted and a response is returned that cannot be sent any more. Before: the new test shows the logged error; after: no record and no byte for the caller.

--- a/src/copperrun/platform/ingress.py
+++ b/src/copperrun/platform/ingress.py
@@ -67,7 +67,10 @@
         except ConnectionError as exc:
             # The caller left while its answer was being written.
             logger.info("caller left", detail=repr(exc))
-            raise
+            if request.transport is not None:
+                request.transport.abort()
+            # Never sent; the HTTP server would log the exception as its own failure.
+            return web.Response(status=_FAILURE_STATUS)
         finally:
             self._busy[protocol] -= 1
             if not self._busy[protocol]:
--- a/testing/test_platform_http.py
+++ b/testing/test_platform_http.py
@@ -465,6 +465,28 @@
         await asyncio.wait_for(runner.closed.wait(), LIMIT_S)  # noqa: TID251
 
 
+async def test_a_caller_that_leaves_in_a_write_is_no_error(caplog):
+    # Case: soak seed 21; the HTTP server logged the broken write as its own error.
+    handled = asyncio.Event()
+
+    async def write_late(call: Call, responder: Responder) -> None:
+        try:
+            raise ConnectionResetError("Cannot write to closing transport")
+        finally:
+            handled.set()
+
+    ingress = Ingress(write_late, lambda: 1_000_000)
+    listener = web.ServerRunner(web.Server(ingress.handle, access_log=None))
+    await listener.setup()
+    await web.TCPSite(listener, "127.0.0.1", 0).start()
+    client = await Client.open(listener.addresses[0][1])
+    client.send("GET /a/1 HTTP/1.1\nHost: h.example\nRequest-Id: q1")
+    await handled.wait()
+    assert_that(await client.reader.read(), Equals(b""))
+    await listener.cleanup()
+    assert_that([item.message for item in caplog.records], Equals([]))
+
+
 async def test_an_early_answer_to_a_long_body_does_not_spoil_the_connection():
     async def early(request: Request, writer: asyncio.StreamWriter) -> bool:
         return await answer_whole(request, writer)
