Forget admitted requests whose entry died

Cause: EngineDoor kept the ticket of each admitted request until its end was told; an entry that dies tells none, so that the table grew slowly. Change: one table of admitted requests instead of two, with an age limit for all of it. Ruled out: an end by the engine's report, which names no requests at the side. Before: the new test finds the ticket after the limit; after: gone.

--- a/src/copperrun/side/door.py
+++ b/src/copperrun/side/door.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from collections.abc import Iterable
+from typing import NamedTuple
 
 from loguru import logger
 
@@ -22,6 +23,14 @@
 from copperrun.routing.fleet import ServerReport
 
 
+class _Admitted(NamedTuple):
+    """A request that was let in and whose end is not known."""
+
+    ticket_id: str
+    model: str
+    since_ms: int
+
+
 class EngineDoor:
     """Admission to one engine; each waiting request is held by its own task."""
 
@@ -32,8 +41,7 @@
         self._waiters: dict[str, asyncio.Future[None]] = {}
         self._spec: EngineSpec | None = None
         self._numbers = 0
-        self._tickets: dict[str, str] = {}
-        self._models: dict[str, tuple[str, int]] = {}
+        self._admitted: dict[str, _Admitted] = {}
         self._prepared: set[str] = set()
 
     async def admit(self, entrance: Entrance) -> Admission:
@@ -61,15 +69,14 @@
         """Take the first events and the ends of admitted requests."""
         now = self._timers.now_ms()
         for request in started:
-            ticket_id = self._tickets.get(request)
-            if ticket_id is not None:
-                self._queue.note_read(ticket_id, now)
+            admitted = self._admitted.get(request)
+            if admitted is not None:
+                self._queue.note_read(admitted.ticket_id, now)
         for request in ended:
-            ticket_id = self._tickets.pop(request, None)
-            if ticket_id is not None:
-                self._queue.withdraw(ticket_id)
-                self._steward.end_use(ticket_id)
-            self._models.pop(request, None)
+            admitted = self._admitted.pop(request, None)
+            if admitted is not None:
+                self._queue.withdraw(admitted.ticket_id)
+                self._steward.end_use(admitted.ticket_id)
         self._note_active()
         self._grant()
 
@@ -84,8 +91,9 @@
             return Overloaded(self._queue.backlog_ms())
         if not self._steward.holds(entrance.model):
             return NotHeld()
-        self._tickets[entrance.request] = ticket.id
-        self._models[entrance.request] = (entrance.model, self._timers.now_ms())
+        self._admitted[entrance.request] = _Admitted(
+            ticket.id, entrance.model, self._timers.now_ms()
+        )
         self._note_active()
         return Granted()
 
@@ -127,14 +135,19 @@
         )
 
     def _note_active(self) -> None:
-        """Tell the steward which models have requests that were let in."""
+        """Tell the steward which models have requests that were let in.
+
+        What an entry that died has left behind is forgotten after a while.
+        """
         oldest = self._timers.now_ms() - USE_LIFETIME_MS
-        self._models = {
-            request: (model, began_ms)
-            for request, (model, began_ms) in self._models.items()
-            if began_ms > oldest
+        self._admitted = {
+            request: admitted
+            for request, admitted in self._admitted.items()
+            if admitted.since_ms > oldest
         }
-        self._steward.active = frozenset(model for model, _ in self._models.values())
+        self._steward.active = frozenset(
+            admitted.model for admitted in self._admitted.values()
+        )
 
     def _ticket(self, entrance: Entrance, now: int) -> Ticket:
         # A caller may send two attempts under one id.
--- a/testing/test_door.py
+++ b/testing/test_door.py
@@ -17,6 +17,7 @@
 from testtools.matchers import LessThan
 
 from copperrun.embedded.clock import ManualTimers
+from copperrun.placement.adapters import USE_LIFETIME_MS
 from copperrun.placement.demand import DemandView
 from copperrun.placement.loads import LoadShare
 from copperrun.placement.steward import Steward
@@ -68,7 +69,7 @@
         """Let the engine read one admitted prompt every ``each_ms``."""
         while self.timers.now_ms() < until_ms:
             await self.timers.advance(each_ms)
-            admitted = list(self.door._tickets)
+            admitted = list(self.door._admitted)
             if admitted:
                 self.door.note_progress([admitted[0]], [admitted[0]])
 
@@ -149,3 +150,16 @@
         assert_that(admitted.result(), IsInstance(Granted))
         bench.door.note_progress([name], [name])
     assert_that(bench.engine.overloads, Equals(0))
+
+
+async def test_what_a_dead_entry_leaves_behind_is_forgotten():
+    bench = Bench()
+    await bench.start()
+    admitted = bench.admit(entrance("r"))
+    await bench.timers.advance(5)
+    assert_that(admitted.result(), IsInstance(Granted))
+    assert_that(set(bench.steward.active), Equals({"a"}))
+    await bench.timers.advance(USE_LIFETIME_MS + 5)
+    bench.door.report()
+    assert_that(set(bench.steward.active), Equals(set()))
+    assert_that(bench.door._admitted, Equals({}))
