Let models that do not fit together take turns

First copies of rare models never outbid further copies of busy ones, however long callers asked. Change: requests that a first copy serves count 1.75 times, and once more for each turn of 10 s for which callers have missed the model; a model stays for 5 s after its load; at most 8 moves are planned at once.

--- a/src/copperrun/placement/demand.py
+++ b/src/copperrun/placement/demand.py
@@ -6,6 +6,7 @@
 from collections import Counter
 from collections import defaultdict
 from collections.abc import Callable
+from collections.abc import Collection
 from collections.abc import Iterator
 from collections.abc import Mapping
 from contextlib import contextmanager
@@ -124,6 +125,17 @@
         self._told_ms: dict[str, int] = {}
         self._waiting: dict[str, tuple[int, Mapping[str, int]]] = {}
         self._queued: dict[str, tuple[int, Mapping[str, int]]] = {}
+        self._missing_since_ms: dict[str, int] = {}
+
+    def note_held(self, held: Collection[str]) -> None:
+        """Take which models an engine of the pool holds or is about to hold."""
+        now = self._timers.now_ms()
+        asked = self._recent.per_second(now).keys() | self.waiting().keys()
+        self._missing_since_ms = {
+            model: self._missing_since_ms.get(model, now)
+            for model in asked
+            if model not in held
+        }
 
     def take(self, demand: Demand) -> None:
         """Take the report of an entry."""
@@ -164,6 +176,7 @@
                 steady.get(model, 0.0),
                 waiting[model],
                 queued[model],
+                (now - self._missing_since_ms.get(model, now)) / 1000,
             )
             for model in recent.keys() | steady.keys() | waiting.keys()
         }
--- a/src/copperrun/placement/moves.py
+++ b/src/copperrun/placement/moves.py
@@ -21,14 +21,17 @@
 WAITING_RATE = 0.5  # requests per second that one waiting request stands for
 QUEUED_RATE = 0.5  # requests per second that one request queued at an engine adds
 LAST_COPY_RATE = 0.3  # worth of keeping a model loaded that nobody asks for now
+FIRST_COPY = 1.75  # requests served at all, against requests served sooner
 COPY_SHARE = 0.6  # of an engine's capacity that one of its models gets
 IDLE_RELIEF = 0.05  # worth of taking load off engines that are not busy at all
 RELIEF = 0.5  # and off engines that read prompts all the time
+MAX_MOVES = 8  # begun at once; a store loads about as many at full speed
 MIN_GAIN = 0.15  # requests per second, below which a move is not worth its price
 PAYBACK_S = 10.0  # time that a move should take to be worth the wait for its load
 DRAIN_S = 3.0  # typical rest of the requests that an unload waits for
 RETIRE_S = 0.3  # in which entries hear that an unused model takes no more requests
 ACTIVE_LOSS = 0.3  # requests per second, for a victim that has to be waited for
+MISSING_S = 10.0  # a turn: a load from the store, and as long in use
 BALANCE_COST = 0.02  # for an engine that has the pool's mean demand already
 
 
@@ -41,6 +44,7 @@
         in_host: Models whose weights are in its host memory.
         on_disk: Models whose weights are on its disk.
         active: Models that have requests running.
+        settling: Models that were loaded lately and do not yield yet.
         is_busy: Whether a move is under way there.
     """
 
@@ -49,6 +53,7 @@
     in_host: frozenset[str] = frozenset()
     on_disk: frozenset[str] = frozenset()
     active: frozenset[str] = frozenset()
+    settling: frozenset[str] = frozenset()
     is_busy: bool = False
 
 
@@ -60,12 +65,14 @@
         steady_rate: Requests per second over a longer time.
         waiting: Requests that wait because no engine holds it.
         queued: Requests that wait at the engines that hold it.
+        missing_s: Time for which it was asked for while no engine held it.
     """
 
     rate: float = 0.0
     steady_rate: float = 0.0
     waiting: int = 0
     queued: int = 0
+    missing_s: float = 0.0
 
     @property
     def pressing_rate(self) -> float:
@@ -74,9 +81,14 @@
 
     @property
     def weight(self) -> float:
-        """Requests per second that a first copy is worth."""
-        rate = max(self.rate, self.steady_rate)
-        return LAST_COPY_RATE + rate + WAITING_RATE * self.waiting
+        """Requests per second that a first copy is worth.
+
+        It grows once the model has been missing for a turn: models that do not fit
+        together take turns, instead of the rarest ones being refused for ever.
+        """
+        asked = max(self.rate, self.steady_rate) + WAITING_RATE * self.waiting
+        turns = max(self.missing_s / MISSING_S, 1.0)
+        return LAST_COPY_RATE + FIRST_COPY * asked * turns
 
 
 class Move(NamedTuple):
@@ -112,7 +124,10 @@
         capacity: Requests per second that one engine can take.
     """
     state = _State(spec, engines, demand, pressure, capacity)
-    while (move := state.best_move()) is not None:
+    for _ in range(MAX_MOVES):
+        move = state.best_move()
+        if move is None:
+            return
         yield move
         state.apply(move)
 
@@ -170,6 +185,7 @@
         held = self._held[engine_id]
         needed_mb = model.size_mb - (self._memory_mb - self._used_mb(held))
         active = self._views[engine_id].active
+        settling = self._views[engine_id].settling
         # Unused ones first: an unload waits for the requests that run.
         losses = sorted(
             (
@@ -177,7 +193,7 @@
                 + ACTIVE_LOSS * (name in active),
                 name,
             )
-            for name in held
+            for name in held - settling
         )
         victims: list[str] = []
         lost = 0.0
--- a/src/copperrun/placement/steward.py
+++ b/src/copperrun/placement/steward.py
@@ -40,6 +40,7 @@
 PLAN_MS = 300  # entries report a change within this time
 ADAPTER_STATUS_MS = 5  # adapters load in 7 to 130 ms
 PLACE_POLL_MS = 30  # while every place is in use or an order is under way
+SETTLE_MS = 5_000  # in use before it may yield; a load from the store takes as long
 RETIRE_MS = 200  # in which entries hear that a model takes no more requests
 UNLOAD_MS = int(DRAIN_S * 1000)
 REFUSED_MS = 500  # before an order that was refused is given again
@@ -107,6 +108,7 @@
         self._changed = ChangeSignal(timers)
         self._quiet_until_ms = 0
         self._planned_ms = timers.now_ms() - PLAN_MS
+        self._loaded_ms: dict[str, int] = {}
         self._started_ms = timers.now_ms()
         self._is_stepping = False
 
@@ -257,6 +259,7 @@
             return
         self._planned_ms = now
         views = self._views(status)
+        self._demand.note_held(frozenset[str]().union(*(view.held for view in views)))
         if self._demand.is_known:
             demand = self._demand.demand()
         else:
@@ -279,6 +282,7 @@
                 steady_rate=round(asked.steady_rate, 2),
                 waiting=asked.waiting,
                 queued=asked.queued,
+                missing_s=round(asked.missing_s, 1),
                 pressure=round(pressure, 3),
                 engines=len(views),
             )
@@ -313,6 +317,7 @@
         if await self._give(OrderKind.LOAD, model) in _DONE:
             job.ordered_ms = now
             job.load_ms = load_ms(own, spec.models[model])
+            self._loaded_ms[model] = now + job.load_ms
             self._signal()
             self._metrics.moved("load", "model")
 
@@ -416,9 +421,18 @@
             status.in_host,
             status.on_disk,
             self.active,
+            self._settling(),
         )
         return [*views, own]
 
+    def _settling(self) -> frozenset[str]:
+        """Return the models that were loaded too lately to yield."""
+        oldest = self._timers.now_ms() - SETTLE_MS
+        self._loaded_ms = {
+            model: at_ms for model, at_ms in self._loaded_ms.items() if at_ms > oldest
+        }
+        return frozenset(self._loaded_ms)
+
     def _announced(self) -> Mapping[str, int]:
         """Return the model that will be loaded, with the expected wait in ms."""
         job, spec, status = self._job, self.spec, self.status
--- a/testing/test_steward.py
+++ b/testing/test_steward.py
@@ -339,3 +339,33 @@
     await bench.advance(200)
     assert_that(bench.steward.report(), Is(None))
     assert_that([bench.steward.holds("a")], Contains(False))
+
+
+async def test_a_model_counts_as_missing_from_the_first_call_for_it():
+    timers = ManualTimers()
+    view = DemandView(timers)
+    view.note_held({"a"})
+    view.take(Demand("e", {"a": 1, "b": 1}, {"b": 1}, {}, {}))
+    view.note_held({"a"})
+    await timers.advance(2_000)
+    view.take(Demand("e", {"b": 1}, {}, {}, {}))
+    view.note_held({"a"})
+    assert_that(view.demand()["a"].missing_s, Equals(0.0))
+    assert_that(view.demand()["b"].missing_s, Equals(2.0))
+    view.note_held({"a", "b"})
+    assert_that(view.demand()["b"].missing_s, Equals(0.0))
+
+
+async def test_a_model_stays_for_a_while_after_its_load():
+    # Case: trouble-3 of the joint venture, two models that took each other's place.
+    bench = Bench(a=set(), b=set())
+    await bench.advance(2_000)
+    bench.ask(a=10)
+    bench.ask(waiting=5, c=5)
+    await bench.advance(2_000)
+    assert_that(set(bench.engine.held), Equals({"a", "c"}))
+    for _ in range(4):
+        bench.ask(waiting=9, b=9)
+        bench.ask(a=20)
+        await bench.advance(1_000)
+        assert_that(set(bench.engine.held), Contains("c"))
