Say once what the platform change said again

Found by reading the whole change again; behaviour stays as it is. - adapters/engines.py mapped a failed exchange to a side's error by its own copy of what adapters/sides.py has; both call side_error now. - platform/runners.py named the headers that the shared session already leaves out, platform/engine.py the JSON content type that the client has. - placement/steward.py built the view of its own engine in three places. - ctl/stories.py waited for a message that nothing logs. - three tests of the steward began with the same four lines; their assertions are unchanged. Left: Ingress refuses while leaving with a Retry-After of 1 ms of its own, routing/refusals.leaving() says 100 ms; one should serve, but that changes what callers are told. LineWriter writes by two ways, with and without a loop; one of them would have to wait on a full pipe.

--- a/src/copperrun/adapters/engines.py
+++ b/src/copperrun/adapters/engines.py
@@ -14,7 +14,7 @@
 from copperrun.adapters import wire
 from copperrun.adapters.client import HttpClient
 from copperrun.adapters.client import HttpFailure
-from copperrun.adapters.client import HttpFailureReason
+from copperrun.adapters.sides import side_error
 from copperrun.gen import ttypes
 from copperrun.placement.demand import DemandView
 from copperrun.placement.steward import Steward
@@ -156,11 +156,7 @@
             timeout_ms=timeout_ms,
         )
         if isinstance(reply, HttpFailure):
-            not_sent = reply.reason is HttpFailureReason.NOT_SENT
-            reason = (
-                SideErrorReason.UNREACHABLE if not_sent else SideErrorReason.ANSWER_LOST
-            )
-            return SideError(reason, reply.detail)
+            return side_error(reply)
         if reply.status != 200:
             detail = f"{path}: side answered {reply.status}"
             return SideError(SideErrorReason.ANSWER_LOST, detail)
--- a/src/copperrun/adapters/sides.py
+++ b/src/copperrun/adapters/sides.py
@@ -55,7 +55,7 @@
             headers=_HEADERS,
         )
         if isinstance(reply, HttpFailure):
-            return SideReply(_side_error(reply))
+            return SideReply(side_error(reply))
         return _parse_reply(reply, attempt.id)
 
     async def stream(
@@ -69,7 +69,7 @@
             headers=_HEADERS,
         )
         if isinstance(response, HttpFailure):
-            yield _side_error(response)
+            yield side_error(response)
             return
         try:
             async with response:
@@ -89,7 +89,7 @@
             timeout_ms=CANCEL_TIMEOUT_MS,
         )
         if isinstance(reply, HttpFailure):
-            return _side_error(reply)
+            return side_error(reply)
         result = wire.decode(ttypes.CancelResult, reply.body)
         if isinstance(result, wire.WireError):
             return SideError(SideErrorReason.ANSWER_LOST, result.detail)
@@ -107,7 +107,7 @@
             timeout_ms=PIN_TIMEOUT_MS,
         )
         if isinstance(reply, HttpFailure):
-            return _side_error(reply)
+            return side_error(reply)
         result = wire.decode(ttypes.PinResult, reply.body)
         if reply.status != 200 or isinstance(result, wire.WireError):
             return SideError(SideErrorReason.ANSWER_LOST, f"pin: {reply.status}")
@@ -119,7 +119,7 @@
             "GET", f"http://{address}{HELLO_PATH}", timeout_ms=HELLO_TIMEOUT_MS
         )
         if isinstance(reply, HttpFailure):
-            return _side_error(reply)
+            return side_error(reply)
         if reply.status != 200:
             detail = f"{address} answered {reply.status}"
             return SideError(SideErrorReason.UNREACHABLE, detail)
@@ -197,7 +197,8 @@
             return wire.refusal_from_json(event.data)
 
 
-def _side_error(failure: HttpFailure) -> SideError:
+def side_error(failure: HttpFailure) -> SideError:
+    """Turn a failed exchange with a side into the side's error."""
     match failure.reason:
         case HttpFailureReason.NOT_SENT:
             return SideError(SideErrorReason.UNREACHABLE, failure.detail)
--- a/src/copperrun/ctl/stories.py
+++ b/src/copperrun/ctl/stories.py
@@ -25,7 +25,6 @@
         "engine found",
         "engine lost",
         "lifecycle",
-        "model retired",
         "move begun",
         "move dropped: no room",
         "server left the registry",
--- a/src/copperrun/placement/steward.py
+++ b/src/copperrun/placement/steward.py
@@ -313,10 +313,9 @@
             self._job = None
             self._signal()
             return
-        own = EngineView("", frozenset(status.held), status.in_host, status.on_disk)
         if await self._give(OrderKind.LOAD, model) in _DONE:
             job.ordered_ms = now
-            job.load_ms = load_ms(own, spec.models[model])
+            job.load_ms = load_ms(self._own_view(status), spec.models[model])
             self._loaded_ms[model] = now + job.load_ms
             self._signal()
             self._metrics.moved("load", "model")
@@ -415,7 +414,10 @@
         """Return all engines of the pool, by the newest word on each."""
         peers = self._demand.peers()
         views = [_peer_view(server, peers) for server in self._others]
-        own = EngineView(
+        return [*views, self._own_view(status)]
+
+    def _own_view(self, status: EngineStatus) -> EngineView:
+        return EngineView(
             self.address,
             frozenset(status.held),
             status.in_host,
@@ -423,7 +425,6 @@
             self.active,
             self._settling(),
         )
-        return [*views, own]
 
     def _settling(self) -> frozenset[str]:
         """Return the models that were loaded too lately to yield."""
@@ -439,12 +440,11 @@
         if job is None or spec is None or status is None:
             return {}
         model = job.move.model
-        own = EngineView("", frozenset(status.held), status.in_host, status.on_disk)
         now = self._timers.now_ms()
         if job.ordered_ms is not None:
             left_ms = job.ordered_ms + job.load_ms - now
             return {model: max(left_ms, STATUS_MS)}
-        total_ms = load_ms(own, spec.models[model])
+        total_ms = load_ms(self._own_view(status), spec.models[model])
         if job.victims:
             drain_ms = UNLOAD_MS if self.active.intersection(job.victims) else 0
             drained_ms = job.began_ms + RETIRE_MS + drain_ms
--- a/src/copperrun/platform/engine.py
+++ b/src/copperrun/platform/engine.py
@@ -6,6 +6,7 @@
 
 from loguru import logger
 
+from copperrun.adapters.client import JSON_HEADERS
 from copperrun.adapters.client import HttpClient
 from copperrun.adapters.client import HttpFailure
 from copperrun.adapters.client import HttpFailureReason
@@ -21,7 +22,6 @@
 
 REPORT_TIMEOUT_MS = 500
 ORDER_TIMEOUT_MS = 800  # an order is accepted before it is carried out
-_JSON = "application/json"
 
 _RESULTS = {
     200: OrderResult.HOLDS,
@@ -64,7 +64,7 @@
         }
         if order.adapter:
             fields["adapter"] = order.adapter
-        headers = {"Content-Type": _JSON}
+        headers = dict(JSON_HEADERS)
         if order.server_id:
             headers[dialect.EXPECTED_SERVER] = order.server_id
         reply = await self._client.call_json(
--- a/src/copperrun/platform/runners.py
+++ b/src/copperrun/platform/runners.py
@@ -17,8 +17,6 @@
 from copperrun.ports.runners import RunnerErrorReason
 from copperrun.routing.fleet import ServerRecord
 
-_AUTOMATIC = ("Accept", "Accept-Encoding", "User-Agent", "Content-Type")
-
 
 class RunnerAnswer:
     """A runner's answer whose body is still to be read."""
@@ -97,7 +95,7 @@
                 URL(f"http://{server.address}{call.target}", encoded=True),
                 data=call.body,
                 headers=headers,
-                skip_auto_headers=_AUTOMATIC,
+                skip_auto_headers=("Content-Type",),
                 allow_redirects=False,
             )
         except aiohttp.ClientConnectorError as exc:
--- a/testing/test_steward.py
+++ b/testing/test_steward.py
@@ -142,21 +142,24 @@
         return [o.model for o in self.engine.orders if o.kind is OrderKind.LOAD]
 
 
-async def test_a_missing_model_is_loaded_after_its_victim_has_left():
+async def bench_asked_for_a_third_model() -> Bench:
+    """Return a bench that holds ``a`` and ``b`` and whose callers wait for ``c``."""
     bench = Bench(a=set(), b=set())
     await bench.advance(2_000)
     bench.ask(a=10)
     bench.ask(waiting=5, c=5)
+    return bench
+
+
+async def test_a_missing_model_is_loaded_after_its_victim_has_left():
+    bench = await bench_asked_for_a_third_model()
     await bench.advance(3_000)
     kinds = [(order.kind, order.model) for order in bench.engine.orders]
     assert_that(kinds, Equals([(OrderKind.UNLOAD, "b"), (OrderKind.LOAD, "c")]))
 
 
 async def test_entries_hear_of_a_victim_before_it_is_unloaded():
-    bench = Bench(a=set(), b=set())
-    await bench.advance(2_000)
-    bench.ask(a=10)
-    bench.ask(waiting=5, c=5)
+    bench = await bench_asked_for_a_third_model()
     await bench.advance(250)
     report = bench.steward.report()
     assert report is not None
@@ -358,10 +361,7 @@
 
 async def test_a_model_stays_for_a_while_after_its_load():
     # Case: trouble-3 of the joint venture, two models that took each other's place.
-    bench = Bench(a=set(), b=set())
-    await bench.advance(2_000)
-    bench.ask(a=10)
-    bench.ask(waiting=5, c=5)
+    bench = await bench_asked_for_a_third_model()
     await bench.advance(2_000)
     assert_that(set(bench.engine.held), Equals({"a", "c"}))
     for _ in range(4):
