Notice a new configuration soon after a silent store returns

An entry answered 404 by version 9 4.8 s after version 10 was acknowledged. Ruled out: the back-off (at most 1 s) and the catalog's own check of versions. Change: after a failure the next read does not wait at the store; a first failure ends the long poll of the other follower, a recovery ends its back-off; the wait of a poll is a fraction of config-apply-ms; an unknown route in a catalog that the store has not confirmed within config-apply-ms gets 503 with Retry-After instead of 404.

--- a/src/copperrun/entry/proxy.py
+++ b/src/copperrun/entry/proxy.py
@@ -148,6 +148,17 @@
             await responder.refuse(_not_ready())
             return
         route = self._view.catalog.table.find(call.host, call.path)
+        if route is None and not self._view.is_catalog_recent:
+            # The route may have been added while the store could not be read.
+            logger.info(
+                "no route in an outdated catalog",
+                request=call.id,
+                host=call.host,
+                path=call.path,
+                version=catalog.version,
+            )
+            await responder.refuse(_outdated_catalog())
+            return
         if route is None:
             logger.info(
                 "no route",
@@ -292,6 +303,15 @@
     )
 
 
+def _outdated_catalog() -> Refusal:
+    return Refusal(
+        RefusalReason.NOT_READY,
+        Ran.NO,
+        "no such route in this entry's catalog, which may be out of date",
+        NOT_READY_RETRY_AFTER_MS,
+    )
+
+
 def _unknown_route(call: BackendCall) -> Refusal:
     detail = f"no route for {call.host}{call.path}; check the host name and the path"
     return Refusal(RefusalReason.UNKNOWN_DEPLOYMENT, Ran.NO, detail)
--- a/src/copperrun/membership/topic.py
+++ b/src/copperrun/membership/topic.py
@@ -8,9 +8,11 @@
 
 from loguru import logger
 
+from copperrun.membership.health import StoreHealth
 from copperrun.ports.timers import Timers
 from copperrun.ports.topics import TopicError
 from copperrun.ports.topics import TopicErrorReason
+from copperrun.ports.topics import TopicPage
 from copperrun.ports.topics import TopicRecord
 from copperrun.ports.topics import TopicSnapshot
 from copperrun.ports.topics import TopicStore
@@ -33,6 +35,8 @@
             milliseconds; None when it had none.
         is_current: Whether reads continue from a snapshot of the store; False before
             the first one and after the offset was trimmed.
+        read_ms: When the store last confirmed the records, in monotonic milliseconds;
+            None before the first snapshot.
     """
 
     def __init__(
@@ -40,6 +44,7 @@
         topic: str,
         store: TopicStore,
         timers: Timers,
+        health: StoreHealth,
         *,
         period_ms: int,
         wait_ms: int,
@@ -49,12 +54,17 @@
         self.end = -1
         self.recovered_ms: int | None = None
         self.is_current = False
+        self.read_ms: int | None = None
         self._store = store
         self._timers = timers
+        self._health = health
         self._period_ms = period_ms
         self._wait_ms = wait_ms
         self._listeners: list[Listener] = []
         self._failures = 0
+        # Whether the next read may wait at the store. After a failure it may not: a
+        # long poll on a store that is still silent would outlive the outage.
+        self._may_wait = False
         self._loaded = asyncio.Event()
 
     def subscribe(self, listener: Listener) -> None:
@@ -82,7 +92,6 @@
             started_ms = self._timers.now_ms()
             error = await self._read_once()
             if error is None:
-                self._record_success()
                 elapsed_ms = self._timers.now_ms() - started_ms
                 await self._timers.sleep_ms(
                     max(self._period_ms - elapsed_ms, MIN_READ_PAUSE_MS)
@@ -106,7 +115,9 @@
             self._record_success()
             self._replace(snapshot.items, snapshot.end)
             return None
-        page = await self._store.read(self.topic, self.end, wait_ms=self._wait_ms)
+        page = await self._read_page()
+        if page is None:
+            return None
         if isinstance(page, TopicError):
             return page
         self.end = page.end
@@ -117,6 +128,28 @@
             self._notify_listeners()
         return None
 
+    async def _read_page(self) -> TopicPage | TopicError | None:
+        """Read the next page; None when a long poll was abandoned.
+
+        Another follower's failure may mean that the store went silent, which a long
+        poll notices only at its end.
+        """
+        if not self._wait_ms or not self._may_wait:
+            return await self._store.read(self.topic, self.end, wait_ms=0)
+        poll = asyncio.create_task(
+            self._store.read(self.topic, self.end, wait_ms=self._wait_ms)
+        )
+        failure = asyncio.create_task(self._health.wait_failure())
+        try:
+            await asyncio.wait({poll, failure}, return_when=asyncio.FIRST_COMPLETED)
+            if poll.done():
+                return poll.result()
+            self._may_wait = False
+            return None
+        finally:
+            poll.cancel()
+            failure.cancel()
+
     def _replace(self, items: Mapping[str, bytes], end: int) -> None:
         self.items = dict(items)
         self.end = end
@@ -134,16 +167,21 @@
             listener()
 
     def _record_success(self) -> None:
+        self.read_ms = self._timers.now_ms()
+        self._may_wait = True
         if self._failures:
             logger.info("store available again", topic=self.topic, end=self.end)
-            self.recovered_ms = self._timers.now_ms()
-        self._failures = 0
+            self.recovered_ms = self.read_ms
+            self._failures = 0
+            self._health.announce_recovery()
 
     async def _back_off(self, error: TopicError) -> None:
         self._failures += 1
+        self._may_wait = False
         if self._failures == 1:
             logger.warning(
                 "store unavailable", topic=self.topic, detail=error.detail, end=self.end
             )
+            self._health.announce_failure()
         delay_ms = min(RETRY_DELAY_MS * self._failures, MAX_RETRY_DELAY_MS)
-        await self._timers.sleep_ms(delay_ms)
+        await self._health.wait_recovery(delay_ms)
--- a/src/copperrun/membership/view.py
+++ b/src/copperrun/membership/view.py
@@ -8,6 +8,7 @@
 from typing import NamedTuple
 
 from copperrun.configuration.catalog import CurrentCatalog
+from copperrun.membership.health import StoreHealth
 from copperrun.membership.registry import Registry
 from copperrun.membership.topic import TopicFollower
 from copperrun.ports.timers import Timers
@@ -21,7 +22,12 @@
 # the pool's other engines to them.
 ENTRY_SERVERS_POLL_FRACTION = 0.4
 SIDE_SERVERS_POLL_FRACTION = 1.2
-CATALOG_WAIT_MS = 10_000  # long poll; the store answers a new record at once
+# Length of a long poll for the catalog, as a fraction of the time within which a change
+# must be in force; the store answers a new record at once. On entries the poll, its
+# answer's margin and one more read fit into that time, so that a connection that went
+# silent does not hide a change. No rule bounds the age of the catalog on sides.
+ENTRY_CATALOG_WAIT_FRACTION = 0.6
+SIDE_CATALOG_WAIT_FRACTION = 4.0
 PEERS_START_DELAY_MS = 1_000  # gives the store time to answer first
 PEERS_POLL_INTERVAL_MS = 1_000
 
@@ -56,22 +62,45 @@
         timers: Timers,
         *,
         servers_period_ms: int,
+        catalog_wait_ms: int,
+        catalog_max_age_ms: int,
     ) -> None:
         self.catalog = catalog
+        self.health = StoreHealth(timers)
         self._topics = topics
         self._peers = peers
         self._registry = registry
         self._timers = timers
+        self._catalog_max_age_ms = catalog_max_age_ms
         self._operator = TopicFollower(
-            topics.operator, store, timers, period_ms=0, wait_ms=CATALOG_WAIT_MS
+            topics.operator,
+            store,
+            timers,
+            self.health,
+            period_ms=0,
+            wait_ms=catalog_wait_ms,
         )
         self._servers = TopicFollower(
-            topics.servers, store, timers, period_ms=servers_period_ms, wait_ms=0
+            topics.servers,
+            store,
+            timers,
+            self.health,
+            period_ms=servers_period_ms,
+            wait_ms=0,
         )
         self._listeners: list[ServersListener] = []
         self._operator.subscribe(self._update_catalog)
         self._servers.subscribe(self.refresh)
 
+    @property
+    def is_catalog_recent(self) -> bool:
+        """Whether the store has confirmed the catalog within its greatest age."""
+        read_ms = self._operator.read_ms
+        return (
+            read_ms is not None
+            and self._timers.now_ms() - read_ms <= self._catalog_max_age_ms
+        )
+
     def subscribe(self, listener: ServersListener) -> None:
         """Call ``listener`` with the servers after each change."""
         self._listeners.append(listener)
--- a/src/copperrun/platform/daemon.py
+++ b/src/copperrun/platform/daemon.py
@@ -25,7 +25,9 @@
 from copperrun.entry.proxy import ProxyProcess
 from copperrun.membership.registry import Registry
 from copperrun.membership.shutdown import Shutdown
+from copperrun.membership.view import ENTRY_CATALOG_WAIT_FRACTION
 from copperrun.membership.view import ENTRY_SERVERS_POLL_FRACTION
+from copperrun.membership.view import SIDE_CATALOG_WAIT_FRACTION
 from copperrun.membership.view import SIDE_SERVERS_POLL_FRACTION
 from copperrun.membership.view import PlatformView
 from copperrun.membership.view import Topics
@@ -82,7 +84,10 @@
         self._runners: list[web.AppRunner | web.ServerRunner] = []
 
     def build_view(
-        self, client: HttpClient, poll_fraction: float
+        self,
+        client: HttpClient,
+        servers_poll_fraction: float,
+        catalog_wait_fraction: float,
     ) -> tuple[HttpTopicStore, PlatformView]:
         store = HttpTopicStore(client, self.cfg.store_address)
         self.topic_peers = HttpTopicPeers(client, _peer_seeds(self.cfg))
@@ -93,7 +98,9 @@
             self.catalog,
             Registry(decode_server, self.timers),
             self.timers,
-            servers_period_ms=int(poll_fraction * self.cfg.drain_ms),
+            servers_period_ms=int(servers_poll_fraction * self.cfg.drain_ms),
+            catalog_wait_ms=int(catalog_wait_fraction * self.cfg.apply_ms),
+            catalog_max_age_ms=self.cfg.apply_ms,
         )
         return store, view
 
@@ -196,7 +203,9 @@
         cfg = self.cfg
         async with open_session() as session:
             client = HttpClient(session, self.timers)
-            _, view = self.build_view(client, ENTRY_SERVERS_POLL_FRACTION)
+            _, view = self.build_view(
+                client, ENTRY_SERVERS_POLL_FRACTION, ENTRY_CATALOG_WAIT_FRACTION
+            )
             process = self._process = ProxyProcess(
                 cfg.place,
                 view,
@@ -282,7 +291,9 @@
         cfg = self.cfg
         async with open_session() as session:
             client = HttpClient(session, self.timers)
-            store, view = self.build_view(client, SIDE_SERVERS_POLL_FRACTION)
+            store, view = self.build_view(
+                client, SIDE_SERVERS_POLL_FRACTION, SIDE_CATALOG_WAIT_FRACTION
+            )
             demand = DemandView(self.timers)
             load_limiter = self._load_limiter = LoadRateLimiter(cfg.loads, self.timers)
             placement = PlacementController(
--- a/src/copperrun/platform/settings.py
+++ b/src/copperrun/platform/settings.py
@@ -44,6 +44,7 @@
         pool: Pool of that engine, or empty.
         grace_ms: Time between SIGTERM and SIGKILL.
         drain_ms: Time from a server's leave notice to the last request sent to it.
+        apply_ms: Time from the confirmation of a configuration until it is in force.
         retries: Bound on repeated attempts.
         loads: Bound on loads from the weight store.
     """
@@ -60,6 +61,7 @@
     pool: str
     grace_ms: int
     drain_ms: int
+    apply_ms: int
     retries: RetryBounds
     loads: LoadRateLimit
 
@@ -148,6 +150,7 @@
         str(fields.get("service") or ""),
         int(_get(bounds, "grace-s", float) * 1000),
         int(_get(bounds, "drain-ms", float)),
+        int(_get(bounds, "config-apply-ms", float)),
         RetryBounds(
             _get(bounds, "budget-ratio", float),
             _get(bounds, "budget-slack", float),
--- a/src/copperrun/platform/store.py
+++ b/src/copperrun/platform/store.py
@@ -18,6 +18,7 @@
 from copperrun.ports.topics import TopicSnapshot
 
 CALL_TIMEOUT_MS = 1_500  # an answer takes 4 ms, or 60 times that when slow
+POLL_MARGIN_MS = 600  # for the answer to a long poll, after the time that it waits
 
 OPERATOR_TOPIC = "keyed.op"  # written by the operator
 CATALOG_KEY = "config"
@@ -64,11 +65,11 @@
     ) -> TopicPage | TopicError:
         """Read from ``offset``; wait up to ``wait_ms`` when there is nothing new."""
         url = f"{self._url}/log-read?topic={topic}&part=0&from={offset}"
+        timeout_ms = CALL_TIMEOUT_MS
         if wait_ms:
             url += f"&wait-ms={wait_ms}"
-        reply = await self._client.call(
-            "GET", url, timeout_ms=CALL_TIMEOUT_MS + wait_ms
-        )
+            timeout_ms = wait_ms + POLL_MARGIN_MS
+        reply = await self._client.call("GET", url, timeout_ms=timeout_ms)
         if isinstance(reply, HttpFailure):
             return TopicError(TopicErrorReason.UNAVAILABLE, reply.detail)
         if reply.status == 410:
--- a/testing/soak.py
+++ b/testing/soak.py
@@ -206,6 +206,7 @@
             "bounds": {
                 "grace-s": GRACE_S,
                 "drain-ms": 2_500,
+                "config-apply-ms": 2_500,
                 "budget-ratio": 0.2,
                 "budget-slack": 58,
                 "budget-window-s": 10,
--- a/testing/test_forwarding_tables.py
+++ b/testing/test_forwarding_tables.py
@@ -15,6 +15,7 @@
 
 from copperrun.configuration.catalog import CurrentCatalog
 from copperrun.embedded.clock import ManualTimers
+from copperrun.membership.health import StoreHealth
 from copperrun.membership.registry import LAPSE_GRACE_MS
 from copperrun.membership.registry import Registry
 from copperrun.membership.topic import TopicFollower
@@ -166,7 +167,8 @@
 
 
 def _follower(store: _TopicStore, timers: ManualTimers) -> TopicFollower:
-    return TopicFollower("t", store, timers, period_ms=1_000, wait_ms=0)
+    health = StoreHealth(timers)
+    return TopicFollower("t", store, timers, health, period_ms=1_000, wait_ms=0)
 
 
 async def _with(follower: TopicFollower, timers: ManualTimers, steps: list) -> None:
--- a/testing/test_platform_records.py
+++ b/testing/test_platform_records.py
@@ -228,6 +228,7 @@
         "platform": {"address": "127.0.0.1:8142"},
         "bounds": {
             "drain-ms": 2_500,
+            "config-apply-ms": 2_500,
             "grace-s": 8,
             "budget-ratio": 0.2,
             "budget-slack": 58,
