Keep configuration, servers and epochs when the store falls back to a copy

Cause: followers compared offsets alone, so an offset that is given out again in a new era was read on from; epochs were offsets, so a claim after the fall-back could get a number in use; a server that had left came back with the copy. Ruled out: reverts of the catalog itself (versions only rise); a full re-claim, as an epoch of an earlier era stays unique and lower than all later ones.

--- a/idl/copperrun.thrift
+++ b/idl/copperrun.thrift
@@ -157,7 +157,8 @@
 // Newest records of one keyed topic, for a process that starts without the store.
 struct TopicView {
   1: required map<string, binary> items,
-  2: required i64 end
+  2: required i64 end,
+  3: optional i32 era
 }
 
 struct View {
--- a/src/copperrun/adapters/admission.py
+++ b/src/copperrun/adapters/admission.py
@@ -39,7 +39,7 @@
 PEER_CHANGE_PATH = "/internal/peer"
 VIEW_PATH = "/internal/view"
 DEMAND_REPLY_MARGIN_MS = 400  # added to hold_ms, for which a side may hold a reply
-VIEW_TIMEOUT_MS = 1_000
+VIEW_TIMEOUT_MS = 600  # a process that starts waits for the answers
 PROGRESS_BATCH_MS = 5  # events within this time share one message
 NOTIFY_TIMEOUT_MS = 1_000
 
@@ -280,27 +280,35 @@
     async def fetch_snapshots(self) -> Mapping[str, TopicSnapshot]:
         """Return the newest snapshot of each topic; empty when no peer has one."""
         newest: dict[str, TopicSnapshot] = {}
-        for address in self.addresses:
-            reply = await self._client.call(
-                "GET", f"http://{address}{VIEW_PATH}", timeout_ms=VIEW_TIMEOUT_MS
-            )
-            if isinstance(reply, HttpFailure) or reply.status != 200:
-                continue
-            view = wire.decode(ttypes.View, reply.body)
-            if isinstance(view, wire.WireError):
-                continue
-            for topic, item in view.topics.items():
-                if topic not in newest or item.end > newest[topic].end:
-                    newest[topic] = TopicSnapshot(item.items, item.end)
+        for view in await asyncio.gather(*map(self._fetch_view, self.addresses)):
+            for topic, snapshot in view.items():
+                if topic not in newest or snapshot.position > newest[topic].position:
+                    newest[topic] = snapshot
         return newest
 
+    async def _fetch_view(self, address: str) -> Mapping[str, TopicSnapshot]:
+        reply = await self._client.call(
+            "GET", f"http://{address}{VIEW_PATH}", timeout_ms=VIEW_TIMEOUT_MS
+        )
+        if isinstance(reply, HttpFailure) or reply.status != 200:
+            return {}
+        view = wire.decode(ttypes.View, reply.body)
+        if isinstance(view, wire.WireError):
+            return {}
+        return {
+            topic: TopicSnapshot(item.items, item.end, item.era or 0)
+            for topic, item in view.topics.items()
+        }
+
 
 def encode_view(topics: Mapping[str, TopicSnapshot]) -> bytes:
     """Serialize the snapshots of the topics that have been read, for peers."""
     return wire.encode(
         ttypes.View(
             topics={
-                topic: ttypes.TopicView(items=dict(snapshot.items), end=snapshot.end)
+                topic: ttypes.TopicView(
+                    items=dict(snapshot.items), end=snapshot.end, era=snapshot.era
+                )
                 for topic, snapshot in topics.items()
                 if snapshot.end >= 0
             }
--- a/src/copperrun/configuration/catalog.py
+++ b/src/copperrun/configuration/catalog.py
@@ -14,13 +14,20 @@
 
 
 class CurrentCatalog:
-    """Keeps the newest of the catalogs received."""
+    """Keeps the newest of the catalogs received.
+
+    Attributes:
+        catalog: Catalog in force; None before the first one.
+        table: Its routes.
+        encoded: The catalog in force as it was received.
+    """
 
     def __init__(self, decode: Decoder) -> None:
         self.catalog: Catalog | None = None
         self.table = RouteTable()
         self._decode = decode
-        self._encoded = b""
+        self.encoded = b""
+        self._received = b""
         self._loaded = asyncio.Event()
 
     async def wait_until_loaded(self) -> None:
@@ -29,9 +36,9 @@
 
     def update(self, value: bytes | None) -> None:
         """Replace the catalog unless the encoded one is unreadable or not newer."""
-        if value is None or value == self._encoded:
+        if value is None or value == self._received:
             return
-        self._encoded = value
+        self._received = value
         catalog = self._decode(value)
         if isinstance(catalog, str):
             logger.warning("unreadable catalog skipped", detail=catalog)
@@ -44,6 +51,7 @@
             )
             return
         self.catalog = catalog
+        self.encoded = value
         self.table = RouteTable(catalog.routes)
         self._loaded.set()
         logger.info(
--- a/src/copperrun/gen/ttypes.py
+++ b/src/copperrun/gen/ttypes.py
@@ -2003,13 +2003,15 @@
     Attributes:
      - items
      - end
+     - era
 
     """
 
 
-    def __init__(self, items=None, end=None,):
+    def __init__(self, items=None, end=None, era=None,):
         self.items = items
         self.end = end
+        self.era = era
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2036,6 +2038,11 @@
                     self.end = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.era = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2058,6 +2065,10 @@
             oprot.writeFieldBegin('end', TType.I64, 2)
             oprot.writeI64(self.end)
             oprot.writeFieldEnd()
+        if self.era is not None:
+            oprot.writeFieldBegin('era', TType.I32, 3)
+            oprot.writeI32(self.era)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2302,6 +2313,7 @@
     None,  # 0
     (1, TType.MAP, 'items', (TType.STRING, 'UTF8', TType.STRING, 'BINARY', False), None, ),  # 1
     (2, TType.I64, 'end', None, None, ),  # 2
+    (3, TType.I32, 'era', None, None, ),  # 3
 )
 all_structs.append(View)
 View.thrift_spec = (
--- a/src/copperrun/membership/claims.py
+++ b/src/copperrun/membership/claims.py
@@ -11,10 +11,12 @@
 from copperrun.ports.log import LogError
 from copperrun.ports.log import LogErrorReason
 from copperrun.ports.timers import Timers
+from copperrun.ports.topics import TopicPosition
 
 STREAM = "claims"
 RETRY_DELAY_MS = 1_000
 FIRST_EPOCH = 1  # epoch of offset 0; must be greater than an engine's initial epoch
+_OFFSET_BITS = 32  # of an epoch from a topic, below the store's era
 
 
 class Claim(NamedTuple):
@@ -58,6 +60,15 @@
         return Claim(epoch, had_earlier)
 
 
+def topic_epoch(position: TopicPosition) -> int:
+    """Return the epoch of a claim in a topic.
+
+    Offsets are given out again after the store has come back from an older copy, so the
+    era goes first: a later claim always has a higher epoch.
+    """
+    return (position.era << _OFFSET_BITS) + position.offset + FIRST_EPOCH
+
+
 async def _had_earlier_side(
     log: Log, timers: Timers, own_offset: int, instance: str, incarnation: int
 ) -> bool:
--- a/src/copperrun/membership/health.py
+++ b/src/copperrun/membership/health.py
@@ -4,14 +4,23 @@
 
 import asyncio
 
+from loguru import logger
+
 from copperrun.ports.timers import Timers
 from copperrun.signals import ChangeSignal
 
 
 class StoreHealth:
-    """Announces failed reads of the store and its recoveries."""
+    """Announces failed reads of the store, its recoveries and its new eras.
+
+    Attributes:
+        era: Newest era in an answer of the store, which rises by one each time the
+            store comes back from an older copy; 0 before the first answer.
+    """
 
     def __init__(self, timers: Timers) -> None:
+        self.era = 0
+        self._era_changed = asyncio.Event()
         self._failed = asyncio.Event()
         self._recovered = ChangeSignal(timers)
 
@@ -24,6 +33,22 @@
         """Wake tasks in ``wait_recovery``: a read succeeded after failures."""
         self._recovered.notify_all()
 
+    def record_era(self, era: int) -> None:
+        """Record the era of an answer and wake the tasks in ``wait_era_change``."""
+        if era <= self.era:
+            return
+        if self.era:
+            logger.warning(
+                "store came back from an older copy", era=era, previous=self.era
+            )
+        self.era = era
+        self._era_changed.set()
+        self._era_changed = asyncio.Event()
+
+    async def wait_era_change(self) -> None:
+        """Wait until an answer has a newer era."""
+        await self._era_changed.wait()
+
     async def wait_failure(self) -> None:
         """Wait for the next failure."""
         await self._failed.wait()
--- a/src/copperrun/membership/topic.py
+++ b/src/copperrun/membership/topic.py
@@ -4,7 +4,6 @@
 
 import asyncio
 from collections.abc import Callable
-from collections.abc import Mapping
 
 from loguru import logger
 
@@ -31,6 +30,9 @@
     Attributes:
         items: Newest value of each key.
         end: Offset of the next record to read; -1 before the first snapshot.
+        era: Era of the store in which that offset is valid.
+        copied: Keys that the older copy had when the store came back from it and that
+            have not been written since. What was known before is newer.
         recovered_ms: When the store last recovered from an outage, in monotonic
             milliseconds; None when it had none.
         is_current: Whether reads continue from a snapshot of the store; False before
@@ -52,6 +54,8 @@
         self.topic = topic
         self.items: dict[str, bytes] = {}
         self.end = -1
+        self.era = 0
+        self.copied: set[str] = set()
         self.recovered_ms: int | None = None
         self.is_current = False
         self.read_ms: int | None = None
@@ -77,14 +81,14 @@
 
     def snapshot(self) -> TopicSnapshot:
         """Return a copy of the current records with their end offset."""
-        return TopicSnapshot(dict(self.items), self.end)
+        return TopicSnapshot(dict(self.items), self.end, self.era)
 
     def restore(self, snapshot: TopicSnapshot) -> None:
         """Replace the records by a peer's snapshot if it is newer."""
-        if snapshot.end <= self.end:
+        if snapshot.position <= self.snapshot().position:
             return
         logger.info("topic restored from a peer", topic=self.topic, end=snapshot.end)
-        self._replace(snapshot.items, snapshot.end)
+        self._replace(snapshot)
 
     async def run(self) -> None:
         """Follow the topic until cancelled."""
@@ -111,15 +115,22 @@
             snapshot = await self._store.read_snapshot(self.topic)
             if isinstance(snapshot, TopicError):
                 return snapshot
+            if snapshot.era < self.era:
+                return _earlier_era(snapshot.era)
             self.is_current = True
             self._record_success()
-            self._replace(snapshot.items, snapshot.end)
+            self._replace(snapshot)
             return None
         page = await self._read_page()
         if page is None:
             return None
         if isinstance(page, TopicError):
             return page
+        if page.era < self.era:
+            return _earlier_era(page.era)
+        if page.era > self.era:
+            # The offset may be valid and name other records in this era.
+            return TopicError(TopicErrorReason.TRIMMED, f"era {page.era} began")
         self.end = page.end
         self._record_success()
         if page.records:
@@ -150,12 +161,26 @@
             poll.cancel()
             failure.cancel()
 
-    def _replace(self, items: Mapping[str, bytes], end: int) -> None:
-        self.items = dict(items)
-        self.end = end
+    def _replace(self, snapshot: TopicSnapshot) -> None:
+        fell_back = self.end >= 0 and snapshot.era > self.era
+        self._health.record_era(snapshot.era)
+        if fell_back:
+            self.copied = set(snapshot.items)
+            # Records that the copy lacks are written again, as after an outage.
+            self.recovered_ms = self._timers.now_ms()
+        else:
+            self.copied = {
+                key
+                for key in self.copied
+                if snapshot.items.get(key) == self.items.get(key)
+            }
+        self.items = dict(snapshot.items)
+        self.end = snapshot.end
+        self.era = snapshot.era
         self._notify_listeners()
 
     def _apply(self, record: TopicRecord) -> None:
+        self.copied.discard(record.key)
         if record.value is None:
             self.items.pop(record.key, None)
         else:
@@ -185,3 +210,8 @@
             self._health.announce_failure()
         delay_ms = min(RETRY_DELAY_MS * self._failures, MAX_RETRY_DELAY_MS)
         await self._health.wait_recovery(delay_ms)
+
+
+def _earlier_era(era: int) -> TopicError:
+    detail = f"answer of the earlier era {era}"
+    return TopicError(TopicErrorReason.UNAVAILABLE, detail)
--- a/src/copperrun/membership/view.py
+++ b/src/copperrun/membership/view.py
@@ -50,7 +50,12 @@
 
 
 class PlatformView:
-    """Follows both topics; asks peers for snapshots until both are loaded."""
+    """Follows both topics; asks peers for snapshots at the start.
+
+    Attributes:
+        catalog: Catalog in force.
+        health: News of the store's outages and eras.
+    """
 
     def __init__(
         self,
@@ -64,6 +69,7 @@
         servers_period_ms: int,
         catalog_wait_ms: int,
         catalog_max_age_ms: int,
+        asks_peers_first: bool,
     ) -> None:
         self.catalog = catalog
         self.health = StoreHealth(timers)
@@ -72,6 +78,8 @@
         self._registry = registry
         self._timers = timers
         self._catalog_max_age_ms = catalog_max_age_ms
+        self._asks_peers_first = asks_peers_first
+        self._peers_asked = asyncio.Event()
         self._operator = TopicFollower(
             topics.operator,
             store,
@@ -106,16 +114,24 @@
         self._listeners.append(listener)
 
     def topic_snapshots(self) -> Mapping[str, TopicSnapshot]:
-        """Return the snapshots that peers may request, by topic."""
+        """Return the snapshots that peers may request, by topic.
+
+        They name the catalog in force, which may be newer than the store's.
+        """
+        operator = self._operator.snapshot()
+        if self.catalog.encoded:
+            catalog = {self._topics.catalog_key: self.catalog.encoded}
+            operator = operator._replace(items={**operator.items, **catalog})
         return {
-            follower.topic: follower.snapshot()
-            for follower in (self._operator, self._servers)
+            self._operator.topic: operator,
+            self._servers.topic: self._servers.snapshot(),
         }
 
     async def wait_until_loaded(self) -> None:
         """Wait until the catalog and the servers have been loaded."""
         await self.catalog.wait_until_loaded()
         await self._servers.wait_until_loaded()
+        await self._peers_asked.wait()
 
     async def run(self) -> None:
         """Follow both topics until cancelled."""
@@ -126,19 +142,35 @@
 
     def refresh(self) -> None:
         """Notify the listeners of the servers to use now."""
-        servers = self._registry.update(self._servers.items, self._servers.recovered_ms)
+        servers = self._registry.update(
+            self._servers.items, self._servers.recovered_ms, self._servers.copied
+        )
         for listener in self._listeners:
             listener(servers)
 
     async def _fetch_from_peers(self) -> None:
+        """Ask the peers once, then again for as long as the store does not answer.
+
+        The first answers are awaited before this process serves: the store may have
+        come back from a copy older than the catalog that the peers have in force.
+        """
+        if self._asks_peers_first:
+            await self._restore_from_peers()
+        self._peers_asked.set()
         await self._timers.sleep_ms(PEERS_START_DELAY_MS)
         while self._operator.end < 0 or self._servers.end < 0:
-            snapshots = await self._peers.fetch_snapshots()
-            for follower in (self._operator, self._servers):
-                if follower.topic in snapshots and not follower.is_current:
-                    follower.restore(snapshots[follower.topic])
+            await self._restore_from_peers()
             await self._timers.sleep_ms(PEERS_POLL_INTERVAL_MS)
 
+    async def _restore_from_peers(self) -> None:
+        snapshots = await self._peers.fetch_snapshots()
+        if self._topics.operator in snapshots:
+            items = snapshots[self._topics.operator].items
+            self.catalog.update(items.get(self._topics.catalog_key))
+        for follower in (self._operator, self._servers):
+            if follower.topic in snapshots and not follower.is_current:
+                follower.restore(snapshots[follower.topic])
+
     def _update_catalog(self) -> None:
         self.catalog.update(self._operator.items.get(self._topics.catalog_key))
         if self._servers.end >= 0:
--- a/src/copperrun/platform/daemon.py
+++ b/src/copperrun/platform/daemon.py
@@ -101,6 +101,7 @@
             servers_period_ms=int(servers_poll_fraction * self.cfg.drain_ms),
             catalog_wait_ms=int(catalog_wait_fraction * self.cfg.apply_ms),
             catalog_max_age_ms=self.cfg.apply_ms,
+            asks_peers_first=not self.cfg.is_first_start,
         )
         return store, view
 
--- a/src/copperrun/platform/settings.py
+++ b/src/copperrun/platform/settings.py
@@ -47,6 +47,8 @@
         apply_ms: Time from the confirmation of a configuration until it is in force.
         retries: Bound on repeated attempts.
         loads: Bound on loads from the weight store.
+        is_first_start: Whether the whole system starts for the first time, so that no
+            peer knows more than the store.
     """
 
     place: ProcessLocation
@@ -64,6 +66,7 @@
     apply_ms: int
     retries: RetryBounds
     loads: LoadRateLimit
+    is_first_start: bool
 
 
 class SettingsFile:
@@ -161,6 +164,7 @@
             _get(bounds, "ceiling-overage", float),
             LOAD_LIMIT_SLACK,
         ),
+        fields.get("bootstrap") is True,
     )
 
 
--- a/src/copperrun/platform/store.py
+++ b/src/copperrun/platform/store.py
@@ -11,9 +11,11 @@
 from copperrun.adapters.client import HttpFailure
 from copperrun.adapters.client import HttpFailureReason
 from copperrun.adapters.client import HttpReply
+from copperrun.platform import http_headers
 from copperrun.ports.topics import TopicError
 from copperrun.ports.topics import TopicErrorReason
 from copperrun.ports.topics import TopicPage
+from copperrun.ports.topics import TopicPosition
 from copperrun.ports.topics import TopicRecord
 from copperrun.ports.topics import TopicSnapshot
 
@@ -39,7 +41,7 @@
     async def read_snapshot(self, topic: str) -> TopicSnapshot | TopicError:
         """Return the newest record of each key."""
         items: dict[str, bytes] = {}
-        end: int | None = None
+        start: TopicPosition | None = None
         after = ""
         while True:
             url = f"{self._url}/log-newest?topic={topic}&part=0{after}"
@@ -51,13 +53,16 @@
                 return _unavailable("log-newest", reply)
             # Records may change between pages; the end of the first page makes the
             # caller read such changes again.
-            end = page["end"] if end is None else end
+            start = start or TopicPosition(_era(reply), page["end"])
+            if start.era != _era(reply):
+                detail = "log-newest: the era changed between two pages"
+                return TopicError(TopicErrorReason.UNAVAILABLE, detail)
             for item in page["items"]:
                 value = _decode_base64(item["value"])
                 if value is not None:
                     items[item["key"]] = value
             if not page.get("has-more") or not page["items"]:
-                return TopicSnapshot(items, end)
+                return TopicSnapshot(items, start.offset, start.era)
             after = f"&after={quote(page['items'][-1]['key'], safe='')}"
 
     async def read(
@@ -79,10 +84,12 @@
         records = _decode_records(reply.body)
         if records is None:
             return TopicError(TopicErrorReason.UNAVAILABLE, "log-read: malformed body")
-        return TopicPage(records, offset + len(records))
+        return TopicPage(records, offset + len(records), _era(reply))
 
-    async def put(self, topic: str, key: str, value: bytes) -> int | TopicError:
-        """Write a record and return its offset."""
+    async def put(
+        self, topic: str, key: str, value: bytes
+    ) -> TopicPosition | TopicError:
+        """Write a record and return its position."""
         encoded_key = key.encode()
         content = bytes([len(encoded_key)]) + encoded_key + value
         reply = await self._client.call(
@@ -101,7 +108,13 @@
         answer = reply.json()
         if reply.status != 200 or not isinstance(answer, dict):
             return _unavailable("log-append", reply)
-        return int(answer["offset"])
+        return TopicPosition(_era(reply), int(answer["offset"]))
+
+
+def _era(reply: HttpReply) -> int:
+    """Return the era of an answer; 0 for a store that states none."""
+    text = reply.headers.get(http_headers.STORE_ERA, "")
+    return int(text) if text.isdecimal() else 0
 
 
 def _unavailable(operation: str, reply: HttpReply) -> TopicError:
--- a/src/copperrun/ports/topics.py
+++ b/src/copperrun/ports/topics.py
@@ -1,4 +1,8 @@
-"""Keyed topics of the platform's store, which keeps the newest record of each key."""
+"""Keyed topics of the platform's store, which keeps the newest record of each key.
+
+The store may come back from an older copy. Its era then rises by one, records written
+since the copy are gone, and their offsets are given out again.
+"""
 
 from __future__ import annotations
 
@@ -31,6 +35,18 @@
     detail: str
 
 
+class TopicPosition(NamedTuple):
+    """Place of a record in a topic; ordered and never repeated, also across eras.
+
+    Attributes:
+        era: Era of the store in which the record was written.
+        offset: Offset of the record in that era.
+    """
+
+    era: int
+    offset: int
+
+
 class TopicRecord(NamedTuple):
     """One record of a topic.
 
@@ -49,10 +65,12 @@
     Attributes:
         records: Records from the requested offset on.
         end: Offset of the next read.
+        era: Era of the store.
     """
 
     records: Sequence[TopicRecord]
     end: int
+    era: int = 0
 
 
 class TopicSnapshot(NamedTuple):
@@ -61,10 +79,17 @@
     Attributes:
         items: Values by key.
         end: Offset from which to read later records.
+        era: Era of the store in which the offset is valid.
     """
 
     items: Mapping[str, bytes]
     end: int
+    era: int = 0
+
+    @property
+    def position(self) -> TopicPosition:
+        """Position of the next record."""
+        return TopicPosition(self.era, self.end)
 
 
 class TopicStore(Protocol):
@@ -78,8 +103,10 @@
     ) -> TopicPage | TopicError:
         """Read from ``offset``; wait up to ``wait_ms`` for new records."""
 
-    async def put(self, topic: str, key: str, value: bytes) -> int | TopicError:
-        """Write a record and return its offset."""
+    async def put(
+        self, topic: str, key: str, value: bytes
+    ) -> TopicPosition | TopicError:
+        """Write a record and return its position."""
 
 
 class TopicPeers(Protocol):
--- a/src/copperrun/side/placement.py
+++ b/src/copperrun/side/placement.py
@@ -6,7 +6,7 @@
 
 from loguru import logger
 
-from copperrun.membership.claims import FIRST_EPOCH
+from copperrun.membership.claims import topic_epoch
 from copperrun.membership.lifecycle import Lifecycle
 from copperrun.membership.lifecycle import State
 from copperrun.membership.view import PlatformView
@@ -14,6 +14,7 @@
 from copperrun.ports.admission import EngineSides
 from copperrun.ports.timers import Timers
 from copperrun.ports.topics import TopicError
+from copperrun.ports.topics import TopicPosition
 from copperrun.ports.topics import TopicStore
 from copperrun.routing.servers import ServerRecord
 
@@ -67,20 +68,34 @@
             self._sides.send_peer_change(server, self._engine_address, engine)
 
     async def _claim(self) -> None:
-        """Append a claim; its offset is the epoch of this side's orders.
+        """Append a claim; its position is the epoch of this side's orders.
+
+        A claim that the store has lost by falling back to an older copy is written
+        again for operators to see. The epoch stays: no other claim has it.
+        """
+        position = await self._append_claim()
+        self._controller.epoch = topic_epoch(position)
+        logger.info("engine claimed", epoch=self._controller.epoch)
+        era = position.era
+        while True:
+            while self._view.health.era <= era:
+                await self._view.health.wait_era_change()
+            era = (await self._append_claim()).era
+            logger.info("claim written again", era=era)
+
+    async def _append_claim(self) -> TopicPosition:
+        """Append a claim, retrying for as long as the store is unavailable.
 
         A claim whose answer was lost is repeated, since no order used its epoch.
         """
         while True:
-            offset = await self._store.put(
+            position = await self._store.put(
                 self._claims_topic, self._instance, b'{"kind":"claim"}'
             )
-            if not isinstance(offset, TopicError):
-                break
-            logger.warning("claim not written", detail=offset.detail)
+            if not isinstance(position, TopicError):
+                return position
+            logger.warning("claim not written", detail=position.detail)
             await self._timers.sleep_ms(CLAIM_RETRY_DELAY_MS)
-        self._controller.epoch = offset + FIRST_EPOCH
-        logger.info("engine claimed", epoch=self._controller.epoch)
 
     def _update_servers(self, servers: list[ServerRecord]) -> None:
         catalog = self._view.catalog.catalog
--- a/testing/mutants.py
+++ b/testing/mutants.py
@@ -36,6 +36,36 @@
 
 
 MUTANTS = (
+    Mutant(
+        "fall-back",
+        "membership/claims.py",
+        "(position.era << _OFFSET_BITS) + position.offset",
+        "position.offset",
+        "test_claims.py",
+    ),
+    Mutant(
+        "fall-back",
+        "membership/topic.py",
+        "if page.era > self.era:",
+        "if False:",
+        "test_view.py::test_an_offset_that_is_valid_again_after_a_fall_back_is_not_"
+        "read_on_from",
+    ),
+    Mutant(
+        "fall-back",
+        "membership/registry.py",
+        "if server_id in distrusted and",
+        "if False and",
+        "test_view.py::test_a_server_that_left_is_not_used_because_an_older_copy_"
+        "lists_it",
+    ),
+    Mutant(
+        "fall-back",
+        "configuration/catalog.py",
+        "catalog.version <= self.catalog.version",
+        "catalog.version == self.catalog.version",
+        "test_view.py::test_a_configuration_never_reverts_when_the_store_falls_back",
+    ),
     Mutant(
         "memory",
         "placement/ledger.py",
--- a/testing/platform_standins.py
+++ b/testing/platform_standins.py
@@ -14,13 +14,20 @@
 
 
 class StoreStandIn:
-    """Keyed topics with one partition each; tests set compaction and outages."""
+    """Keyed topics with one partition each; tests set compaction and outages.
+
+    Attributes:
+        era: Stated in all answers once it is not 0; rises with each fall-back.
+        newest_page: Called with the last key of the page before, if any.
+    """
 
     def __init__(self) -> None:
+        self.era = 0
         self.records: dict[str, list[tuple[str, bytes]]] = {}
         self.first_offsets: dict[str, int] = {}
         self.is_down = False
         self.address = ""
+        self.newest_page: Callable[[str], None] = lambda after: None
         self._changed = asyncio.Event()
         self._runner: web.AppRunner | None = None
 
@@ -31,8 +38,23 @@
         self._changed = asyncio.Event()
         return len(self.records[topic]) - 1
 
+    def fall_back(self, ends: dict[str, int]) -> None:
+        """Come back from a copy that has the first records of each topic only."""
+        self.era += 1
+        for topic, end in ends.items():
+            del self.records[topic][end:]
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    async def _state_era(
+        self, request: web.Request, response: web.StreamResponse
+    ) -> None:
+        if self.era:
+            response.headers["Store-Era"] = str(self.era)
+
     async def start(self) -> None:
         app = web.Application()
+        app.on_response_prepare.append(self._state_era)
         app.router.add_get("/log-read", self._read)
         app.router.add_get("/log-newest", self._newest)
         app.router.add_post("/log-append", self._append)
@@ -51,6 +73,8 @@
         wait_ms = int(request.query.get("wait-ms", 0))
         if self.is_down:
             return web.Response(status=503)
+        if offset > len(self.records.get(topic, [])):
+            return web.json_response({"first": 0}, status=410)
         if offset < self.first_offsets.get(topic, 0):
             return web.json_response({"first": self.first_offsets[topic]}, status=410)
         if wait_ms and len(self.records.get(topic, [])) <= offset:
@@ -76,6 +100,7 @@
             if value
         ]
         after = request.query.get("after", "")
+        self.newest_page(after)
         page = [item for item in items if str(item["key"]) > after]
         return web.json_response(
             {"items": page[:2], "has-more": len(page) > 2, "end": len(records)}
--- a/testing/soak.py
+++ b/testing/soak.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import json
 import os
 import signal
 import subprocess
@@ -33,6 +34,9 @@
 _SEED = flags.DEFINE_integer("seed", 1, "First seed.")
 _SEEDS = flags.DEFINE_integer("seeds", 1, "How many seeds to run.")
 _SECONDS = flags.DEFINE_float("seconds", 8.0, "Length of each run with faults.")
+_FALL_BACKS = flags.DEFINE_bool(
+    "fall_backs", False, "Let the store also come back from older copies."
+)
 
 TIMERS = SystemTimers()
 ENTRIES, ENGINES, SERVICES, CLIENTS = 2, 2, 2, 6
@@ -41,6 +45,7 @@
 RECOVERY_TIMEOUT_MS = 12_000  # the platform's bound once all machines are back
 GRACE_S = 8
 MAX_PAUSE_MS = 2_500
+STARTED_LINE = b'{"message": "soak starts the process"}\n'
 HOST_PREFIX = "127.0.7."
 
 
@@ -60,6 +65,8 @@
         command = [sys.executable, "-m", "copperrun.platform", self.role]
         env = {**os.environ, "COPPERRUN_BOOT": str(self._path)}
         with self._log.open("ab") as log:
+            log.write(STARTED_LINE)
+            log.flush()
             self.process = subprocess.Popen(command, stdout=log, stderr=log, env=env)
 
     def send_signal(self, number: signal.Signals) -> None:
@@ -81,6 +88,11 @@
         lines = self._log.read_text().splitlines() if self._log.exists() else []
         return f"exit code {code}, {''.join(lines[-1:])[-300:]}"
 
+    def log_records(self) -> list[dict[str, Any]]:
+        """Return the records of the log, of all starts."""
+        lines = self._log.read_text().splitlines() if self._log.exists() else []
+        return [json.loads(line) for line in lines if line.startswith("{")]
+
     def first_traceback(self) -> str:
         """Return the end of the first traceback in the log, or an empty string."""
         lines = self._log.read_text().splitlines()
@@ -102,13 +114,21 @@
 class Soak:
     """One run of one seed."""
 
-    def __init__(self, seed: int, folder: Path) -> None:
+    def __init__(self, seed: int, folder: Path, *, fall_backs: bool) -> None:
         self.violations: list[str] = []
+        self._faults = [self._kill, self._pause, self._terminate, self._reload]
+        self._faults += [self._break_link] * 3
+        self._faults += [self._interrupt_store, self._change_configuration]
+        if fall_backs:
+            self._faults += [self._fall_back, self._change_configuration]
         self.outcomes: dict[str, int] = {}
         self._random = Random(seed)
         self._folder = folder
         self._store = StoreStandIn()
+        self._store.era = 1
+        self._configuration = _configuration()
         self._backends: list[PlatformEngine] = []
+        self._registry: dict[str, tuple[PlatformEngine, str, str]] = {}
         self._proxies: list[Proxy] = []
         self._instances: list[InstanceProcess] = []
         self._refused_ids: set[str] = set()
@@ -133,6 +153,7 @@
             self._stopping = True
             await asyncio.gather(*clients)
             self._check_runs()
+            self._check_logs()
         finally:
             for instance in self._instances:
                 instance.send_signal(signal.SIGCONT)
@@ -170,12 +191,12 @@
             proxy = await self._start_proxy((host, backend.port), host)
             self._backends.append(backend)
             pool = "llm" if is_engine else "pay"
-            entry = backend.registry_entry(pool, proxy.address, "z")
-            self._store.put("keyed.servers", backend.id, entry)
+            self._registry[backend.id] = (backend, pool, proxy.address)
             if is_engine:
                 extra = {"app": proxy.address, "service": "llm"}
                 self._add_instance("side", host, store.address, ports, extra)
-        self._store.put("keyed.op", "config", _configuration())
+        self._write_registry()
+        self._write_configuration()
         for number in range(ENTRIES):
             host = f"{HOST_PREFIX}{100 + number}"
             self._add_instance("entry", host, store.address, ports, {})
@@ -184,6 +205,14 @@
         for instance in self._entries():
             await self._wait_until_served(instance, START_TIMEOUT_MS)
 
+    def _write_registry(self) -> None:
+        for backend, pool, address in self._registry.values():
+            entry = backend.registry_entry(pool, address, "z")
+            self._store.put("keyed.servers", backend.id, entry)
+
+    def _write_configuration(self) -> None:
+        self._store.put("keyed.op", "config", self._configuration)
+
     def _add_instance(
         self, role: str, host: str, store: str, ports: list[int], extra: dict
     ) -> None:
@@ -234,11 +263,7 @@
         running: set[asyncio.Task[None]] = set()
         while TIMERS.now_ms() < end_ms:
             await TIMERS.sleep_ms(self._random.uniform(100, 900))
-            fault = self._random.choice(
-                [self._kill, self._pause, self._terminate, self._reload]
-                + [self._break_link] * 3
-                + [self._interrupt_store, self._change_configuration]
-            )
+            fault = self._random.choice(self._faults)
             running.add(asyncio.create_task(fault()))
         await asyncio.gather(*running)
 
@@ -279,7 +304,17 @@
         self._store.is_down = False
 
     async def _change_configuration(self) -> None:
-        self._store.put("keyed.op", "config", _configuration())
+        self._configuration = _configuration()
+        self._write_configuration()
+
+    async def _fall_back(self) -> None:
+        """Let the store come back from a copy; its writers then write again."""
+        ends = {topic: len(items) for topic, items in self._store.records.items()}
+        await TIMERS.sleep_ms(self._random.uniform(500, 3_000))
+        self._store.fall_back(ends)
+        await TIMERS.sleep_ms(self._random.uniform(100, 1_500))
+        self._write_configuration()
+        self._write_registry()
 
     async def _clear_faults(self) -> None:
         self._store.is_down = False
@@ -389,6 +424,24 @@
             if backend.overloads:
                 self.violations.append(f"{backend.id} was overloaded")
 
+    def _check_logs(self) -> None:
+        """Check that no epoch was given out twice and no configuration reverted."""
+        epochs: set[int] = set()
+        for instance in self._instances:
+            version = 0
+            for fields in instance.log_records():
+                match fields["message"]:
+                    case "soak starts the process":
+                        version = 0
+                    case "catalog in force" if fields["version"] <= version:
+                        self.violations.append(f"{instance.host}: catalog reverted")
+                    case "catalog in force":
+                        version = fields["version"]
+                    case "engine claimed" if fields["epoch"] in epochs:
+                        self.violations.append(f"epoch {fields['epoch']} claimed twice")
+                    case "engine claimed":
+                        epochs.add(fields["epoch"])
+
 
 _versions = iter(range(1, 1 << 30))
 
@@ -436,10 +489,12 @@
     }
 
 
-async def run_seed(seed: int, seconds: float) -> tuple[list[str], dict[str, int]]:
+async def run_seed(
+    seed: int, seconds: float, *, fall_backs: bool = False
+) -> tuple[list[str], dict[str, int]]:
     """Run one seed; return the violated promises and counts of request outcomes."""
     with tempfile.TemporaryDirectory(prefix="copperrun-soak-") as folder:
-        soak = Soak(seed, Path(folder))
+        soak = Soak(seed, Path(folder), fall_backs=fall_backs)
         violations = await soak.run(seconds)
         return violations, soak.outcomes
 
@@ -448,7 +503,9 @@
     """Run the seeds one after another."""
     failed = 0
     for seed in range(_SEED.value, _SEED.value + _SEEDS.value):
-        violations, outcomes = asyncio.run(run_seed(seed, _SECONDS.value))
+        violations, outcomes = asyncio.run(
+            run_seed(seed, _SECONDS.value, fall_backs=_FALL_BACKS.value)
+        )
         print(f"seed {seed}: {outcomes}", flush=True)
         for line in violations[:10]:
             print(f"  VIOLATED: {line}", flush=True)
