Start roles without pydantic and parse settings only when changed

Cause: importing the package imported the configuration's schema and with it pydantic, which deploy/requirements.txt does not install: a clean machine could not start a role, and here it took 164 of 590 ms of the imports.

--- a/src/copperrun/daemon.py
+++ b/src/copperrun/daemon.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import gc
 import signal
 import sys
 from pathlib import Path
@@ -17,6 +16,7 @@
 from copperrun.configuration.document import DocumentError
 from copperrun.embedded.daemon import EmbeddedDaemon
 from copperrun.entry.daemon import EntryDaemon
+from copperrun.garbage import tune_collector
 from copperrun.settings import DaemonSettings
 from copperrun.settings import EmbeddedSettings
 from copperrun.settings import EntrySettings
@@ -26,7 +26,6 @@
 
 EXIT_FAILED = 1
 EXIT_USAGE = 2
-GC_THRESHOLD = 20_000  # allocations between collections of the youngest generation
 
 _SETTINGS = flags.DEFINE_string("settings", None, "YAML file with the settings.")
 
@@ -64,20 +63,13 @@
 
 async def _run(settings: DaemonSettings) -> None:
     daemon = _build_daemon(settings)
-    _tune_garbage_collector()
+    tune_collector()
     loop = asyncio.get_running_loop()
     for signum in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(signum, daemon.leave)
     await daemon.run()
 
 
-def _tune_garbage_collector() -> None:
-    """Exclude objects created at startup from collections, and collect less often."""
-    gc.collect()
-    gc.freeze()
-    gc.set_threshold(GC_THRESHOLD)
-
-
 def _build_daemon(settings: DaemonSettings) -> Daemon:
     timers = SystemTimers()
     metrics = PrometheusMetrics()
--- a/src/copperrun/placement/demand.py
+++ b/src/copperrun/placement/demand.py
@@ -92,10 +92,12 @@
         self._coverage = 0.0
         self._updated_ms = now_ms
 
-    def add(self, model: str, count: float, now_ms: int) -> None:
-        """Count arrivals."""
+    def add(self, arrivals: Mapping[str, float], now_ms: int) -> None:
+        """Count arrivals by model."""
         self._decay(now_ms)
-        self._sums[model] = self._sums.get(model, 0.0) + count
+        for model, count in arrivals.items():
+            if count > 0:
+                self._sums[model] = self._sums.get(model, 0.0) + count
 
     def per_second(self, now_ms: int) -> dict[str, float]:
         """Return the arrival rate of each model."""
@@ -146,10 +148,8 @@
     def apply_report(self, demand: DemandReport) -> None:
         """Apply a report of an entry."""
         now = self._timers.now_ms()
-        for model, count in demand.arrivals.items():
-            if count > 0:
-                self._recent.add(model, count, now)
-                self._steady.add(model, count, now)
+        self._recent.add(demand.arrivals, now)
+        self._steady.add(demand.arrivals, now)
         self._waiting[demand.entry] = (now, demand.waiting)
         self._queued[demand.entry] = (now, demand.queued)
         for address, peer in demand.engines.items():
--- a/src/copperrun/platform/__main__.py
+++ b/src/copperrun/platform/__main__.py
@@ -10,6 +10,7 @@
 
 from copperrun.adapters.logs import configure_logs
 from copperrun.adapters.timers import SystemTimers
+from copperrun.garbage import tune_collector
 from copperrun.platform.daemon import EntryRole
 from copperrun.platform.daemon import SideRole
 from copperrun.platform.settings import SettingsError
@@ -34,6 +35,7 @@
         _fail(f"copperrun: {cfg.detail}")
     instance = cfg.place.instance
     writer = configure_logs("info", instance, sys.stdout.fileno(), SystemTimers())
+    tune_collector()
     try:
         asyncio.run(ROLES[argv[1]](SettingsFile(path, cfg)).run())
     except OSError as exc:
--- a/src/copperrun/platform/settings.py
+++ b/src/copperrun/platform/settings.py
@@ -4,6 +4,7 @@
 
 import os
 from collections.abc import Mapping
+from contextlib import suppress
 from pathlib import Path
 from typing import Any
 from typing import NamedTuple
@@ -75,10 +76,17 @@
     def __init__(self, path: Path, cfg: PlatformSettings) -> None:
         self.cfg = cfg
         self._path = path
+        self._content = b""
         self._error: SettingsError | None = None
 
     def reload(self) -> PlatformSettings | SettingsError | None:
         """Return changed settings, a new error, or None when there is neither."""
+        # Parsing takes some milliseconds, and the file is checked each second.
+        with suppress(OSError):  # load_settings reports it
+            content = self._path.read_bytes()
+            if content == self._content:
+                return None
+            self._content = content
         cfg = load_settings(self._path)
         if isinstance(cfg, SettingsError):
             # The platform may replace the file at any time; the settings in force
--- a/testing/test_platform_process.py
+++ b/testing/test_platform_process.py
@@ -13,12 +13,18 @@
 from pathlib import Path
 from typing import Any
 
+import pytest
 from test_platform_records import settings
 from test_platform_records import write_settings
 from testtools.assertions import assert_that
 from testtools.matchers import Contains
 from testtools.matchers import Equals
 
+from copperrun.platform.settings import PlatformSettings
+from copperrun.platform.settings import SettingsError
+from copperrun.platform.settings import SettingsFile
+from copperrun.platform.settings import load_settings
+
 
 def run(path: Path | None, *arguments: str) -> subprocess.CompletedProcess[str]:
     env = {
@@ -105,3 +111,39 @@
             process.send_signal(signal.SIGHUP)
             line = next_line(process, "settings reloaded")
             assert_that((line["cause"], line["changed"]), Equals(("signal", [])))
+
+
+def test_the_roles_start_without_the_libraries_that_the_platform_does_not_install():
+    # The deploy file's requirements name no pydantic; a clean machine has none.
+    code = (
+        "import sys; import copperrun.platform.__main__; "
+        "print([name for name in ('pydantic', 'tqdm') if name in sys.modules])"
+    )
+    result = subprocess.run(
+        [sys.executable, "-c", code], capture_output=True, text=True, check=True
+    )
+    assert_that(result.stdout.strip(), Equals("[]"))
+
+
+def test_unchanged_settings_are_not_parsed_again(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    path = write_settings(tmp_path, settings())
+    cfg = load_settings(path)
+    assert isinstance(cfg, PlatformSettings)
+    file = SettingsFile(path, cfg)
+    file.reload()
+    parsed: list[Path] = []
+
+    def count(name: Path) -> PlatformSettings | SettingsError:
+        parsed.append(name)
+        return load_settings(name)
+
+    monkeypatch.setattr("copperrun.platform.settings.load_settings", count)
+    for _ in range(3):
+        assert_that(file.reload(), Equals(None))
+    assert_that(parsed, Equals([]))
+    write_settings(tmp_path, settings(seeds=["127.0.0.1:1"]))
+    changed = file.reload()
+    assert isinstance(changed, PlatformSettings)
+    assert_that(changed.seeds, Equals(("127.0.0.1:1",)))
