Report demand in turns and at a pace that follows the size of the pool

Cause: each entry reported to each engine's side every 0.8 s, and each entry of the region sent the state of all other engines along: messages as entries x engines, their size as engines. Change: a report each 0.8 to 2.4 s by the number of engines in the entry's region, 2.4 s to other regions (a side still answers at once when its models change); some three entries of a region relay the state of the pool in one interval, by turns. Result: test_proxy.py: less than half of the reports for 60 engines, a sixth of the relayed states for 20 entries of a region.

--- a/src/copperrun/entry/proxy.py
+++ b/src/copperrun/entry/proxy.py
@@ -7,6 +7,7 @@
 from collections.abc import Mapping
 from typing import NamedTuple
 
+import xxhash
 from loguru import logger
 
 from copperrun.membership.lifecycle import Lifecycle
@@ -36,8 +37,13 @@
 from copperrun.routing.servers import ServerTable
 
 # Longest time between two reports to a side: it may hold its reply this long, and the
-# next report follows the reply.
-DEMAND_REPORT_INTERVAL_MS = 800
+# next report follows the reply. An entry reports to every engine of a pool, so the
+# interval grows with their number, up to a bound on the age of what is known of one.
+MIN_REPORT_INTERVAL_MS = 800
+MAX_REPORT_INTERVAL_MS = 2_400
+REPORT_SPACING_MS = 60  # between reports to any two engines of the entry's own region
+# Entries that tell a side the state of all other engines of the pool in one interval.
+RELAYING_ENTRIES = 3
 REPORT_RETRY_DELAY_MS = 300  # before the next report to a side that did not reply
 # Reports of newly missing models are this far apart; each waits as long before it is
 # sent, so that requests that arrive together share a report.
@@ -203,6 +209,10 @@
         """Exchange demand and server reports with one side until cancelled."""
         reported_totals: Counter[str] = Counter()
         is_unresponsive = False
+        # Entries start at different reports, so that they take turns.
+        turn = int(
+            xxhash.xxh32_intdigest(f"{self._location.instance}/{server_id}".encode())
+        )
         while (server := self.servers.find(server_id)) is not None:
             totals = self._demand.arrival_totals(server.record.pool)
             demand = DemandReport(
@@ -210,10 +220,11 @@
                 dict(totals - reported_totals),
                 self._demand.waiting_counts(server.record.pool),
                 self._demand.queued_counts(server.record.pool),
-                self._peer_engines(server),
+                self._peer_engines(server, turn),
             )
+            turn += 1
             report = await self._sides.report_demand(
-                server.record, demand, DEMAND_REPORT_INTERVAL_MS
+                server.record, demand, self._report_interval_ms(server)
             )
             if isinstance(report, SideError):
                 if not is_unresponsive:
@@ -232,13 +243,31 @@
             reported_totals = totals
             self._apply_report(server, report)
 
-    def _peer_engines(self, server: Server) -> dict[str, PeerEngine]:
+    def _report_interval_ms(self, server: Server) -> int:
+        """Return the time between two reports to a server's side."""
+        if self._is_remote(server):
+            return MAX_REPORT_INTERVAL_MS
+        pool = self.servers.in_pool(server.record.pool)
+        near = sum(not self._is_remote(other) for other in pool)
+        return min(
+            max(near * REPORT_SPACING_MS, MIN_REPORT_INTERVAL_MS),
+            MAX_REPORT_INTERVAL_MS,
+        )
+
+    def _is_remote(self, server: Server) -> bool:
+        return self._location.distance_to(server.record.zone) is Distance.REMOTE
+
+    def _peer_engines(self, server: Server, turn: int) -> dict[str, PeerEngine]:
         """Return the pool's other engines, as reported to the server's side.
 
-        Only entries of the side's own region report them: traffic between regions is
-        expensive, and this part of a report grows with the pool.
+        Only entries of the side's own region report them, in turns: traffic between
+        regions is expensive, and this part of a report grows with the pool.
         """
-        if self._location.distance_to(server.record.zone) is Distance.REMOTE:
+        if self._is_remote(server):
+            return {}
+        regions = len(set(self._location.region_by_zone.values()))
+        near_entries = self._entry_count // max(regions, 1)
+        if turn % max(near_entries // RELAYING_ENTRIES, 1):
             return {}
         return {
             other.record.address: PeerEngine(
--- a/src/copperrun/placement/demand.py
+++ b/src/copperrun/placement/demand.py
@@ -23,7 +23,8 @@
 DIRECT_REPORT_TTL_MS = 1_000
 MIN_COVERED_MS = 1_000  # rates over a shorter time say little
 NEGLIGIBLE_ARRIVALS = 0.01  # models with fewer decayed arrivals are removed
-REPORT_TTL_MS = 3_000  # three reporting intervals; then an entry counts as gone
+# Over two of the longest reporting intervals; then an entry counts as gone.
+REPORT_TTL_MS = 6_000
 
 
 class DemandMeter:
--- a/src/copperrun/routing/servers.py
+++ b/src/copperrun/routing/servers.py
@@ -22,7 +22,7 @@
 # Prefill time of a typical prompt, counted for each request that the side's latest
 # report does not include yet.
 DEFAULT_PROMPT_MS = 80.0
-REPORT_TTL_MS = 3_000  # three reporting intervals of a side
+REPORT_TTL_MS = 6_000  # over two of the longest reporting intervals of a side
 
 
 class HeldModel(NamedTuple):
--- a/testing/test_proxy.py
+++ b/testing/test_proxy.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections import Counter
 from collections.abc import Callable
 from types import SimpleNamespace
 
@@ -13,6 +14,8 @@
 from network import NullMetrics
 from testtools.assertions import assert_that
 from testtools.matchers import Equals
+from testtools.matchers import GreaterThan
+from testtools.matchers import LessThan
 
 from copperrun.embedded.clock import ManualTimers
 from copperrun.embedded.clock import run_until_idle
@@ -50,16 +53,21 @@
 class Sides:
     """Records the newest demand report to each side."""
 
-    def __init__(self, timers: ManualTimers) -> None:
+    def __init__(self, timers: ManualTimers, entries: int = 0) -> None:
         self.received: dict[str, DemandReport] = {}
+        self.counts: Counter[str] = Counter()
+        self.relayed: Counter[str] = Counter()
         self._timers = timers
+        self._entries = entries
 
     async def report_demand(
         self, record: ServerRecord, demand: DemandReport, hold_ms: int
     ) -> ServerReport:
         self.received[record.id] = demand
+        self.counts[record.id] += 1
+        self.relayed[record.id] += bool(demand.engines)
         await self._timers.sleep_ms(hold_ms)
-        return ServerReport(1, {"m": frozenset()}, 0, 0, {})
+        return ServerReport(1, {"m": frozenset()}, 0, 0, {}, self._entries)
 
 
 async def test_entry_reports_peer_engines_only_to_sides_of_its_own_region():
@@ -85,3 +93,42 @@
     }
     assert_that(engine_counts, Equals({"s-a-1": 2, "s-a-2": 2, "s-b-1": 0}))
     task.cancel()
+
+
+async def _reports(engines: int, entries: int, duration_ms: int) -> Sides:
+    """Return what the sides got from one entry of a pool in three regions."""
+    timers = ManualTimers()
+    view, sides = View(), Sides(timers, entries)
+    zones = {"a-1": "a", "b-1": "b", "c-1": "c"}
+    location = ProcessLocation("e", "a-1", "a", zones)
+    proxy = ProxyProcess(
+        location, view, None, sides, RetryBounds(1.0, 1, 1_000), timers, NullMetrics()
+    )
+    task = asyncio.create_task(proxy.run())
+    await run_until_idle()
+    names = [(f"s-{number}", sorted(zones)[number % 3]) for number in range(engines)]
+    view.notify(
+        [server(name, address=f"{name}:1", zone=zone, pool="p") for name, zone in names]
+    )
+    await timers.advance(duration_ms)
+    task.cancel()
+    return sides
+
+
+async def test_reports_of_an_entry_grow_more_slowly_than_the_pool():
+    # On the large joint venture 68 entries reported to 59 sides each 0.8 s.
+    small = await _reports(6, 5, 24_000)
+    large = await _reports(60, 68, 24_000)
+    assert_that(small.counts["s-0"], GreaterThan(24))
+    assert_that(large.counts["s-0"], GreaterThan(9))
+    # The aim was to halve the reports each 0.8 s.
+    assert_that(large.counts.total(), LessThan(60 * 24_000 // 800 // 2))
+
+
+async def test_entries_of_a_region_take_turns_in_relaying_the_state_of_the_pool():
+    few = await _reports(6, 6, 24_000)
+    many = await _reports(6, 60, 24_000)
+    assert_that(few.relayed["s-0"], GreaterThan(few.counts["s-0"] - 2))
+    # 20 entries of the region: each relays about every sixth time.
+    assert_that(many.relayed["s-0"], LessThan(few.relayed["s-0"] // 5))
+    assert_that(many.relayed["s-0"], GreaterThan(few.relayed["s-0"] // 10))
