Plan moves in the order of their value and update only what changed

Cause: each side plans the whole pool each 0.3 s; a plan evaluated every model with any value at every engine, summing its memory and demand again each time, and after each of eight moves dropped all that it had computed. Change: what a plan needs of an engine is computed once and again only where a chosen move changes it; models are tried by value, which bounds the gain, until none can be better. Ruled out: fewer plans (a missing model would wait longer).

--- a/src/copperrun/placement/moves.py
+++ b/src/copperrun/placement/moves.py
@@ -15,6 +15,8 @@
 from collections.abc import Iterator
 from collections.abc import Mapping
 from collections.abc import Sequence
+from dataclasses import dataclass
+from dataclasses import field
 from typing import NamedTuple
 
 from copperrun.routing.catalog import EngineSpec
@@ -136,8 +138,32 @@
         planner.apply(move)
 
 
+@dataclass
+class _EngineState:
+    """One engine during a plan; computed anew when its models or their value change.
+
+    Attributes:
+        held: Models that it holds after the moves chosen so far.
+        free_mb: Memory for models that is free.
+        victims: Models that may be evicted with their size and value, in the order of
+            eviction; models in use rank later, since an unload waits for running
+            requests.
+        balance_cost: Cost of loading a model here rather than onto an idle engine.
+    """
+
+    held: set[str]
+    free_mb: float = 0.0
+    victims: list[tuple[str, float, float]] = field(default_factory=list)
+    balance_cost: float = 0.0
+
+
 class _Planner:
-    """Chooses moves one by one, with the residency after those chosen so far."""
+    """Chooses moves one by one, with the residency after those chosen so far.
+
+    A plan looks at models x engines. What it needs of an engine is computed once and
+    again only where a chosen move changes it; models are tried in the order of their
+    value, which bounds the gain, until no other can be better.
+    """
 
     def __init__(
         self,
@@ -149,95 +175,123 @@
     ) -> None:
         self._spec = spec
         self._views = {engine.id: engine for engine in engines}
-        self._held = {engine.id: set(engine.held) for engine in engines}
-        self._available = {engine.id for engine in engines if not engine.is_busy}
+        self._states = {engine.id: _EngineState(set(engine.held)) for engine in engines}
+        self._available = sorted(engine.id for engine in engines if not engine.is_busy)
         self._demand = demand
         self._relief = BASE_RELIEF + PRESSURE_RELIEF * pressure
         self._copy_capacity_rps = MODEL_CAPACITY_SHARE * capacity_rps
         self._copies = Counter(
-            name for held in self._held.values() for name in held if name in spec.models
+            name for engine in engines for name in engine.held if name in spec.models
         )
-        self._eviction_costs_by_engine: dict[str, dict[str, float]] = {}
+        self._values: dict[str, float] = {}
         self._memory_mb = model_memory_mb(spec)
         total = sum(item.rate for item in demand.values())
         self._mean_rate = max(total / max(len(engines), 1), 0.001)
+        for engine_id in self._available:
+            self._update_engine(engine_id)
 
     def best_move(self) -> Move | None:
         """Return the move with the greatest gain, or None when none is worth it."""
         best: Move | None = None
-        for model in self._spec.models.values():
-            value = self._marginal_value(model.name, self._copies[model.name] + 1)
-            if value < MIN_GAIN_RPS or (best is not None and value <= best.gain):
-                continue
-            for engine_id in sorted(self._available):
-                if model.name in self._held[engine_id]:
-                    continue
-                move = self._evaluate_move(engine_id, model, value)
-                if move is not None and (best is None or move.gain > best.gain):
+        for value, name in self._models_by_value():
+            if best is not None and value <= best.gain:
+                break
+            model = self._spec.models[name]
+            for engine_id in self._available:
+                move = self._evaluate_move(engine_id, model, value, best)
+                if move is not None:
                     best = move
         return best if best is not None and best.gain >= MIN_GAIN_RPS else None
 
     def apply(self, move: Move) -> None:
         """Count a move as made; its engine is not available for another one."""
-        held = self._held[move.engine]
+        held = self._states[move.engine].held
         held.difference_update(move.victims)
         held.add(move.model)
         self._copies.subtract(move.victims)
         self._copies[move.model] += 1
-        self._available.discard(move.engine)
-        self._eviction_costs_by_engine.clear()
+        self._available.remove(move.engine)
+        changed = {move.model, *move.victims}
+        for name in changed:
+            self._values.pop(name, None)
+        for engine_id in self._available:
+            if not changed.isdisjoint(self._states[engine_id].held):
+                self._update_engine(engine_id)
+
+    def _models_by_value(self) -> list[tuple[float, str]]:
+        """Return the models that are worth a further copy, the most valuable first."""
+        for name in self._spec.models:
+            if name not in self._values:
+                self._values[name] = self._marginal_value(name, self._copies[name] + 1)
+        worth_loading = [
+            (value, name)
+            for name, value in self._values.items()
+            if value >= MIN_GAIN_RPS
+        ]
+        return sorted(worth_loading, key=lambda item: (-item[0], item[1]))
+
+    def _update_engine(self, engine_id: str) -> None:
+        state, view = self._states[engine_id], self._views[engine_id]
+        state.free_mb = self._memory_mb - sum(map(self._size_mb, state.held))
+        rate = sum(
+            self._demand.get(name, _NO_DEMAND).rate / max(self._copies[name], 1)
+            for name in state.held
+        )
+        state.balance_cost = BALANCE_COST_RPS * rate / self._mean_rate
+        costs = {
+            name: self._marginal_value(name, self._copies[name])
+            for name in state.held - view.recently_loaded
+        }
+        order = sorted(
+            (cost + ACTIVE_VICTIM_COST_RPS * (name in view.active), name)
+            for name, cost in costs.items()
+        )
+        state.victims = [(name, self._size_mb(name), costs[name]) for _, name in order]
 
     def _evaluate_move(
-        self, engine_id: str, model: ModelSpec, value: float
+        self, engine_id: str, model: ModelSpec, value: float, best: Move | None
     ) -> Move | None:
-        needed_mb = model.size_mb - self._free_mb(engine_id)
-        costs = self._eviction_costs(engine_id)
-        if needed_mb > 0 and value - min(costs.values(), default=0.0) < MIN_GAIN_RPS:
+        """Return the move of a model to an engine if it gains more than the best."""
+        state = self._states[engine_id]
+        if model.name in state.held:
             return None
-        victims: list[str] = []
-        for name in costs:
-            if needed_mb <= 0:
-                break
-            victims.append(name)
-            needed_mb -= self._size_mb(name)
-        if needed_mb > 0:
+        bound = value - state.balance_cost
+        if best is not None and bound <= best.gain:
             return None
-        # A victim stays when the later ones free enough memory without it.
-        for name in list(victims):
-            if needed_mb + self._size_mb(name) <= 0:
-                victims.remove(name)
-                needed_mb += self._size_mb(name)
-        delay_s = load_ms(self._views[engine_id], model) / 1000
-        if victims:
-            active = self._views[engine_id].active
+        needed_mb = model.size_mb - state.free_mb
+        victims: list[tuple[str, float, float]] = []
+        if needed_mb > 0:
+            if (
+                value - min((cost for _, _, cost in state.victims), default=0.0)
+                < MIN_GAIN_RPS
+            ):
+                return None
+            for victim in state.victims:
+                if needed_mb <= 0:
+                    break
+                victims.append(victim)
+                needed_mb -= victim[1]
+            if needed_mb > 0:
+                return None
+            # A victim stays when the later ones free enough memory without it.
+            for victim in list(victims):
+                if needed_mb + victim[1] <= 0:
+                    victims.remove(victim)
+                    needed_mb += victim[1]
+        view = self._views[engine_id]
+        names = tuple(name for name, _, _ in victims)
+        delay_s = load_ms(view, model) / 1000
+        if names:
             delay_s += (
-                TYPICAL_DRAIN_S if active.intersection(victims) else IDLE_EVICTION_S
+                TYPICAL_DRAIN_S if view.active.intersection(names) else IDLE_EVICTION_S
             )
         # Requests that are not served during the move reduce its gain.
         gain = value * max(1 - delay_s / PAYBACK_S, 0.0)
-        gain -= sum(costs[name] for name in victims)
-        gain -= self._balance_cost(engine_id)
-        return Move(engine_id, model.name, tuple(victims), gain)
-
-    def _eviction_costs(self, engine_id: str) -> dict[str, float]:
-        """Return the value of each model that may be evicted, in order of eviction.
-
-        Models in use rank later, since an unload waits for running requests.
-        """
-        cached = self._eviction_costs_by_engine.get(engine_id)
-        if cached is None:
-            view = self._views[engine_id]
-            costs = {
-                name: self._marginal_value(name, self._copies[name])
-                for name in self._held[engine_id] - view.recently_loaded
-            }
-            order = sorted(
-                (cost + ACTIVE_VICTIM_COST_RPS * (name in view.active), name)
-                for name, cost in costs.items()
-            )
-            cached = {name: costs[name] for _, name in order}
-            self._eviction_costs_by_engine[engine_id] = cached
-        return cached
+        gain -= sum(cost for _, _, cost in victims)
+        gain -= state.balance_cost
+        if best is not None and gain <= best.gain:
+            return None
+        return Move(engine_id, model.name, names, gain)
 
     def _marginal_value(self, name: str, copies: int) -> float:
         """Return the value of the last of ``copies`` copies of a model."""
@@ -250,16 +304,6 @@
         # The last copy takes rate / (copies - 1) - rate / copies off each other one.
         return served + rate * self._relief / (copies * (copies - 1))
 
-    def _balance_cost(self, engine_id: str) -> float:
-        rate = sum(
-            self._demand.get(name, _NO_DEMAND).rate / max(self._copies[name], 1)
-            for name in self._held[engine_id]
-        )
-        return BALANCE_COST_RPS * rate / self._mean_rate
-
-    def _free_mb(self, engine_id: str) -> float:
-        return self._memory_mb - sum(map(self._size_mb, self._held[engine_id]))
-
     def _size_mb(self, name: str) -> float:
         model = self._spec.models.get(name)
         return model.size_mb if model is not None else 0.0
