--- a/testing/test_controller.py
+++ b/testing/test_controller.py
@@ -372,14 +372,14 @@
 
 
 async def _loads_for_a_missing_model(peer: PeerEngine | None) -> list[str]:
-    """Return the loads of a side whose only peer looks like the better engine."""
+    """Return the loads of a side whose only peer goes before it in a plan."""
     bench = Bench(a=set(), b=set())
-    other = server("i-9", address="addr-0", pool="p", born_ms=1)
+    other = server("i-9", address="add", pool="p", born_ms=1)
     bench.controller.set_servers("addr", server("i-1", born_ms=1), [other])
     await bench.advance(2_000)
     for _ in range(8):
         if peer is not None:
-            engines = {"addr-0": peer}
+            engines = {"add": peer}
             bench.demand.apply_report(DemandReport("entry", {}, {}, {}, engines))
         bench.report_demand(a=1, b=1)
         bench.report_demand(waiting=5, c=5)
@@ -390,7 +390,7 @@
 async def test_a_move_is_not_left_to_an_engine_that_keeps_what_it_just_loaded():
     # On trouble-1 of kura-export a model with 12 requests a second was missing for 4 s:
     # all idle sides left its load to an engine that did not evict a fresh model.
-    idle = PeerEngine(frozenset({"x", "y"}), frozenset(), 0.1)
+    idle = PeerEngine(frozenset({"a", "b"}), frozenset(), 0.1)
     fresh = idle._replace(recently_loaded=idle.held)
     assert_that(await _loads_for_a_missing_model(idle), Equals([]))
     assert_that(await _loads_for_a_missing_model(fresh), Contains("c"))
