Count whole events only as the progress of a stream

Cause: the stall timer of a stream that may be resumed restarted with each byte, so a stalled server that sent one now and then held its caller until the route's limit. Change: the timer runs from the last whole event. Result: test_relay.py: a stream with a byte each 200 ms resumes elsewhere (fails before); a slow but sound one with 1.3 s between events is not cut.

--- a/src/copperrun/routing/relay.py
+++ b/src/copperrun/routing/relay.py
@@ -299,9 +299,11 @@
     ) -> AttemptOutcome:
         """Forward complete events as they arrive, so that the stream can be resumed."""
         splitter = EventSplitter()
+        # Only whole events count as progress: a stalled server may send bytes on.
+        last_event_ms = self._timers.now_ms()
         async with aclosing(answer.chunks()) as chunks:
             while True:
-                chunk = await self._next_chunk(request, progress, chunks)
+                chunk = await self._next_chunk(request, progress, chunks, last_event_ms)
                 if chunk is None:
                     break
                 if isinstance(chunk, BackendError):
@@ -313,7 +315,8 @@
                 if not progress.response_started:
                     progress.response_started = True
                     await responder.start(answer.head, None)
-                progress.record_event_times(self._timers.now_ms())
+                last_event_ms = self._timers.now_ms()
+                progress.record_event_times(last_event_ms)
                 self._report_started(request, server, progress)
                 await responder.write(b"".join(event.data for event in events))
                 progress.resume_after = events[-1].id or progress.resume_after
@@ -331,14 +334,14 @@
         request: RoutedRequest,
         progress: Progress,
         chunks: AsyncGenerator[bytes | BackendError, None],
+        last_event_ms: int,
     ) -> bytes | BackendError | None:
         """Return the next bytes of a stream, None at its end, an error if it stalls."""
         limit_ms = self._remaining_ms(request)
         if self._can_fail_over(request, progress):
-            limit_ms = min(
-                limit_ms,
-                STALL_GAP_FACTOR * request.route.target_gap_ms + STALL_MARGIN_MS,
-            )
+            stall_ms = STALL_GAP_FACTOR * request.route.target_gap_ms + STALL_MARGIN_MS
+            elapsed_ms = self._timers.now_ms() - last_event_ms
+            limit_ms = min(limit_ms, stall_ms - elapsed_ms)
         try:
             async with self._timers.timeout_ms(limit_ms):
                 return await anext(chunks)
@@ -347,7 +350,10 @@
         except TimeoutError:
             if self._remaining_ms(request) <= 0:
                 raise
-            return BackendError(BackendErrorReason.LOST, f"no event for {limit_ms} ms")
+            elapsed_ms = self._timers.now_ms() - last_event_ms
+            return BackendError(
+                BackendErrorReason.LOST, f"no event for {elapsed_ms} ms"
+            )
 
     def _head_timeout_ms(self, request: RoutedRequest, progress: Progress) -> int:
         """Return how long to wait for the head of an answer."""
--- a/testing/test_relay.py
+++ b/testing/test_relay.py
@@ -651,3 +651,26 @@
     assert caller.refusal is not None
     assert_that(caller.refusal.ran, Is(Ran.UNKNOWN))
     assert_that(bench.servers.find("a").failure_rate, Equals(0))
+
+
+async def test_a_stalled_stream_that_sends_a_byte_now_and_then_resumes_elsewhere():
+    bench = Bench(server("a"), server("b"))
+    drips = [Part(200, b"x") for _ in range(60)]
+    stalled = Plan(parts=[*events(1, 2), *drips])
+    bench.backends.plans = {"a": [stalled], "b": [Plan(parts=events(3, 4))]}
+    bench.servers.find("b").begin_request()  # the other one is preferred
+    caller, task = bench.begin(STREAM)
+    await bench.timers.advance(2_000)
+    assert_that(caller.body.count(b"id:"), Equals(4))
+    assert_that(bench.servers_called(), Equals(["a", "b"]))
+    await run_until(bench.timers, task, 1_000)
+    assert caller.is_complete
+
+
+async def test_a_slow_but_sound_stream_is_not_cut():
+    bench = Bench(server("a"), server("b"))
+    bench.backends.plans = {"a": [Plan(parts=events(1, 8, gap_ms=1_300))]}
+    bench.servers.find("b").begin_request()
+    caller = await bench.handle(STREAM)
+    assert caller.is_complete
+    assert_that(bench.servers_called(), Equals(["a"]))
