--- a/src/copperrun/side/admission.py
+++ b/src/copperrun/side/admission.py
@@ -22,6 +22,11 @@
 from copperrun.routing.catalog import EngineSpec
 from copperrun.routing.servers import ServerReport
 
+# Interval between two checks for requests that would be served too late. The expected
+# wait rises for a moment with each grant, so that frequent checks would refuse requests
+# that can be served.
+HOPELESS_CHECK_INTERVAL_MS = 200
+
 
 class _AdmittedRequest(NamedTuple):
     """An admitted request whose end has not been reported."""
@@ -200,14 +205,21 @@
 
     async def _check_queue(self) -> None:
         """Issue grants when they become due; refuse what would be served too late."""
+        refusals_due_ms = self._timers.now_ms() + HOPELESS_CHECK_INTERVAL_MS
         while self._queue.waiting_count:
             delay_ms = self._queue.next_check_ms(self._timers.now_ms())
             await self._timers.sleep_ms(delay_ms)
             self._issue_grants()
-            # More urgent requests may have arrived since these were queued.
-            for ticket in self._queue.hopeless(self._timers.now_ms()):
-                self._queue.remove(ticket.id)
-                self._conclude(ticket, granted=False)
+            now = self._timers.now_ms()
+            if now >= refusals_due_ms:
+                refusals_due_ms = now + HOPELESS_CHECK_INTERVAL_MS
+                self._refuse_hopeless(now)
+
+    def _refuse_hopeless(self, now_ms: int) -> None:
+        """Refuse requests behind which more urgent ones have arrived."""
+        for ticket in self._queue.hopeless(now_ms):
+            self._queue.remove(ticket.id)
+            self._conclude(ticket, granted=False)
 
     def _issue_grants(self) -> None:
         for ticket in self._queue.issue_grants(self._timers.now_ms()):
