--- a/src/copperrun/admission/prefill.py
+++ b/src/copperrun/admission/prefill.py
@@ -23,10 +23,7 @@
 INITIAL_PREFILL_MS = 80.0  # average prefill time before there are samples
 PREFILL_TIME_WEIGHT = 0.02  # of the newest prompt in the moving average
 UTILIZATION_DECAY_MS = 2_000  # time constant of the exponential average
-# Interval between two checks of the queue, due when the next request may fit;
-# the upper bound is for requests that fit or become hopeless sooner.
-MIN_CHECK_INTERVAL_MS = 5
-MAX_CHECK_INTERVAL_MS = 25
+MIN_POLL_INTERVAL_MS = 5  # between two checks of the queue
 WAIT_SAFETY_FACTOR = 1.2  # on the expected wait, before a request is refused for it
 # An engine is slow when a first event takes longer than this multiple of the expected
 # prefill time of its prompt and all prompts that may have been prefilled before it.
@@ -217,35 +214,13 @@
             )
             yield ticket
 
-    def next_check_ms(self, now_ms: int) -> int:
-        """Return the time after which to check the queue if no grant is released."""
+    def next_grant_ms(self, now_ms: int) -> int:
+        """Return the time until the next request may fit if no grant is released."""
         ticket = self._most_urgent(now_ms)
         if ticket is None:
-            return MAX_CHECK_INTERVAL_MS
+            return GRANT_TTL_MS
         excess_ms = self._level_ms + self._prefill_ms(ticket) - self._burst_ms(ticket)
-        if excess_ms <= 0:
-            # It waits for a first event of those granted before.
-            return MAX_CHECK_INTERVAL_MS
-        return min(max(int(excess_ms), MIN_CHECK_INTERVAL_MS), MAX_CHECK_INTERVAL_MS)
-
-    def hopeless(self, now_ms: int) -> list[Ticket]:
-        """Return the waiting requests whose first event is expected too late.
-
-        Later requests are not expected to wait for them.
-        """
-        found: list[Ticket] = []
-        ahead_ms = self._outstanding_ms
-        by_urgency = sorted(
-            self._waiting.values(), key=lambda item: _urgency(item, now_ms)
-        )
-        for ticket in by_urgency:
-            prefill_ms = self._prefill_ms(ticket)
-            wait_ms = ahead_ms + self.speed(ticket.model).delay_ms + prefill_ms
-            if now_ms + wait_ms * WAIT_SAFETY_FACTOR >= ticket.deadline_ms:
-                found.append(ticket)
-            else:
-                ahead_ms += prefill_ms
-        return found
+        return max(int(excess_ms), MIN_POLL_INTERVAL_MS)
 
     def record_first_event(self, ticket_id: str, now_ms: int) -> None:
         """Release the grant of a request after its first event and update the speed."""
--- a/src/copperrun/side/admission.py
+++ b/src/copperrun/side/admission.py
@@ -22,11 +22,6 @@
 from copperrun.routing.catalog import EngineSpec
 from copperrun.routing.servers import ServerReport
 
-# Interval between two checks for requests that would be served too late. The expected
-# wait rises for a moment with each grant, so that frequent checks would refuse requests
-# that can be served.
-HOPELESS_CHECK_INTERVAL_MS = 200
-
 
 class _AdmittedRequest(NamedTuple):
     """An admitted request whose end has not been reported."""
@@ -37,14 +32,13 @@
 
 
 class AdmissionController:
-    """Admits requests to one engine; one task checks the queue while any wait."""
+    """Admits requests to one engine; each waiting request has its own task."""
 
     def __init__(self, placement: PlacementController, timers: Timers) -> None:
         self._placement = placement
         self._timers = timers
         self._queue = PrefillQueue()
-        self._waiters: dict[str, asyncio.Future[bool]] = {}
-        self._queue_task: asyncio.Task[None] | None = None
+        self._waiters: dict[str, asyncio.Future[None]] = {}
         self._spec: EngineSpec | None = None
         self._ticket_count = 0
         self._admitted: dict[str, _AdmittedRequest] = {}
@@ -186,15 +180,24 @@
 
     async def _wait_for_grant(self, ticket: Ticket) -> bool:
         """Return True once granted, False once the deadline cannot be met."""
-        fut: asyncio.Future[bool] = asyncio.get_running_loop().create_future()
+        fut: asyncio.Future[None] = asyncio.get_running_loop().create_future()
         self._waiters[ticket.id] = fut
         self._queue.enqueue(ticket)
         self._issue_grants()
-        if not fut.done() and (self._queue_task is None or self._queue_task.done()):
-            self._queue_task = asyncio.create_task(self._check_queue())
         granted = False
         try:
-            granted = await fut
+            while not fut.done():
+                now = self._timers.now_ms()
+                # More urgent requests may have arrived since it was queued.
+                if not self._queue.can_meet_deadline(ticket, now):
+                    return False
+                limit_ms = min(self._queue.next_grant_ms(now), ticket.deadline_ms - now)
+                try:
+                    async with self._timers.timeout_ms(limit_ms):
+                        await asyncio.shield(fut)
+                except TimeoutError:
+                    self._issue_grants()
+            granted = True
         finally:
             self._waiters.pop(ticket.id, None)
             if not granted:
@@ -203,29 +206,8 @@
                 self._issue_grants()
         return granted
 
-    async def _check_queue(self) -> None:
-        """Issue grants when they become due; refuse what would be served too late."""
-        refusals_due_ms = self._timers.now_ms() + HOPELESS_CHECK_INTERVAL_MS
-        while self._queue.waiting_count:
-            delay_ms = self._queue.next_check_ms(self._timers.now_ms())
-            await self._timers.sleep_ms(delay_ms)
-            self._issue_grants()
-            now = self._timers.now_ms()
-            if now >= refusals_due_ms:
-                refusals_due_ms = now + HOPELESS_CHECK_INTERVAL_MS
-                self._refuse_hopeless(now)
-
-    def _refuse_hopeless(self, now_ms: int) -> None:
-        """Refuse requests behind which more urgent ones have arrived."""
-        for ticket in self._queue.hopeless(now_ms):
-            self._queue.remove(ticket.id)
-            self._conclude(ticket, granted=False)
-
     def _issue_grants(self) -> None:
         for ticket in self._queue.issue_grants(self._timers.now_ms()):
-            self._conclude(ticket, granted=True)
-
-    def _conclude(self, ticket: Ticket, *, granted: bool) -> None:
-        fut = self._waiters.get(ticket.id)
-        if fut is not None and not fut.done():
-            fut.set_result(granted)
+            fut = self._waiters.get(ticket.id)
+            if fut is not None and not fut.done():
+                fut.set_result(None)
--- a/testing/test_admission.py
+++ b/testing/test_admission.py
@@ -13,7 +13,6 @@
 from test_controller import Engine
 from testtools.assertions import assert_that
 from testtools.matchers import Equals
-from testtools.matchers import GreaterThan
 from testtools.matchers import IsInstance
 from testtools.matchers import LessThan
 
@@ -164,49 +163,3 @@
     bench.admission.report()
     assert_that(set(bench.placement.active), Equals(set()))
     assert_that(bench.admission._admitted, Equals({}))
-
-
-async def test_a_full_queue_is_checked_by_one_task():
-    # Each waiting request used to check the whole queue for itself every 5 ms, which
-    # took most of a side's processor time on days with a burst.
-    bench = Bench()
-    await bench.start()
-    tasks = [
-        bench.admit(admission_request(f"r{n}", remaining_ms=60_000)) for n in range(60)
-    ]
-    await bench.timers.advance(50)
-    checks = 0
-    hopeless = bench.admission._queue.hopeless
-
-    def count(now_ms: int) -> list:
-        nonlocal checks
-        checks += 1
-        return hopeless(now_ms)
-
-    bench.admission._queue.hopeless = count
-    await bench.timers.advance(1_000)
-    waiting = sum(not task.done() for task in tasks)
-    assert_that(waiting, GreaterThan(40))
-    assert_that(checks, LessThan(6))
-    assert_that(checks, GreaterThan(3))
-    for task in tasks:
-        task.cancel()
-
-
-async def test_a_request_is_not_refused_for_a_wait_that_passes_in_a_moment():
-    # On quiet-1 of kura-export checks each 25 ms refused 5% of the requests and checks
-    # each 200 ms 0.1%: each grant raises the expected wait until its first event.
-    bench = Bench()
-    await bench.start()
-    first = [bench.admit(admission_request(f"f{n}", priority=0)) for n in range(4)]
-    waiting = bench.admit(admission_request("r", priority=2, remaining_ms=3_000))
-    await bench.timers.advance(40)
-    urgent = [bench.admit(admission_request(f"u{n}", priority=0)) for n in range(40)]
-    await bench.timers.advance(100)
-    for task in urgent:
-        task.cancel()
-    assert_that(waiting.done(), Equals(False))
-    await bench.finish_admitted(2_500, each_ms=100)
-    assert_that(waiting.result(), IsInstance(Granted))
-    for task in first:
-        task.cancel()
--- a/testing/test_prefill.py
+++ b/testing/test_prefill.py
@@ -262,21 +262,3 @@
         self._due = [item for item in self._due if item[0] > now_ms]
         self.count += len(done)
         return done
-
-
-def test_hopeless_requests_are_found_as_one_by_one_and_do_not_count_ahead():
-    prefill = PrefillQueue()
-    for number in range(40):
-        deadline_ms = 300 if number == 0 else 2_000
-        prefill.enqueue(ticket(f"t{number:02}", deadline_ms=deadline_ms))
-    hopeless = [item.id for item in prefill.hopeless(0)]
-    alone = [
-        f"t{number:02}"
-        for number in range(40)
-        if not prefill.can_meet_deadline(ticket(f"t{number:02}", deadline_ms=2_000), 0)
-    ]
-    assert hopeless
-    assert set(hopeless) <= set(alone)
-    for name in hopeless:
-        prefill.remove(name)
-    assert_that(prefill.hopeless(0), Equals([]))
