Look for an untried server without listing all of them

Cause: in a profile of 10 s of the large fleet an entry spent a fifth of its time on lists of the usable servers, one for each piece of a stream, to learn whether there is one. Change: the search ends at the first; a server that is not held off is known by two fields.

--- a/src/copperrun/routing/relay.py
+++ b/src/copperrun/routing/relay.py
@@ -369,7 +369,7 @@
         return (
             request.may_retry
             and progress.sends < request.route.max_attempts
-            and len(self._selector.untried_servers(request, progress)) > 0
+            and self._selector.has_untried_server(request, progress)
         )
 
     def _report_started(
--- a/src/copperrun/routing/selector.py
+++ b/src/copperrun/routing/selector.py
@@ -94,6 +94,13 @@
             if server.record.id not in progress.tried
         ]
 
+    def has_untried_server(self, request: RoutedRequest, progress: Progress) -> bool:
+        """Return whether a usable server has not been tried for the request."""
+        return any(
+            server.record.id not in progress.tried
+            for server in self._servers.iter_usable(request.pool.name)
+        )
+
     async def _wait_for_holder(
         self, request: RoutedRequest, progress: Progress
     ) -> Server | Refusal:
--- a/src/copperrun/routing/servers.py
+++ b/src/copperrun/routing/servers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Iterable
+from collections.abc import Iterator
 from collections.abc import Mapping
 from typing import NamedTuple
 
@@ -136,6 +137,12 @@
         """Whether a connection attempt failed within the backoff period."""
         return self._timers.now_ms() < self._backoff_until_ms
 
+    @property
+    def is_held_off(self) -> bool:
+        """Whether it is in backoff or has asked for a pause."""
+        until_ms = self._backoff_until_ms or self._pause_until_ms
+        return bool(until_ms) and (self.is_backing_off or self.pause_ms > 0)
+
     @property
     def pause_ms(self) -> int:
         """Time for which the server wants no requests from this entry."""
@@ -286,9 +293,8 @@
         """
         return (
             self._servers.get(server.record.id) is server
+            and not server.is_held_off
             and not self._is_leaving(server)
-            and not server.is_backing_off
-            and not server.pause_ms
         )
 
     def shortest_pause_ms(self, pool: str, model: str = "") -> int:
@@ -313,18 +319,24 @@
 
     def usable(self, pool: str) -> list[Server]:
         """Return the servers of a pool that new requests may be sent to."""
-        return [
-            server for server in self._pools.get(pool, ()) if self.is_usable(server)
-        ]
+        return list(self.iter_usable(pool))
+
+    def iter_usable(self, pool: str) -> Iterator[Server]:
+        """Yield the servers of a pool that new requests may be sent to."""
+        return filter(self.is_usable, self._pools.get(pool, ()))
 
     def in_pool(self, pool: str) -> list[Server]:
         """Return all listed servers of a pool."""
         return list(self._pools.get(pool, ()))
 
     def _is_leaving(self, server: Server) -> bool:
+        if server.record.leaving:
+            return True
+        if not self._leave_notices:
+            return False
         record = server.current_record
         notice = self._leave_notices.get(record.id)
-        return record.leaving or (notice is not None and notice[1] >= record.born_ms)
+        return notice is not None and notice[1] >= record.born_ms
 
     def notify_change(self) -> None:
         """Wake all tasks in ``wait_change``."""
