--- a/src/copperrun/entry/proxy.py
+++ b/src/copperrun/entry/proxy.py
@@ -26,6 +26,7 @@
 from copperrun.ports.responder import Responder
 from copperrun.ports.sides import SideError
 from copperrun.ports.timers import Timers
+from copperrun.routing.catalog import Catalog
 from copperrun.routing.relay import Relay
 from copperrun.routing.requests import RoutedRequest
 from copperrun.routing.retries import RetryBounds
@@ -154,26 +155,8 @@
             await responder.refuse(_not_ready())
             return
         route = self._view.catalog.table.find(call.host, call.path)
-        if route is None and not self._view.is_catalog_recent:
-            # The route may have been added while the store could not be read.
-            logger.info(
-                "no route in an outdated catalog",
-                request=call.id,
-                host=call.host,
-                path=call.path,
-                version=catalog.version,
-            )
-            await responder.refuse(_outdated_catalog())
-            return
         if route is None:
-            logger.info(
-                "no route",
-                request=call.id,
-                host=call.host,
-                path=call.path,
-                version=catalog.version,
-            )
-            await responder.refuse(_unknown_route(call))
+            await responder.refuse(self._refuse_without_route(call, catalog))
             return
         pool = catalog.pools.get(route.pool_for(call.id))
         if pool is None:
@@ -187,6 +170,19 @@
         request = RoutedRequest(call, route, pool, now, now + limit_ms)
         await self._relay.handle(request, responder)
 
+    def _refuse_without_route(self, call: BackendCall, catalog: Catalog) -> Refusal:
+        """Return the refusal for a request that no route matches."""
+        # The route may have been added while the store could not be read.
+        is_recent = self._view.is_catalog_recent
+        logger.info(
+            "no route" if is_recent else "no route in an outdated catalog",
+            request=call.id,
+            host=call.host,
+            path=call.path,
+            version=catalog.version,
+        )
+        return _unknown_route(call) if is_recent else _outdated_catalog()
+
     def _update_servers(self, servers: list[ServerRecord]) -> None:
         self.servers.set_records(servers)
         catalog = self._view.catalog.catalog
