--- a/src/copperrun/placement/controller.py
+++ b/src/copperrun/placement/controller.py
@@ -520,11 +520,8 @@
 def _peer_view(server: ServerRecord, peers: Mapping[str, PeerEngine]) -> EngineView:
     peer = peers.get(server.address)
     if peer is None:
-        # Without a side it gets no orders, so no move may be left to it.
         held = frozenset(model.name for model in server.models)
-        return EngineView(
-            server.address, held, server.in_host, server.on_disk, is_busy=True
-        )
+        return EngineView(server.address, held, server.in_host, server.on_disk)
     return EngineView(
         server.address,
         peer.held | peer.loading,
