Record the leave notice of a server's later start as well

Cause: found in reading the diff: a notice of an id was recorded once, so a server that started again under its id and left again was not barred the second time. Change: a notice counts for the start that gave it; when a server is held off is one comparison.

--- a/src/copperrun/routing/servers.py
+++ b/src/copperrun/routing/servers.py
@@ -140,8 +140,8 @@
     @property
     def is_held_off(self) -> bool:
         """Whether it is in backoff or has asked for a pause."""
-        until_ms = self._backoff_until_ms or self._pause_until_ms
-        return bool(until_ms) and (self.is_backing_off or self.pause_ms > 0)
+        until_ms = max(self._backoff_until_ms, self._pause_until_ms)
+        return self._timers.now_ms() < until_ms
 
     @property
     def pause_ms(self) -> int:
@@ -273,9 +273,9 @@
 
         The notice holds for its id, whatever the registry lists, until it starts again.
         """
-        server_id, now = server.current_record.id, self._timers.now_ms()
-        if server_id in self._leave_notices:
+        if self._said_leaving(server):
             return
+        server_id, now = server.current_record.id, self._timers.now_ms()
         self._leave_notices = {
             key: notice
             for key, notice in self._leave_notices.items()
@@ -330,8 +330,9 @@
         return list(self._pools.get(pool, ()))
 
     def _is_leaving(self, server: Server) -> bool:
-        if server.record.leaving:
-            return True
+        return server.record.leaving or self._said_leaving(server)
+
+    def _said_leaving(self, server: Server) -> bool:
         if not self._leave_notices:
             return False
         record = server.current_record
--- a/testing/test_relay.py
+++ b/testing/test_relay.py
@@ -582,6 +582,10 @@
     bench.servers.set_records([server("a", born_ms=2)])
     served = await bench.handle(SAFE)
     assert_that(served.is_complete, Is(True))
+    bench.backends.plans = {"a": [LEAVING, Plan()]}
+    await bench.handle(SAFE)
+    refused_again = await bench.handle(SAFE)
+    assert refused_again.refusal is not None
     other = server("b", address=server("a").address)
     bench.backends.plans = {"a": [LEAVING]}
     await bench.handle(SAFE)
