--- a/idl/copperrun.thrift
+++ b/idl/copperrun.thrift
@@ -92,8 +92,7 @@
   1: required set<string> held,
   2: required set<string> loading,
   3: required double use,
-  4: required set<string> active,
-  5: optional set<string> recent
+  4: required set<string> active
 }
 
 // What one entry was asked for, by model; the reply is an EngineReport.
@@ -117,8 +116,7 @@
   7: required i32 backlog_ms,
   8: required double use,
   9: required string server_id,
-  10: required set<string> active,
-  11: optional set<string> recent
+  10: required set<string> active
 }
 
 // What a side tells the sides of the pool's other engines.
--- a/src/copperrun/adapters/admission.py
+++ b/src/copperrun/adapters/admission.py
@@ -91,7 +91,6 @@
             reply.use,
             reply.server_id,
             frozenset(reply.active),
-            frozenset(reply.recent or ()),
         )
 
     async def admit(
@@ -217,7 +216,6 @@
             use=report.utilization,
             server_id=report.server_id,
             active=set(report.active),
-            recent=set(report.recently_loaded),
         )
         return web.Response(body=wire.encode(reply))
 
@@ -256,7 +254,6 @@
         loading=set(peer.loading),
         use=peer.utilization,
         active=set(peer.active),
-        recent=set(peer.recently_loaded),
     )
 
 
@@ -266,7 +263,6 @@
         frozenset(peer.loading),
         peer.use,
         frozenset(peer.active),
-        frozenset(peer.recent or ()),
     )
 
 
--- a/src/copperrun/entry/proxy.py
+++ b/src/copperrun/entry/proxy.py
@@ -271,7 +271,6 @@
                 frozenset(other.loading),
                 other.utilization,
                 other.active,
-                other.recently_loaded,
             )
             for other in self.servers.in_pool(server.record.pool)
             if other is not server and other.has_fresh_report
--- a/src/copperrun/gen/ttypes.py
+++ b/src/copperrun/gen/ttypes.py
@@ -1123,17 +1123,15 @@
      - loading
      - use
      - active
-     - recent
 
     """
 
 
-    def __init__(self, held=None, loading=None, use=None, active=None, recent=None,):
+    def __init__(self, held=None, loading=None, use=None, active=None,):
         self.held = held
         self.loading = loading
         self.use = use
         self.active = active
-        self.recent = recent
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1179,16 +1177,6 @@
                     iprot.readSetEnd()
                 else:
                     iprot.skip(ftype)
-            elif fid == 5:
-                if ftype == TType.SET:
-                    self.recent = set()
-                    (_etype28, _size25) = iprot.readSetBegin()
-                    for _i29 in range(_size25):
-                        _elem30 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.recent.add(_elem30)
-                    iprot.readSetEnd()
-                else:
-                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1202,15 +1190,15 @@
         if self.held is not None:
             oprot.writeFieldBegin('held', TType.SET, 1)
             oprot.writeSetBegin(TType.STRING, len(self.held))
-            for iter31 in self.held:
-                oprot.writeString(iter31.encode('utf-8') if sys.version_info[0] == 2 else iter31)
+            for iter25 in self.held:
+                oprot.writeString(iter25.encode('utf-8') if sys.version_info[0] == 2 else iter25)
             oprot.writeSetEnd()
             oprot.writeFieldEnd()
         if self.loading is not None:
             oprot.writeFieldBegin('loading', TType.SET, 2)
             oprot.writeSetBegin(TType.STRING, len(self.loading))
-            for iter32 in self.loading:
-                oprot.writeString(iter32.encode('utf-8') if sys.version_info[0] == 2 else iter32)
+            for iter26 in self.loading:
+                oprot.writeString(iter26.encode('utf-8') if sys.version_info[0] == 2 else iter26)
             oprot.writeSetEnd()
             oprot.writeFieldEnd()
         if self.use is not None:
@@ -1220,15 +1208,8 @@
         if self.active is not None:
             oprot.writeFieldBegin('active', TType.SET, 4)
             oprot.writeSetBegin(TType.STRING, len(self.active))
-            for iter33 in self.active:
-                oprot.writeString(iter33.encode('utf-8') if sys.version_info[0] == 2 else iter33)
-            oprot.writeSetEnd()
-            oprot.writeFieldEnd()
-        if self.recent is not None:
-            oprot.writeFieldBegin('recent', TType.SET, 5)
-            oprot.writeSetBegin(TType.STRING, len(self.recent))
-            for iter34 in self.recent:
-                oprot.writeString(iter34.encode('utf-8') if sys.version_info[0] == 2 else iter34)
+            for iter27 in self.active:
+                oprot.writeString(iter27.encode('utf-8') if sys.version_info[0] == 2 else iter27)
             oprot.writeSetEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1295,34 +1276,34 @@
             elif fid == 2:
                 if ftype == TType.MAP:
                     self.arrivals = {}
-                    (_ktype36, _vtype37, _size35) = iprot.readMapBegin()
-                    for _i39 in range(_size35):
-                        _key40 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        _val41 = iprot.readDouble()
-                        self.arrivals[_key40] = _val41
+                    (_ktype29, _vtype30, _size28) = iprot.readMapBegin()
+                    for _i32 in range(_size28):
+                        _key33 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val34 = iprot.readDouble()
+                        self.arrivals[_key33] = _val34
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
                 if ftype == TType.MAP:
                     self.waiting = {}
-                    (_ktype43, _vtype44, _size42) = iprot.readMapBegin()
-                    for _i46 in range(_size42):
-                        _key47 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        _val48 = iprot.readI32()
-                        self.waiting[_key47] = _val48
+                    (_ktype36, _vtype37, _size35) = iprot.readMapBegin()
+                    for _i39 in range(_size35):
+                        _key40 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val41 = iprot.readI32()
+                        self.waiting[_key40] = _val41
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 4:
                 if ftype == TType.MAP:
                     self.engines = {}
-                    (_ktype50, _vtype51, _size49) = iprot.readMapBegin()
-                    for _i53 in range(_size49):
-                        _key54 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        _val55 = PeerEngine()
-                        _val55.read(iprot)
-                        self.engines[_key54] = _val55
+                    (_ktype43, _vtype44, _size42) = iprot.readMapBegin()
+                    for _i46 in range(_size42):
+                        _key47 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val48 = PeerEngine()
+                        _val48.read(iprot)
+                        self.engines[_key47] = _val48
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
@@ -1334,11 +1315,11 @@
             elif fid == 6:
                 if ftype == TType.MAP:
                     self.queued = {}
-                    (_ktype57, _vtype58, _size56) = iprot.readMapBegin()
-                    for _i60 in range(_size56):
-                        _key61 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        _val62 = iprot.readI32()
-                        self.queued[_key61] = _val62
+                    (_ktype50, _vtype51, _size49) = iprot.readMapBegin()
+                    for _i53 in range(_size49):
+                        _key54 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val55 = iprot.readI32()
+                        self.queued[_key54] = _val55
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
@@ -1359,25 +1340,25 @@
         if self.arrivals is not None:
             oprot.writeFieldBegin('arrivals', TType.MAP, 2)
             oprot.writeMapBegin(TType.STRING, TType.DOUBLE, len(self.arrivals))
-            for kiter63, viter64 in self.arrivals.items():
-                oprot.writeString(kiter63.encode('utf-8') if sys.version_info[0] == 2 else kiter63)
-                oprot.writeDouble(viter64)
+            for kiter56, viter57 in self.arrivals.items():
+                oprot.writeString(kiter56.encode('utf-8') if sys.version_info[0] == 2 else kiter56)
+                oprot.writeDouble(viter57)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         if self.waiting is not None:
             oprot.writeFieldBegin('waiting', TType.MAP, 3)
             oprot.writeMapBegin(TType.STRING, TType.I32, len(self.waiting))
-            for kiter65, viter66 in self.waiting.items():
-                oprot.writeString(kiter65.encode('utf-8') if sys.version_info[0] == 2 else kiter65)
-                oprot.writeI32(viter66)
+            for kiter58, viter59 in self.waiting.items():
+                oprot.writeString(kiter58.encode('utf-8') if sys.version_info[0] == 2 else kiter58)
+                oprot.writeI32(viter59)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         if self.engines is not None:
             oprot.writeFieldBegin('engines', TType.MAP, 4)
             oprot.writeMapBegin(TType.STRING, TType.STRUCT, len(self.engines))
-            for kiter67, viter68 in self.engines.items():
-                oprot.writeString(kiter67.encode('utf-8') if sys.version_info[0] == 2 else kiter67)
-                viter68.write(oprot)
+            for kiter60, viter61 in self.engines.items():
+                oprot.writeString(kiter60.encode('utf-8') if sys.version_info[0] == 2 else kiter60)
+                viter61.write(oprot)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         if self.hold_ms is not None:
@@ -1387,9 +1368,9 @@
         if self.queued is not None:
             oprot.writeFieldBegin('queued', TType.MAP, 6)
             oprot.writeMapBegin(TType.STRING, TType.I32, len(self.queued))
-            for kiter69, viter70 in self.queued.items():
-                oprot.writeString(kiter69.encode('utf-8') if sys.version_info[0] == 2 else kiter69)
-                oprot.writeI32(viter70)
+            for kiter62, viter63 in self.queued.items():
+                oprot.writeString(kiter62.encode('utf-8') if sys.version_info[0] == 2 else kiter62)
+                oprot.writeI32(viter63)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1435,12 +1416,11 @@
      - use
      - server_id
      - active
-     - recent
 
     """
 
 
-    def __init__(self, born_ms=None, held=None, running=None, queued=None, loading=None, entries=None, backlog_ms=None, use=None, server_id=None, active=None, recent=None,):
+    def __init__(self, born_ms=None, held=None, running=None, queued=None, loading=None, entries=None, backlog_ms=None, use=None, server_id=None, active=None,):
         self.born_ms = born_ms
         self.held = held
         self.running = running
@@ -1451,7 +1431,6 @@
         self.use = use
         self.server_id = server_id
         self.active = active
-        self.recent = recent
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1470,16 +1449,16 @@
             elif fid == 2:
                 if ftype == TType.MAP:
                     self.held = {}
-                    (_ktype72, _vtype73, _size71) = iprot.readMapBegin()
-                    for _i75 in range(_size71):
-                        _key76 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        _val77 = set()
-                        (_etype81, _size78) = iprot.readSetBegin()
-                        for _i82 in range(_size78):
-                            _elem83 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                            _val77.add(_elem83)
+                    (_ktype65, _vtype66, _size64) = iprot.readMapBegin()
+                    for _i68 in range(_size64):
+                        _key69 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val70 = set()
+                        (_etype74, _size71) = iprot.readSetBegin()
+                        for _i75 in range(_size71):
+                            _elem76 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                            _val70.add(_elem76)
                         iprot.readSetEnd()
-                        self.held[_key76] = _val77
+                        self.held[_key69] = _val70
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
@@ -1496,11 +1475,11 @@
             elif fid == 5:
                 if ftype == TType.MAP:
                     self.loading = {}
-                    (_ktype85, _vtype86, _size84) = iprot.readMapBegin()
-                    for _i88 in range(_size84):
-                        _key89 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        _val90 = iprot.readI32()
-                        self.loading[_key89] = _val90
+                    (_ktype78, _vtype79, _size77) = iprot.readMapBegin()
+                    for _i81 in range(_size77):
+                        _key82 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val83 = iprot.readI32()
+                        self.loading[_key82] = _val83
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
@@ -1527,20 +1506,10 @@
             elif fid == 10:
                 if ftype == TType.SET:
                     self.active = set()
-                    (_etype94, _size91) = iprot.readSetBegin()
-                    for _i95 in range(_size91):
-                        _elem96 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.active.add(_elem96)
-                    iprot.readSetEnd()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 11:
-                if ftype == TType.SET:
-                    self.recent = set()
-                    (_etype100, _size97) = iprot.readSetBegin()
-                    for _i101 in range(_size97):
-                        _elem102 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.recent.add(_elem102)
+                    (_etype87, _size84) = iprot.readSetBegin()
+                    for _i88 in range(_size84):
+                        _elem89 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.active.add(_elem89)
                     iprot.readSetEnd()
                 else:
                     iprot.skip(ftype)
@@ -1561,11 +1530,11 @@
         if self.held is not None:
             oprot.writeFieldBegin('held', TType.MAP, 2)
             oprot.writeMapBegin(TType.STRING, TType.SET, len(self.held))
-            for kiter103, viter104 in self.held.items():
-                oprot.writeString(kiter103.encode('utf-8') if sys.version_info[0] == 2 else kiter103)
-                oprot.writeSetBegin(TType.STRING, len(viter104))
-                for iter105 in viter104:
-                    oprot.writeString(iter105.encode('utf-8') if sys.version_info[0] == 2 else iter105)
+            for kiter90, viter91 in self.held.items():
+                oprot.writeString(kiter90.encode('utf-8') if sys.version_info[0] == 2 else kiter90)
+                oprot.writeSetBegin(TType.STRING, len(viter91))
+                for iter92 in viter91:
+                    oprot.writeString(iter92.encode('utf-8') if sys.version_info[0] == 2 else iter92)
                 oprot.writeSetEnd()
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
@@ -1580,9 +1549,9 @@
         if self.loading is not None:
             oprot.writeFieldBegin('loading', TType.MAP, 5)
             oprot.writeMapBegin(TType.STRING, TType.I32, len(self.loading))
-            for kiter106, viter107 in self.loading.items():
-                oprot.writeString(kiter106.encode('utf-8') if sys.version_info[0] == 2 else kiter106)
-                oprot.writeI32(viter107)
+            for kiter93, viter94 in self.loading.items():
+                oprot.writeString(kiter93.encode('utf-8') if sys.version_info[0] == 2 else kiter93)
+                oprot.writeI32(viter94)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         if self.entries is not None:
@@ -1604,15 +1573,8 @@
         if self.active is not None:
             oprot.writeFieldBegin('active', TType.SET, 10)
             oprot.writeSetBegin(TType.STRING, len(self.active))
-            for iter108 in self.active:
-                oprot.writeString(iter108.encode('utf-8') if sys.version_info[0] == 2 else iter108)
-            oprot.writeSetEnd()
-            oprot.writeFieldEnd()
-        if self.recent is not None:
-            oprot.writeFieldBegin('recent', TType.SET, 11)
-            oprot.writeSetBegin(TType.STRING, len(self.recent))
-            for iter109 in self.recent:
-                oprot.writeString(iter109.encode('utf-8') if sys.version_info[0] == 2 else iter109)
+            for iter95 in self.active:
+                oprot.writeString(iter95.encode('utf-8') if sys.version_info[0] == 2 else iter95)
             oprot.writeSetEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1973,20 +1935,20 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.started = []
-                    (_etype113, _size110) = iprot.readListBegin()
-                    for _i114 in range(_size110):
-                        _elem115 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.started.append(_elem115)
+                    (_etype99, _size96) = iprot.readListBegin()
+                    for _i100 in range(_size96):
+                        _elem101 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.started.append(_elem101)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.ended = []
-                    (_etype119, _size116) = iprot.readListBegin()
-                    for _i120 in range(_size116):
-                        _elem121 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.ended.append(_elem121)
+                    (_etype105, _size102) = iprot.readListBegin()
+                    for _i106 in range(_size102):
+                        _elem107 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.ended.append(_elem107)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2003,15 +1965,15 @@
         if self.started is not None:
             oprot.writeFieldBegin('started', TType.LIST, 1)
             oprot.writeListBegin(TType.STRING, len(self.started))
-            for iter122 in self.started:
-                oprot.writeString(iter122.encode('utf-8') if sys.version_info[0] == 2 else iter122)
+            for iter108 in self.started:
+                oprot.writeString(iter108.encode('utf-8') if sys.version_info[0] == 2 else iter108)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.ended is not None:
             oprot.writeFieldBegin('ended', TType.LIST, 2)
             oprot.writeListBegin(TType.STRING, len(self.ended))
-            for iter123 in self.ended:
-                oprot.writeString(iter123.encode('utf-8') if sys.version_info[0] == 2 else iter123)
+            for iter109 in self.ended:
+                oprot.writeString(iter109.encode('utf-8') if sys.version_info[0] == 2 else iter109)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2063,11 +2025,11 @@
             if fid == 1:
                 if ftype == TType.MAP:
                     self.items = {}
-                    (_ktype125, _vtype126, _size124) = iprot.readMapBegin()
-                    for _i128 in range(_size124):
-                        _key129 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        _val130 = iprot.readBinary()
-                        self.items[_key129] = _val130
+                    (_ktype111, _vtype112, _size110) = iprot.readMapBegin()
+                    for _i114 in range(_size110):
+                        _key115 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val116 = iprot.readBinary()
+                        self.items[_key115] = _val116
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
@@ -2094,9 +2056,9 @@
         if self.items is not None:
             oprot.writeFieldBegin('items', TType.MAP, 1)
             oprot.writeMapBegin(TType.STRING, TType.STRING, len(self.items))
-            for kiter131, viter132 in self.items.items():
-                oprot.writeString(kiter131.encode('utf-8') if sys.version_info[0] == 2 else kiter131)
-                oprot.writeBinary(viter132)
+            for kiter117, viter118 in self.items.items():
+                oprot.writeString(kiter117.encode('utf-8') if sys.version_info[0] == 2 else kiter117)
+                oprot.writeBinary(viter118)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         if self.end is not None:
@@ -2152,12 +2114,12 @@
             if fid == 1:
                 if ftype == TType.MAP:
                     self.topics = {}
-                    (_ktype134, _vtype135, _size133) = iprot.readMapBegin()
-                    for _i137 in range(_size133):
-                        _key138 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        _val139 = TopicView()
-                        _val139.read(iprot)
-                        self.topics[_key138] = _val139
+                    (_ktype120, _vtype121, _size119) = iprot.readMapBegin()
+                    for _i123 in range(_size119):
+                        _key124 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val125 = TopicView()
+                        _val125.read(iprot)
+                        self.topics[_key124] = _val125
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
@@ -2174,9 +2136,9 @@
         if self.topics is not None:
             oprot.writeFieldBegin('topics', TType.MAP, 1)
             oprot.writeMapBegin(TType.STRING, TType.STRUCT, len(self.topics))
-            for kiter140, viter141 in self.topics.items():
-                oprot.writeString(kiter140.encode('utf-8') if sys.version_info[0] == 2 else kiter140)
-                viter141.write(oprot)
+            for kiter126, viter127 in self.topics.items():
+                oprot.writeString(kiter126.encode('utf-8') if sys.version_info[0] == 2 else kiter126)
+                viter127.write(oprot)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2291,7 +2253,6 @@
     (2, TType.SET, 'loading', (TType.STRING, 'UTF8', False), None, ),  # 2
     (3, TType.DOUBLE, 'use', None, None, ),  # 3
     (4, TType.SET, 'active', (TType.STRING, 'UTF8', False), None, ),  # 4
-    (5, TType.SET, 'recent', (TType.STRING, 'UTF8', False), None, ),  # 5
 )
 all_structs.append(Demand)
 Demand.thrift_spec = (
@@ -2316,7 +2277,6 @@
     (8, TType.DOUBLE, 'use', None, None, ),  # 8
     (9, TType.STRING, 'server_id', 'UTF8', None, ),  # 9
     (10, TType.SET, 'active', (TType.STRING, 'UTF8', False), None, ),  # 10
-    (11, TType.SET, 'recent', (TType.STRING, 'UTF8', False), None, ),  # 11
 )
 all_structs.append(PeerChange)
 PeerChange.thrift_spec = (
--- a/src/copperrun/placement/controller.py
+++ b/src/copperrun/placement/controller.py
@@ -173,7 +173,6 @@
             utilization=self.utilization,
             server_id=self.server_id,
             active=self.active,
-            recently_loaded=self._recently_loaded(),
         )
 
     def peer_servers(self) -> Sequence[ServerRecord]:
@@ -190,7 +189,6 @@
             frozenset(report.loading),
             self.utilization,
             self.active,
-            report.recently_loaded,
         )
 
     async def step(self) -> None:
@@ -528,6 +526,5 @@
         server.in_host,
         server.on_disk,
         peer.active,
-        peer.recently_loaded,
         is_busy=bool(peer.loading),
     )
--- a/src/copperrun/ports/admission.py
+++ b/src/copperrun/ports/admission.py
@@ -19,14 +19,12 @@
         loading: Models that are being loaded or are planned next.
         utilization: Fraction of time spent on prefill.
         active: Models that have running requests.
-        recently_loaded: Models loaded too recently to be evicted.
     """
 
     held: frozenset[str]
     loading: frozenset[str]
     utilization: float
     active: frozenset[str] = frozenset()
-    recently_loaded: frozenset[str] = frozenset()
 
 
 class DemandReport(NamedTuple):
--- a/src/copperrun/routing/servers.py
+++ b/src/copperrun/routing/servers.py
@@ -79,7 +79,6 @@
         server_id: Server id of the reported process; empty when the side does not
             know it.
         active: Models with running requests.
-        recently_loaded: Models loaded too recently to be evicted.
     """
 
     born_ms: int
@@ -92,7 +91,6 @@
     utilization: float = 0.0
     server_id: str = ""
     active: frozenset[str] = frozenset()
-    recently_loaded: frozenset[str] = frozenset()
 
 
 class Server:
@@ -108,7 +106,6 @@
         self.backlog_ms = 0
         self.utilization = 0.0
         self.active: frozenset[str] = frozenset()
-        self.recently_loaded: frozenset[str] = frozenset()
         self._timers = timers
         self._reported_ms = -REPORT_TTL_MS
         self._sent_since_report = 0
@@ -218,7 +215,6 @@
         self.backlog_ms = report.backlog_ms
         self.utilization = report.utilization
         self.active = report.active
-        self.recently_loaded = report.recently_loaded
         self._reported_ms = self._timers.now_ms()
         self._sent_since_report = 0
 
