Log the parts of a prompt with each request that ended

Change: the platform's listener decodes the shared parts (all but the last), and the line 'request ended' names them. No decision changes.

--- a/src/copperrun/platform/http_headers.py
+++ b/src/copperrun/platform/http_headers.py
@@ -10,6 +10,7 @@
 TIMEOUT = "Deadline-Ms"  # a duration, not a point in time
 MODEL = "Model"  # MODEL or MODEL/ADAPTER
 TOKEN_USAGE = "Token-Usage"  # PROMPT,MAX_OUTPUT
+PROMPT_PARTS = "Prompt-Prefix"  # ID:TOKENS for each part, separated by commas
 LAST_EVENT_ID = "Last-Event-Id"
 EXPECTED_SERVER = "Expect-Instance"
 SERVER_ID = "Instance-Id"  # in a refusal: the server that sent it
--- a/src/copperrun/platform/ingress.py
+++ b/src/copperrun/platform/ingress.py
@@ -206,6 +206,7 @@
         adapter,
         *_token_counts(headers.get(http_headers.TOKEN_USAGE, "")),
         headers.get(http_headers.LAST_EVENT_ID, ""),
+        _shared_parts(headers.get(http_headers.PROMPT_PARTS, "")),
     )
 
 
@@ -218,6 +219,12 @@
     )
 
 
+def _shared_parts(text: str) -> tuple[str, ...]:
+    """Decode the ids of all parts of a prompt but the last."""
+    ids = [item.partition(":")[0].strip() for item in text.split(",")]
+    return tuple(filter(None, ids[:-1]))
+
+
 def _bad_request(detail: str) -> Refusal:
     logger.info("malformed request", detail=detail)
     return Refusal(RefusalReason.BAD_REQUEST, Ran.NO, detail)
--- a/src/copperrun/routing/relay.py
+++ b/src/copperrun/routing/relay.py
@@ -434,6 +434,7 @@
             pool=request.pool.name,
             model=request.call.model,
             adapter=request.call.adapter,
+            prompt_parts=request.call.prompt_parts,
             outcome=outcome,
             reason=refusal.reason.value if refusal else "",
             detail=progress.detail or (refusal.detail if refusal else ""),
--- a/testing/test_platform_http.py
+++ b/testing/test_platform_http.py
@@ -31,6 +31,7 @@
 from copperrun.placement.demand import DemandMeter
 from copperrun.platform.backends import HttpBackends
 from copperrun.platform.ingress import Ingress
+from copperrun.platform.ingress import _shared_parts
 from copperrun.ports.backends import BackendCall
 from copperrun.ports.responder import Responder
 from copperrun.routing.catalog import RetrySafety
@@ -214,6 +215,12 @@
             assert_that(received.headers, Not(Contains(name)))
 
 
+async def test_the_shared_parts_of_a_prompt_are_decoded():
+    assert_that(_shared_parts("a1:800, b2:410,c3:250"), Equals(("a1", "b2")))
+    for own_part_only in ("c3:250", "", ",", "c3"):
+        assert_that(_shared_parts(own_part_only), Equals(()))
+
+
 async def test_headers_that_only_the_system_sets_are_dropped():
     backend = ScriptedServer()
     async with running_entry(SAFE, backend) as entry:
