Show that a prompt part that ends servers goes on reaching them

Twelve requests share a part with which each server ends; seven reach one after the fifth end, at most three may.

--- a/testing/test_platform_http.py
+++ b/testing/test_platform_http.py
@@ -598,3 +598,46 @@
             assert_that(status, Equals(503))
             assert_that(float(headers["retry-after"]), LessThan(1.6))
         assert_that(backend.requests, HasLength(1))
+
+
+async def test_a_prompt_part_that_ends_servers_stops_reaching_them():
+    backend = ScriptedServer("i-0")
+    ends: list[str] = []
+
+    async def end_on_bad_part(
+        request: ReceivedRequest, writer: asyncio.StreamWriter
+    ) -> bool:
+        if "bad:" not in request.headers["prompt-prefix"]:
+            writer.write(answer_head(request, Content_Length="7") + b"id: 1\n\n")
+            return True
+        ends.append(request.id)
+        writer.write(answer_head(request, Transfer_Encoding="chunked"))
+        await backend.close()
+        writer.transport.abort()
+        return False
+
+    backend.script = end_on_bad_part
+    sent, reached_after_five = 0, 0
+    async with running_entry(STREAM, backend) as entry:
+        while sent < 12:
+            sent += 1
+            bad = await send_prompt(entry, f"bad-{sent}", f"first:9,bad:9,own{sent}:9")
+            assert_that(bad[0], Not(Equals(200)))
+            reached_after_five += len(ends) > 5 and ends[-1] == f"bad-{sent}"
+            # Longer than the time within which two crashes count as one event.
+            await entry.timers.sleep_ms(300)
+            await backend.close()
+            await backend.start(int(backend.address.rpartition(":")[2]))
+            backend.id = f"i-{sent}"
+            entry.servers.set_records([server(backend.id, address=backend.address)])
+            sound = await send_prompt(entry, f"ok-{sent}", f"first:9,ok:9,o{sent}:9")
+            assert_that(sound[0], Equals(200))
+    assert_that(reached_after_five, LessThan(4))
+
+
+async def send_prompt(entry: Entry, request_id: str, parts: str) -> tuple:
+    client = await Client.open(entry.port)
+    client.send(GET.format(request_id) + f"\nPrompt-Prefix: {parts}")
+    answer = await client.answer()
+    client.close()
+    return answer
