Refuse prompts with a part that crashes the servers

Cause: nothing related the crashes to the parts of the prompts, so each request with the part was admitted to the next server, and repeated at another one. Change: an entry that loses a request before its answer began checks whether the server has ended, and blames the fewest unproven parts that explain the crashes; such requests are refused with 503 at once, also while they wait and in place of a repeat. An answer on a part clears it.

--- a/src/copperrun/entry/proxy.py
+++ b/src/copperrun/entry/proxy.py
@@ -27,6 +27,9 @@
 from copperrun.ports.sides import SideError
 from copperrun.ports.timers import Timers
 from copperrun.routing.catalog import Catalog
+from copperrun.routing.crashes import CrashLog
+from copperrun.routing.quarantine import MAX_STAGGER_MS
+from copperrun.routing.quarantine import PromptQuarantine
 from copperrun.routing.relay import Relay
 from copperrun.routing.requests import RoutedRequest
 from copperrun.routing.retries import RetryBounds
@@ -107,6 +110,9 @@
         self._urgent_report_tasks: set[asyncio.Task[None]] = set()
         self._urgent_report_ms: dict[str, int] = {}
         self._report_tasks: dict[str, asyncio.Task[None]] = {}
+        self.quarantine = PromptQuarantine(
+            CrashLog(timers), timers, stagger_ms=_stagger_ms(location.instance)
+        )
         self._relay = Relay(
             self.servers,
             backends,
@@ -114,6 +120,7 @@
             self._demand,
             timers,
             metrics,
+            self.quarantine,
             distance_to=location.distance_to,
             budget_for=self._budget_for,
         )
@@ -319,6 +326,11 @@
         return budget
 
 
+def _stagger_ms(instance: str) -> int:
+    """Return an entry's own share of the time in which entries try a part again."""
+    return xxhash.xxh32_intdigest(instance.encode()) % MAX_STAGGER_MS
+
+
 def _not_ready() -> Refusal:
     return Refusal(
         RefusalReason.NOT_READY,
--- a/src/copperrun/model.py
+++ b/src/copperrun/model.py
@@ -41,6 +41,7 @@
     CLASS_NOT_ADMITTED = "class_not_admitted"
     SERVER_FAILED = "server_failed"
     STREAM_CUT = "stream_cut"
+    QUARANTINED = "quarantined"
 
 
 class Refusal(NamedTuple):
--- a/src/copperrun/platform/backends.py
+++ b/src/copperrun/platform/backends.py
@@ -112,6 +112,28 @@
             return BackendError(BackendErrorReason.LOST, "answer of another request")
         return BackendAnswer(response)
 
+    async def has_ended(self, server: ServerRecord, *, timeout_ms: int) -> bool:
+        """Return whether a start of a server has surely ended.
+
+        A refused connection shows it, and so does a report of a later start.
+        """
+        for _ in range(2):  # the first may use an idle connection to the ended start
+            try:
+                async with self._session.get(
+                    f"http://{server.address}/report",
+                    timeout=aiohttp.ClientTimeout(total=timeout_ms / 1000),
+                ) as response:
+                    fields = await response.json(content_type=None)
+            except aiohttp.ClientConnectorError as exc:
+                return isinstance(exc.os_error, ConnectionRefusedError)
+            except (TimeoutError, ValueError):
+                return False
+            except (aiohttp.ClientError, OSError):
+                continue
+            born_ms = fields.get("born") if isinstance(fields, dict) else None
+            return isinstance(born_ms, int) and born_ms > server.born_ms > 0
+        return False
+
 
 def _retrieve_exception(closed: asyncio.Future[None]) -> None:
     """Retrieve the exception; asyncio would log a reset after a complete body."""
--- a/src/copperrun/ports/backends.py
+++ b/src/copperrun/ports/backends.py
@@ -133,3 +133,9 @@
         resume_after: str,
     ) -> BackendAnswer | BackendError:
         """Send a call and return the head of its answer."""
+
+    async def has_ended(self, server: ServerRecord, *, timeout_ms: int) -> bool:
+        """Return whether a start of a server has surely ended.
+
+        False when it runs or when that cannot be told in time.
+        """
--- /dev/null
+++ b/src/copperrun/routing/quarantine.py
@@ -0,0 +1,184 @@
+"""Finds prompt parts that crash the servers and keeps requests with them away."""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from collections.abc import Callable
+from collections.abc import Iterable
+from collections.abc import Mapping
+from collections.abc import Sequence
+from typing import NamedTuple
+
+from loguru import logger
+
+from copperrun.ports.timers import Timers
+from copperrun.routing.crashes import Crash
+from copperrun.routing.crashes import CrashLog
+from copperrun.routing.crashes import CrashRecord
+
+# Crashes with a part, and no answer begun on it, that put it into quarantine.
+MIN_CRASHES = 3
+# Servers that end together, as in a power failure, tell no more than one does.
+SAME_EVENT_MS = 250
+# Time after the latest crash until requests with the part are tried again.
+QUARANTINE_MS = 600_000
+# Entries try a part again one after the other within this time; the others learn from
+# the first one's result.
+MAX_STAGGER_MS = 60_000
+# Time for which an answer begun on a part shows that the part is sound.
+SOUND_MS = 60_000
+MAX_SOUND_PARTS = 20_000
+
+
+class _Culprit(NamedTuple):
+    """Parts that explain crashes.
+
+    Attributes:
+        parts: One part, or several that occurred in the same crashes only. Which of
+            these is to blame is not known, so only all of them together are.
+        crashes: Ids of the crashes.
+        latest_ms: Time of the latest one.
+    """
+
+    parts: frozenset[str]
+    crashes: frozenset[str]
+    latest_ms: int
+
+
+class PromptQuarantine:
+    """Decides which prompt parts may not be sent to servers.
+
+    Args:
+        log: Crashes known to this process; shared with other processes.
+        timers: Timer service.
+        stagger_ms: How much later than other entries this one tries a part again.
+    """
+
+    def __init__(self, log: CrashLog, timers: Timers, *, stagger_ms: int = 0) -> None:
+        self.log = log
+        self._timers = timers
+        self._stagger_ms = stagger_ms
+        # Time of the latest answer begun on a part, by pool and part; oldest first.
+        self._sound_ms: OrderedDict[tuple[str, str], int] = OrderedDict()
+        self._suspects: Mapping[str, frozenset[str]] = {}
+        self._culprits: list[_Culprit] = []
+        self._listeners: list[Callable[[], None]] = []
+        log.subscribe(self._update)
+
+    def subscribe(self, listener: Callable[[], None]) -> None:
+        """Call ``listener`` when parts were put into quarantine."""
+        self._listeners.append(listener)
+
+    def record_begun(self, pool: str, parts: Sequence[str]) -> None:
+        """Record that a server of the pool has begun an answer on these parts."""
+        now = self._timers.now_ms()
+        for part in parts:
+            self._sound_ms[pool, part] = now
+            self._sound_ms.move_to_end((pool, part))
+        while len(self._sound_ms) > MAX_SOUND_PARTS:
+            self._sound_ms.popitem(last=False)
+        suspects = self._suspects.get(pool)
+        if suspects and not suspects.isdisjoint(parts):
+            self.log.clear(pool, frozenset(parts))
+
+    def record_crash(self, crash: str, pool: str, parts: Sequence[str]) -> None:
+        """Record that a server ended before it began an answer on these parts.
+
+        Args:
+            crash: Id of the start of the server that ended.
+            pool: Pool of the server.
+            parts: Shared parts of the request's prompt.
+        """
+        suspects = self.unproven(pool, parts)
+        if suspects:
+            self.log.merge([CrashRecord(crash, pool, 0, suspects)])
+
+    def unproven(self, pool: str, parts: Iterable[str]) -> frozenset[str]:
+        """Return those of the parts that have not recently shown to be sound."""
+        return frozenset(part for part in parts if not self._is_sound(pool, part))
+
+    def blocked_ms(self, parts: Sequence[str]) -> int:
+        """Return for how long requests with these parts are refused; 0 if not."""
+        if not self._culprits or not parts:
+            return 0
+        now = self._timers.now_ms()
+        ends_ms = (
+            culprit.latest_ms + QUARANTINE_MS + self._stagger_ms
+            for culprit in self._culprits
+            if culprit.parts.issubset(parts)
+        )
+        return max(max(ends_ms, default=now) - now, 0)
+
+    def blamed_crashes(self) -> dict[str, frozenset[str]]:
+        """Return the parts in quarantine by the id of each crash blamed on them."""
+        return {
+            crash: culprit.parts
+            for culprit in self._culprits
+            for crash in culprit.crashes
+        }
+
+    def _is_sound(self, pool: str, part: str) -> bool:
+        at_ms = self._sound_ms.get((pool, part))
+        return at_ms is not None and self._timers.now_ms() - at_ms < SOUND_MS
+
+    def _update(self) -> None:
+        """Clear suspects that are sound here, then find the culprits again."""
+        for pool, suspects in self.log.suspects().items():
+            sound = suspects - self.unproven(pool, suspects)
+            if sound:
+                self.log.clear(pool, sound)  # calls this method again
+                return
+        self._suspects = self.log.suspects()
+        before = {culprit.parts for culprit in self._culprits}
+        self._culprits = _find_culprits(self.log.crashes())
+        after = {culprit.parts for culprit in self._culprits}
+        for parts in before - after:
+            logger.info("prompt parts no longer in quarantine", parts=sorted(parts))
+        for culprit in self._culprits:
+            if culprit.parts not in before:
+                logger.warning(
+                    "prompt parts in quarantine",
+                    parts=sorted(culprit.parts),
+                    crashes=sorted(culprit.crashes),
+                )
+        if after - before:
+            for listener in self._listeners:
+                listener()
+
+
+def _find_culprits(crashes: Sequence[Crash]) -> list[_Culprit]:
+    """Return the fewest parts that explain the crashes, as a greedy cover finds them.
+
+    A part that was only near by is explained away by the one that is in all crashes.
+    """
+    by_part: dict[str, dict[str, int]] = {}
+    for crash in crashes:
+        for part in crash.suspects:
+            by_part.setdefault(part, {})[crash.id] = crash.at_ms
+    culprits: list[_Culprit] = []
+    while True:
+        events = {part: _count_events(found) for part, found in by_part.items()}
+        most = max(events.values(), default=0)
+        if most < MIN_CRASHES:
+            return culprits
+        worst = min(
+            (part for part, count in events.items() if count == most),
+            key=lambda part: (-len(by_part[part]), part),
+        )
+        explained = by_part[worst]
+        parts = frozenset(p for p, found in by_part.items() if found == explained)
+        culprits.append(_Culprit(parts, frozenset(explained), max(explained.values())))
+        by_part = {
+            part: {key: at for key, at in found.items() if key not in explained}
+            for part, found in by_part.items()
+            if part not in parts
+        }
+
+
+def _count_events(crashes: Mapping[str, int]) -> int:
+    """Count crashes; those close to the first one of an event count with it."""
+    count, event_ms = 0, -SAME_EVENT_MS
+    for at_ms in sorted(crashes.values()):
+        if count == 0 or at_ms - event_ms >= SAME_EVENT_MS:
+            count, event_ms = count + 1, at_ms
+    return count
--- a/src/copperrun/routing/refusals.py
+++ b/src/copperrun/routing/refusals.py
@@ -68,6 +68,16 @@
     )
 
 
+def quarantined(retry_after_ms: int) -> Refusal:
+    """Return the refusal for a prompt with a part that crashes the servers."""
+    return Refusal(
+        RefusalReason.QUARANTINED,
+        Ran.NO,
+        "a part of the prompt crashes the backend servers; change the prompt",
+        retry_after_ms,
+    )
+
+
 def leaving() -> Refusal:
     """Return the refusal while this entry shuts down."""
     return Refusal(
--- a/src/copperrun/routing/relay.py
+++ b/src/copperrun/routing/relay.py
@@ -22,10 +22,13 @@
 from copperrun.ports.metrics import Metrics
 from copperrun.ports.responder import Responder
 from copperrun.ports.timers import Timers
+from copperrun.routing.detection import CrashDetector
 from copperrun.routing.events import EventSplitter
+from copperrun.routing.quarantine import PromptQuarantine
 from copperrun.routing.refusals import deadline_expired
 from copperrun.routing.refusals import leaving
 from copperrun.routing.refusals import no_server
+from copperrun.routing.refusals import quarantined
 from copperrun.routing.refusals import refused_by_server
 from copperrun.routing.refusals import server_failed
 from copperrun.routing.requests import AttemptOutcome
@@ -59,6 +62,7 @@
         demand: DemandMeter,
         timers: Timers,
         metrics: Metrics,
+        quarantine: PromptQuarantine,
         *,
         distance_to: Callable[[str], Distance],
         budget_for: Callable[[str], RetryWindow],
@@ -71,8 +75,11 @@
         self._timers = timers
         self._metrics = metrics
         self._budget_for = budget_for
-        self._unsent: set[asyncio.Timeout] = set()
+        self._quarantine = quarantine
+        self._detector = CrashDetector(backends, quarantine)
+        self._unsent: dict[asyncio.Timeout, RoutedRequest] = {}
         self._refuses_unsent = False
+        quarantine.subscribe(self._refuse_quarantined)
 
     def refuse_unsent(self) -> None:
         """Refuse all requests not yet sent to a server, and all later ones."""
@@ -84,7 +91,8 @@
         """Answer or refuse a request before its deadline."""
         progress = Progress(request.call.resume_after)
         self._budget_for(request.pool.name).record_request()
-        self._demand.record_arrival(request.pool.name, request.call.model)
+        if not self._blocked_ms(request):
+            self._demand.record_arrival(request.pool.name, request.call.model)
         outcome = "cancelled"
         try:
             async with self._timers.timeout_ms(self._remaining_ms(request)) as scope:
@@ -93,8 +101,9 @@
         except TimeoutError:
             done = False
             outcome = "timed_out"
-            is_unsent = self._refuses_unsent and not progress.sends
-            progress.refusal = leaving() if is_unsent else deadline_expired(request)
+            progress.refusal = self._refuse_to_send(
+                request, progress
+            ) or deadline_expired(request)
         finally:
             self._log_end(request, progress, outcome)
             self._record_metrics(request, progress, outcome)
@@ -110,14 +119,15 @@
     ) -> bool:
         """Try servers in turn; return whether the caller has a complete answer."""
         while True:
-            if self._refuses_unsent and not progress.sends:
-                progress.refusal = leaving()
+            refusal = self._refuse_to_send(request, progress)
+            if refusal is not None:
+                progress.refusal = refusal
                 return False
-            self._unsent.add(scope)
+            self._unsent[scope] = request
             try:
                 server = await self._selector.select(request, progress)
             finally:
-                self._unsent.discard(scope)
+                del self._unsent[scope]
             if isinstance(server, Refusal):
                 progress.refusal = server
                 return False
@@ -130,6 +140,24 @@
             if not self._may_send_again(request, progress):
                 return False
 
+    def _refuse_to_send(
+        self, request: RoutedRequest, progress: Progress
+    ) -> Refusal | None:
+        """Return why the request may not be sent to any server now."""
+        if self._refuses_unsent and not progress.sends:
+            return leaving()
+        blocked_ms = self._blocked_ms(request)
+        return quarantined(blocked_ms) if blocked_ms else None
+
+    def _blocked_ms(self, request: RoutedRequest) -> int:
+        return self._quarantine.blocked_ms(request.call.prompt_parts)
+
+    def _refuse_quarantined(self) -> None:
+        """Refuse the waiting requests whose prompts are now in quarantine."""
+        for scope, request in self._unsent.items():
+            if self._blocked_ms(request):
+                scope.reschedule(asyncio.get_running_loop().time())
+
     def _may_send_again(self, request: RoutedRequest, progress: Progress) -> bool:
         if progress.sends >= request.route.max_attempts:
             return False
@@ -149,16 +177,19 @@
         responder: Responder,
     ) -> AttemptOutcome:
         progress.tried.add(server.record.id)
-        progress.start_reported = False
         progress.sends += 1
         if progress.sends > 1:
             self._metrics.record_retry(progress.last_outcome.value)
         progress.sent_ms = self._timers.now_ms()
         progress.load = server.load
+        progress.answer_lost, progress.answer_begun = False, False
+        record = server.current_record
         server.begin_request()
         outcome = AttemptOutcome.MAYBE_RAN
         try:
             outcome = await self._exchange(request, server, progress, responder)
+            if progress.answer_lost and not progress.answer_begun:
+                await self._detector.check(request, record)
             return outcome
         finally:
             server.end_request()
@@ -246,6 +277,10 @@
             )
         else:
             outcome = await self._forward_buffered(progress, responder, answer)
+            if outcome is AttemptOutcome.DONE:
+                self._quarantine.record_begun(
+                    request.pool.name, request.call.prompt_parts
+                )
         server.record_answer(failed=outcome is not AttemptOutcome.DONE)
         return outcome
 
@@ -273,7 +308,9 @@
             async for chunk in chunks:
                 if isinstance(chunk, BackendError):
                     progress.detail = chunk.detail
+                    progress.answer_lost = True
                     return AttemptOutcome.MAYBE_RAN
+                progress.answer_begun = True
                 if progress.response_started:
                     await responder.write(chunk)
                     continue
@@ -308,6 +345,7 @@
                     break
                 if isinstance(chunk, BackendError):
                     progress.detail = chunk.detail
+                    progress.answer_lost = True
                     return AttemptOutcome.MAYBE_RAN
                 events = splitter.feed(chunk)
                 if not events:
@@ -317,7 +355,7 @@
                     await responder.start(answer.head, None)
                 last_event_ms = self._timers.now_ms()
                 progress.record_event_times(last_event_ms)
-                self._report_started(request, server, progress)
+                self._record_begun(request, server, progress)
                 await responder.write(b"".join(event.data for event in events))
                 progress.resume_after = events[-1].id or progress.resume_after
         if splitter.has_partial_event:
@@ -372,12 +410,15 @@
             and self._selector.has_untried_server(request, progress)
         )
 
-    def _report_started(
+    def _record_begun(
         self, request: RoutedRequest, server: Server, progress: Progress
     ) -> None:
-        """Report to the side, once, that its engine has finished the prefill."""
-        if progress.admission == Granted.__name__ and not progress.start_reported:
-            progress.start_reported = True
+        """Record, once for each attempt, that the engine has finished the prefill."""
+        if progress.answer_begun:
+            return
+        progress.answer_begun = True
+        self._quarantine.record_begun(request.pool.name, request.call.prompt_parts)
+        if progress.admission == Granted.__name__:
             self._sides.report_started(server.record, request.call.id)
 
     def _handle_error(
@@ -396,6 +437,7 @@
                 return AttemptOutcome.NOT_RUN
             case BackendErrorReason.LOST:
                 server.record_answer(failed=True)
+                progress.answer_lost = True
                 return AttemptOutcome.MAYBE_RAN
 
     def _remaining_ms(self, request: RoutedRequest) -> int:
--- a/src/copperrun/routing/requests.py
+++ b/src/copperrun/routing/requests.py
@@ -82,7 +82,8 @@
         detail: Latest event of the request, for the log.
         admission: Admission result of the side, for the log; empty when the side was
             not asked.
-        start_reported: Whether the first event was reported to the side.
+        answer_begun: Whether an event of the latest attempt has arrived.
+        answer_lost: Whether the latest attempt's answer was lost or cut short.
     """
 
     def __init__(self, resume_after: str) -> None:
@@ -96,7 +97,8 @@
         self.refusal: Refusal | None = None
         self.detail = ""
         self.admission = ""
-        self.start_reported = False
+        self.answer_begun = False
+        self.answer_lost = False
         self.admitted_after_ms = 0
         self.sent_ms = 0
         self.load = 0
--- a/src/copperrun/routing/servers.py
+++ b/src/copperrun/routing/servers.py
@@ -62,6 +62,11 @@
     in_host: frozenset[str] = frozenset()
     on_disk: frozenset[str] = frozenset()
 
+    @property
+    def start_id(self) -> str:
+        """Id of this start of the server; a restart may keep the server's id."""
+        return f"{self.id}/{self.born_ms}"
+
 
 class ServerReport(NamedTuple):
     """State of an engine as its side reports it.
@@ -118,9 +123,11 @@
 
     @property
     def current_record(self) -> ServerRecord:
-        """The record with the server id of the latest known start."""
+        """The record with the id and start time of the latest known start."""
         if self._reported_id and self._reported_born_ms > self.record.born_ms:
-            return self.record._replace(id=self._reported_id)
+            return self.record._replace(
+                id=self._reported_id, born_ms=self._reported_born_ms
+            )
         return self.record
 
     @property
--- a/testing/test_platform_http.py
+++ b/testing/test_platform_http.py
@@ -36,6 +36,8 @@
 from copperrun.ports.responder import Responder
 from copperrun.routing.catalog import RetrySafety
 from copperrun.routing.catalog import Route
+from copperrun.routing.crashes import CrashLog
+from copperrun.routing.quarantine import PromptQuarantine
 from copperrun.routing.relay import Relay
 from copperrun.routing.requests import RoutedRequest
 from copperrun.routing.retries import RetryBounds
@@ -70,6 +72,7 @@
             server(item.id, address=item.address) for item in self.backends
         )
         budget = RetryWindow(self.timers, RetryBounds(1, 100, 10_000))
+        self.quarantine = PromptQuarantine(CrashLog(self.timers), self.timers)
         self.relay = Relay(
             self.servers,
             HttpBackends(session),
@@ -77,6 +80,7 @@
             DemandMeter(),
             self.timers,
             NullMetrics(),
+            self.quarantine,
             distance_to=lambda zone: Distance.ZONE,
             budget_for=lambda name: budget,
         )
--- /dev/null
+++ b/testing/test_quarantine.py
@@ -0,0 +1,181 @@
+"""Which prompt parts are blamed for crashes, for how long, and what clears them."""
+
+from __future__ import annotations
+
+from testtools.assertions import assert_that
+from testtools.matchers import Equals
+from testtools.matchers import GreaterThan
+
+from copperrun.embedded.clock import ManualTimers
+from copperrun.routing.crashes import CrashLog
+from copperrun.routing.quarantine import MIN_CRASHES
+from copperrun.routing.quarantine import QUARANTINE_MS
+from copperrun.routing.quarantine import SAME_EVENT_MS
+from copperrun.routing.quarantine import SOUND_MS
+from copperrun.routing.quarantine import PromptQuarantine
+
+BAD = ("first", "bad")
+
+
+class Case:
+    """A quarantine with a manual clock."""
+
+    def __init__(self, *, stagger_ms: int = 0) -> None:
+        self.timers = ManualTimers()
+        self.log = CrashLog(self.timers)
+        self.quarantine = PromptQuarantine(self.log, self.timers, stagger_ms=stagger_ms)
+        self.crash_count = 0
+
+    async def crash(self, *prompts: tuple[str, ...], after_ms: int = 1_000) -> None:
+        """Let a server end that was working on these prompts."""
+        await self.timers.advance(after_ms)
+        self.crash_count += 1
+        for parts in prompts:
+            self.quarantine.record_crash(f"c{self.crash_count}", "llm", parts)
+
+    async def crash_often(self, *prompts: tuple[str, ...]) -> None:
+        for _ in range(MIN_CRASHES):
+            await self.crash(*prompts)
+
+    def begin(self, *parts: str, pool: str = "llm") -> None:
+        self.quarantine.record_begun(pool, parts)
+
+    def is_blocked(self, *parts: str) -> bool:
+        return self.quarantine.blocked_ms(parts) > 0
+
+
+async def test_a_part_is_blocked_after_several_crashes_and_not_before():
+    case = Case()
+    for _ in range(MIN_CRASHES - 1):
+        await case.crash(("bad",))
+        assert_that(case.is_blocked("bad"), Equals(False))
+    await case.crash(("bad",))
+    assert_that(case.is_blocked("bad"), Equals(True))
+    assert_that(case.is_blocked("other"), Equals(False))
+    assert_that(case.is_blocked(), Equals(False))
+
+
+async def test_parts_on_which_answers_begin_are_never_blamed():
+    case = Case()
+    case.begin("first", "ok")
+    await case.crash_often(BAD, ("first", "ok"))
+    assert_that(case.is_blocked("first", "ok"), Equals(False))
+    assert_that(case.is_blocked("first", "new"), Equals(False))
+    assert_that(case.is_blocked("first", "bad"), Equals(True))
+
+
+async def test_an_answer_that_begins_clears_earlier_crashes():
+    case = Case()
+    for _ in range(MIN_CRASHES - 1):
+        await case.crash(("unlucky",))
+    case.begin("unlucky")
+    await case.timers.advance(SOUND_MS)
+    await case.crash(("unlucky",))
+    assert_that(case.is_blocked("unlucky"), Equals(False))
+
+
+async def test_a_part_that_turns_bad_is_found_once_its_last_answer_is_old():
+    case = Case()
+    case.begin("turned")
+    await case.crash_often(("turned",))
+    assert_that(case.is_blocked("turned"), Equals(False))
+    await case.timers.advance(SOUND_MS)
+    await case.crash_often(("turned",))
+    assert_that(case.is_blocked("turned"), Equals(True))
+
+
+async def test_a_part_that_was_only_near_by_is_explained_away():
+    case = Case()
+    await case.crash(("bad",), ("near",))
+    await case.crash(("bad",), ("near",))
+    await case.crash(("bad",))
+    await case.crash(("bad",), ("near",))
+    assert_that(case.is_blocked("bad"), Equals(True))
+    assert_that(case.is_blocked("near"), Equals(False))
+
+
+async def test_a_part_blamed_by_chance_is_freed_when_another_explains_more():
+    case = Case()
+    await case.crash_often(("bad",), ("near",))
+    # Neither alone is blamed yet: what occurred together may be harmless apart.
+    assert_that(case.is_blocked("near"), Equals(False))
+    assert_that(case.is_blocked("bad"), Equals(False))
+    assert_that(case.is_blocked("bad", "near"), Equals(True))
+    await case.crash(("bad",))
+    assert_that(case.is_blocked("bad"), Equals(True))
+    assert_that(case.is_blocked("near"), Equals(False))
+
+
+async def test_two_bad_parts_are_both_found():
+    case = Case()
+    await case.crash_often(("bad",))
+    await case.crash_often(("worse",))
+    assert_that(case.is_blocked("bad"), Equals(True))
+    assert_that(case.is_blocked("worse"), Equals(True))
+
+
+async def test_servers_that_end_together_count_once():
+    case = Case()
+    await case.crash(("part",))
+    for _ in range(2 * MIN_CRASHES):
+        await case.crash(("part",), after_ms=SAME_EVENT_MS // (4 * MIN_CRASHES))
+    assert_that(case.is_blocked("part"), Equals(False))
+
+
+async def test_many_victims_of_one_crash_count_once():
+    case = Case()
+    await case.crash(*[("part",)] * 10)
+    assert_that(case.is_blocked("part"), Equals(False))
+
+
+async def test_a_part_is_tried_again_after_some_time_and_blocked_by_one_more_crash():
+    case = Case()
+    await case.crash_often(("bad",))
+    await case.timers.advance(QUARANTINE_MS - 1)
+    assert_that(case.is_blocked("bad"), Equals(True))
+    await case.timers.advance(1)
+    assert_that(case.is_blocked("bad"), Equals(False))
+    await case.crash(("bad",), after_ms=0)
+    assert_that(case.is_blocked("bad"), Equals(True))
+    assert_that(case.quarantine.blocked_ms(["bad"]), Equals(QUARANTINE_MS))
+
+
+async def test_a_part_that_is_sound_when_tried_again_is_free():
+    case = Case()
+    await case.crash_often(("part",))
+    await case.timers.advance(QUARANTINE_MS)
+    case.begin("part")
+    await case.timers.advance(SOUND_MS)
+    for _ in range(MIN_CRASHES - 1):
+        await case.crash(("part",))
+    assert_that(case.is_blocked("part"), Equals(False))
+
+
+async def test_entries_try_a_part_again_one_after_the_other():
+    early, late = Case(), Case(stagger_ms=5_000)
+    for case in (early, late):
+        await case.crash_often(("bad",))
+        await case.timers.advance(QUARANTINE_MS)
+    assert_that(early.is_blocked("bad"), Equals(False))
+    assert_that(late.is_blocked("bad"), Equals(True))
+    await early.crash(("bad",), after_ms=0)
+    late.log.merge(early.log.changes_since(0))
+    assert_that(late.quarantine.blocked_ms(["bad"]), GreaterThan(QUARANTINE_MS))
+
+
+async def test_what_an_entry_knows_as_sound_clears_the_part_for_all():
+    witness, other = Case(), Case()
+    await other.crash_often(("rare",))
+    assert_that(other.is_blocked("rare"), Equals(True))
+    witness.begin("rare")
+    witness.log.merge(other.log.changes_since(0))
+    other.log.merge(witness.log.changes_since(0))
+    assert_that(other.is_blocked("rare"), Equals(False))
+
+
+async def test_an_answer_in_one_pool_does_not_clear_crashes_in_another():
+    case = Case()
+    case.begin("bad", pool="other")
+    await case.crash_often(("bad",))
+    case.begin("bad", pool="other")
+    assert_that(case.is_blocked("bad"), Equals(True))
--- a/testing/test_relay.py
+++ b/testing/test_relay.py
@@ -41,6 +41,9 @@
 from copperrun.ports.backends import Execution
 from copperrun.ports.sides import SideError
 from copperrun.routing.catalog import RetrySafety
+from copperrun.routing.crashes import CrashLog
+from copperrun.routing.quarantine import MIN_CRASHES
+from copperrun.routing.quarantine import PromptQuarantine
 from copperrun.routing.relay import Relay
 from copperrun.routing.requests import RoutedRequest
 from copperrun.routing.retries import RetryBounds
@@ -102,8 +105,13 @@
         self.plans: dict[str, list[Plan]] = {}
         self.calls: list[tuple[str, int, str]] = []
         self.closed = 0
+        self.has_crashed: Callable[[ServerRecord], bool] = lambda record: False
         self._timers = timers
 
+    async def has_ended(self, record: ServerRecord, *, timeout_ms: int) -> bool:
+        await self._timers.sleep_ms(1)
+        return self.has_crashed(record)
+
     async def open(
         self,
         record: ServerRecord,
@@ -209,6 +217,7 @@
         self.sides = EngineSides(self.timers)
         self.demand = DemandMeter()
         self.budget = RetryWindow(self.timers, RetryBounds(1.0, 100, 10_000))
+        self.quarantine = PromptQuarantine(CrashLog(self.timers), self.timers)
         self.relay = Relay(
             self.servers,
             self.backends,
@@ -216,6 +225,7 @@
             self.demand,
             self.timers,
             NullMetrics(),
+            self.quarantine,
             distance_to=lambda zone: Distance.ZONE,
             budget_for=lambda name: self.budget,
         )
@@ -678,3 +688,89 @@
     caller = await bench.handle(STREAM)
     assert caller.is_complete
     assert_that(bench.servers_called(), Equals(["a"]))
+
+
+async def test_requests_lost_with_a_crashed_server_put_their_part_into_quarantine():
+    bench = Bench(*(engine(f"e{number}", ["m"]) for number in range(9)))
+    bench.backends.has_crashed = lambda record: True
+    for number in range(9):
+        bench.backends.plans[f"e{number}"] = [LOST]
+    for number in range(6):
+        await bench.timers.advance(1_000)
+        await bench.handle(
+            STREAM._replace(max_attempts=1),
+            id=f"r{number}",
+            model="m",
+            prompt_parts=("first", "bad"),
+        )
+    assert_that(bench.backends.calls, HasLength(MIN_CRASHES))
+    caller = await bench.handle(STREAM, model="m", prompt_parts=("first", "bad"))
+    assert caller.refusal is not None
+    assert_that(caller.refusal.reason, Is(RefusalReason.QUARANTINED))
+    assert_that(caller.refusal.ran, Is(Ran.NO))
+    assert_that(caller.refusal.retry_after_ms, GreaterThan(60_000))
+
+
+async def test_answers_lost_by_servers_that_run_on_blame_no_part():
+    bench = Bench(*(engine(f"e{number}", ["m"]) for number in range(9)))
+    bench.backends.plans = {f"e{number}": [LOST] for number in range(9)}
+    for _ in range(6):
+        await bench.timers.advance(1_000)
+        caller = await bench.handle(STREAM, model="m", prompt_parts=("part",))
+        assert caller.refusal is not None
+        assert_that(caller.refusal.reason, Is(RefusalReason.SERVER_FAILED))
+
+
+async def test_a_request_whose_answer_had_begun_blames_no_part():
+    bench = Bench(*(engine(f"e{number}", ["m"]) for number in range(9)))
+    bench.backends.has_crashed = lambda record: True
+    cut = Part(0, BackendError(BackendErrorReason.LOST, "cut"))
+    plan = Plan(parts=[*events(1, 1), cut])
+    bench.backends.plans = {f"e{number}": [plan] for number in range(9)}
+    for _ in range(6):
+        await bench.timers.advance(1_000)
+        await bench.handle(STREAM, model="m", prompt_parts=("part",))
+    assert_that(bench.quarantine.log.crashes(), Equals([]))
+
+
+async def test_a_request_is_not_repeated_once_its_part_is_in_quarantine():
+    bench = Bench(engine("a", ["m"]), engine("b", ["m"]))
+    bench.backends.has_crashed = lambda record: True
+    bench.backends.plans = {"a": [LOST], "b": [LOST]}
+    for number in range(MIN_CRASHES - 1):
+        bench.quarantine.record_crash(f"c{number}", "llm", ("bad",))
+        await bench.timers.advance(1_000)
+    caller = await bench.handle(STREAM, model="m", prompt_parts=("bad",))
+    assert_that(bench.backends.calls, HasLength(1))
+    assert caller.refusal is not None
+    # It was sent once and may have run.
+    assert_that(caller.refusal.ran, Is(Ran.UNKNOWN))
+
+
+async def test_waiting_requests_are_refused_at_once_when_their_part_is_quarantined():
+    bench = Bench(engine("a", ["m"]))
+    bench.sides.delay_ms = 3_000
+    caller, task = bench.begin(STREAM, model="m", prompt_parts=("first", "bad"))
+    sound, sound_task = bench.begin(STREAM, model="m", prompt_parts=("first", "ok"))
+    bench.quarantine.record_begun("llm", ("first", "ok"))
+    for number in range(MIN_CRASHES):
+        await bench.timers.advance(300)
+        bench.quarantine.record_crash(f"c{number}", "llm", ("first", "bad"))
+    await bench.timers.advance(1)
+    assert caller.refusal is not None
+    assert_that(caller.refusal.reason, Is(RefusalReason.QUARANTINED))
+    assert_that(caller.refusal.ran, Is(Ran.NO))
+    await task
+    bench.backends.plans = {"a": [Plan(parts=events(1, 3))]}
+    await run_until(bench.timers, sound_task, 60_000)
+    assert_that(sound.is_complete, Is(True))
+    assert_that(bench.servers_called(), Equals(["a"]))
+
+
+async def test_a_refused_prompt_asks_for_no_model():
+    bench = Bench(engine("a", ["m"]))
+    for number in range(MIN_CRASHES):
+        await bench.timers.advance(300)
+        bench.quarantine.record_crash(f"c{number}", "llm", ("bad",))
+    await bench.handle(STREAM, model="n", prompt_parts=("bad",))
+    assert_that(bench.demand.arrival_totals("llm"), Equals({}))
