Share crash records between entries through three of the sides

What callers saw: each entry would find a bad part by itself, after three crashes of its own, and again after each restart. Cause: the evidence stayed in the process that saw it. Change: each entry exchanges its crash log with three sides, the same at all entries; sides pass it on at once; entries that start ask before they serve. No call to the store.

--- a/idl/copperrun.thrift
+++ b/idl/copperrun.thrift
@@ -164,3 +164,28 @@
 struct View {
   1: required map<string, TopicView> topics
 }
+
+// A server that ended, with the prompt parts that may have caused it and those of them
+// that did not.
+struct Crash {
+  1: required string crash,
+  2: required string pool,
+  3: required i64 age_ms,
+  4: required set<string> parts,
+  5: required set<string> cleared
+}
+
+// Tells a side of crashes and asks for what changed in its log after a position, which
+// holds for one start of the side.
+struct CrashQuery {
+  1: required string origin,
+  2: required i64 version,
+  3: required list<Crash> crashes,
+  4: required i32 hold_ms
+}
+
+struct CrashNews {
+  1: required string origin,
+  2: required i64 version,
+  3: required list<Crash> crashes
+}
--- a/src/copperrun/entry/proxy.py
+++ b/src/copperrun/entry/proxy.py
@@ -10,6 +10,7 @@
 import xxhash
 from loguru import logger
 
+from copperrun.membership.exchange import CrashExchange
 from copperrun.membership.lifecycle import Lifecycle
 from copperrun.membership.lifecycle import State
 from copperrun.membership.view import PlatformView
@@ -22,6 +23,7 @@
 from copperrun.ports.admission import PeerEngine
 from copperrun.ports.backends import BackendCall
 from copperrun.ports.backends import Backends
+from copperrun.ports.crashes import CrashRelays
 from copperrun.ports.metrics import Metrics
 from copperrun.ports.responder import Responder
 from copperrun.ports.sides import SideError
@@ -57,6 +59,8 @@
 REFRESH_INTERVAL_MS = 500
 INITIAL_ENTRY_COUNT = 8  # until a side reports the number of entries
 NOT_READY_RETRY_AFTER_MS = 1_000
+# An entry that starts waits this long for what the others know of crashes.
+FIRST_EXCHANGE_TIMEOUT_MS = 500
 
 
 class ProcessLocation(NamedTuple):
@@ -92,6 +96,7 @@
         view: PlatformView,
         backends: Backends,
         sides: EngineSides,
+        relays: CrashRelays,
         retry_bounds: RetryBounds,
         timers: Timers,
         metrics: Metrics,
@@ -113,6 +118,7 @@
         self.quarantine = PromptQuarantine(
             CrashLog(timers), timers, stagger_ms=_stagger_ms(location.instance)
         )
+        self._exchange = CrashExchange(self.quarantine.log, relays, timers)
         self._relay = Relay(
             self.servers,
             backends,
@@ -138,10 +144,12 @@
             async with asyncio.TaskGroup() as tasks:
                 tasks.create_task(self._view.run())
                 await self._view.wait_until_loaded()
+                await self._exchange.wait_first_reply(FIRST_EXCHANGE_TIMEOUT_MS)
                 if self.lifecycle.state is State.STARTING:
                     self.lifecycle.serve()
         finally:
             refresh.cancel()
+            self._exchange.close()
             for task in self._report_tasks.values():
                 task.cancel()
 
@@ -194,11 +202,13 @@
         self.servers.set_records(servers)
         catalog = self._view.catalog.catalog
         pools = catalog.pools if catalog is not None else {}
-        engines = {
-            server.id
+        records = [
+            server
             for server in servers
             if server.pool in pools and pools[server.pool].engine is not None
-        }
+        ]
+        self._exchange.set_engines(records)
+        engines = {server.id for server in records}
         for server_id in self._report_tasks.keys() - engines:
             self._report_tasks.pop(server_id).cancel()
         for server_id in engines - self._report_tasks.keys():
--- a/src/copperrun/gen/ttypes.py
+++ b/src/copperrun/gen/ttypes.py
@@ -2159,6 +2159,334 @@
 
     def __ne__(self, other):
         return not (self == other)
+
+
+class Crash(object):
+    """
+    Attributes:
+     - crash
+     - pool
+     - age_ms
+     - parts
+     - cleared
+
+    """
+
+
+    def __init__(self, crash=None, pool=None, age_ms=None, parts=None, cleared=None,):
+        self.crash = crash
+        self.pool = pool
+        self.age_ms = age_ms
+        self.parts = parts
+        self.cleared = cleared
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.crash = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.pool = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.age_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.SET:
+                    self.parts = set()
+                    (_etype131, _size128) = iprot.readSetBegin()
+                    for _i132 in range(_size128):
+                        _elem133 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.parts.add(_elem133)
+                    iprot.readSetEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.SET:
+                    self.cleared = set()
+                    (_etype137, _size134) = iprot.readSetBegin()
+                    for _i138 in range(_size134):
+                        _elem139 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.cleared.add(_elem139)
+                    iprot.readSetEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('Crash')
+        if self.crash is not None:
+            oprot.writeFieldBegin('crash', TType.STRING, 1)
+            oprot.writeString(self.crash.encode('utf-8') if sys.version_info[0] == 2 else self.crash)
+            oprot.writeFieldEnd()
+        if self.pool is not None:
+            oprot.writeFieldBegin('pool', TType.STRING, 2)
+            oprot.writeString(self.pool.encode('utf-8') if sys.version_info[0] == 2 else self.pool)
+            oprot.writeFieldEnd()
+        if self.age_ms is not None:
+            oprot.writeFieldBegin('age_ms', TType.I64, 3)
+            oprot.writeI64(self.age_ms)
+            oprot.writeFieldEnd()
+        if self.parts is not None:
+            oprot.writeFieldBegin('parts', TType.SET, 4)
+            oprot.writeSetBegin(TType.STRING, len(self.parts))
+            for iter140 in self.parts:
+                oprot.writeString(iter140.encode('utf-8') if sys.version_info[0] == 2 else iter140)
+            oprot.writeSetEnd()
+            oprot.writeFieldEnd()
+        if self.cleared is not None:
+            oprot.writeFieldBegin('cleared', TType.SET, 5)
+            oprot.writeSetBegin(TType.STRING, len(self.cleared))
+            for iter141 in self.cleared:
+                oprot.writeString(iter141.encode('utf-8') if sys.version_info[0] == 2 else iter141)
+            oprot.writeSetEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.crash is None:
+            raise TProtocolException(message='Required field crash is unset!')
+        if self.pool is None:
+            raise TProtocolException(message='Required field pool is unset!')
+        if self.age_ms is None:
+            raise TProtocolException(message='Required field age_ms is unset!')
+        if self.parts is None:
+            raise TProtocolException(message='Required field parts is unset!')
+        if self.cleared is None:
+            raise TProtocolException(message='Required field cleared is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class CrashQuery(object):
+    """
+    Attributes:
+     - origin
+     - version
+     - crashes
+     - hold_ms
+
+    """
+
+
+    def __init__(self, origin=None, version=None, crashes=None, hold_ms=None,):
+        self.origin = origin
+        self.version = version
+        self.crashes = crashes
+        self.hold_ms = hold_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.origin = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.version = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.LIST:
+                    self.crashes = []
+                    (_etype145, _size142) = iprot.readListBegin()
+                    for _i146 in range(_size142):
+                        _elem147 = Crash()
+                        _elem147.read(iprot)
+                        self.crashes.append(_elem147)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I32:
+                    self.hold_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('CrashQuery')
+        if self.origin is not None:
+            oprot.writeFieldBegin('origin', TType.STRING, 1)
+            oprot.writeString(self.origin.encode('utf-8') if sys.version_info[0] == 2 else self.origin)
+            oprot.writeFieldEnd()
+        if self.version is not None:
+            oprot.writeFieldBegin('version', TType.I64, 2)
+            oprot.writeI64(self.version)
+            oprot.writeFieldEnd()
+        if self.crashes is not None:
+            oprot.writeFieldBegin('crashes', TType.LIST, 3)
+            oprot.writeListBegin(TType.STRUCT, len(self.crashes))
+            for iter148 in self.crashes:
+                iter148.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.hold_ms is not None:
+            oprot.writeFieldBegin('hold_ms', TType.I32, 4)
+            oprot.writeI32(self.hold_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.origin is None:
+            raise TProtocolException(message='Required field origin is unset!')
+        if self.version is None:
+            raise TProtocolException(message='Required field version is unset!')
+        if self.crashes is None:
+            raise TProtocolException(message='Required field crashes is unset!')
+        if self.hold_ms is None:
+            raise TProtocolException(message='Required field hold_ms is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class CrashNews(object):
+    """
+    Attributes:
+     - origin
+     - version
+     - crashes
+
+    """
+
+
+    def __init__(self, origin=None, version=None, crashes=None,):
+        self.origin = origin
+        self.version = version
+        self.crashes = crashes
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.origin = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.version = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.LIST:
+                    self.crashes = []
+                    (_etype152, _size149) = iprot.readListBegin()
+                    for _i153 in range(_size149):
+                        _elem154 = Crash()
+                        _elem154.read(iprot)
+                        self.crashes.append(_elem154)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('CrashNews')
+        if self.origin is not None:
+            oprot.writeFieldBegin('origin', TType.STRING, 1)
+            oprot.writeString(self.origin.encode('utf-8') if sys.version_info[0] == 2 else self.origin)
+            oprot.writeFieldEnd()
+        if self.version is not None:
+            oprot.writeFieldBegin('version', TType.I64, 2)
+            oprot.writeI64(self.version)
+            oprot.writeFieldEnd()
+        if self.crashes is not None:
+            oprot.writeFieldBegin('crashes', TType.LIST, 3)
+            oprot.writeListBegin(TType.STRUCT, len(self.crashes))
+            for iter155 in self.crashes:
+                iter155.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.origin is None:
+            raise TProtocolException(message='Required field origin is unset!')
+        if self.version is None:
+            raise TProtocolException(message='Required field version is unset!')
+        if self.crashes is None:
+            raise TProtocolException(message='Required field crashes is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
 all_structs.append(AttemptId)
 AttemptId.thrift_spec = (
     None,  # 0
@@ -2320,5 +2648,29 @@
     None,  # 0
     (1, TType.MAP, 'topics', (TType.STRING, 'UTF8', TType.STRUCT, [TopicView, None], False), None, ),  # 1
 )
+all_structs.append(Crash)
+Crash.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'crash', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'pool', 'UTF8', None, ),  # 2
+    (3, TType.I64, 'age_ms', None, None, ),  # 3
+    (4, TType.SET, 'parts', (TType.STRING, 'UTF8', False), None, ),  # 4
+    (5, TType.SET, 'cleared', (TType.STRING, 'UTF8', False), None, ),  # 5
+)
+all_structs.append(CrashQuery)
+CrashQuery.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'origin', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'version', None, None, ),  # 2
+    (3, TType.LIST, 'crashes', (TType.STRUCT, [Crash, None], False), None, ),  # 3
+    (4, TType.I32, 'hold_ms', None, None, ),  # 4
+)
+all_structs.append(CrashNews)
+CrashNews.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'origin', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'version', None, None, ),  # 2
+    (3, TType.LIST, 'crashes', (TType.STRUCT, [Crash, None], False), None, ),  # 3
+)
 fix_spec(all_structs)
 del all_structs
--- a/src/copperrun/platform/daemon.py
+++ b/src/copperrun/platform/daemon.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import secrets
 import signal
 from collections.abc import Coroutine
 from contextlib import suppress
@@ -19,6 +20,8 @@
 from copperrun.adapters.admission import encode_view
 from copperrun.adapters.client import HttpClient
 from copperrun.adapters.client import open_session
+from copperrun.adapters.crashes import CrashRoutes
+from copperrun.adapters.crashes import HttpCrashRelays
 from copperrun.adapters.metrics import PrometheusMetrics
 from copperrun.adapters.timers import SystemTimers
 from copperrun.configuration.catalog import CurrentCatalog
@@ -48,6 +51,7 @@
 from copperrun.platform.store import STATUS_TOPIC
 from copperrun.platform.store import HttpTopicStore
 from copperrun.routing.catalog import CallerLimits
+from copperrun.routing.crashes import CrashLog
 from copperrun.routing.servers import ServerRecord
 from copperrun.side.admission import AdmissionController
 from copperrun.side.placement import PlacementProcess
@@ -212,6 +216,7 @@
                 view,
                 HttpBackends(session),
                 HttpEngineSides(client, self.side_address, self.timers),
+                HttpCrashRelays(client, self.side_address),
                 cfg.retries,
                 self.timers,
                 self.metrics,
@@ -318,6 +323,7 @@
             )
             app = self.build_internal_app(view)
             EngineSideRoutes(placement, admission, demand).add_to(app)
+            CrashRoutes(CrashLog(self.timers), secrets.token_hex(8)).add_to(app)
             internal = web.AppRunner(
                 app, handler_cancellation=True, access_log=None, shutdown_timeout=0.1
             )
--- a/testing/test_platform_http.py
+++ b/testing/test_platform_http.py
@@ -23,7 +23,10 @@
 from testtools.matchers import LessThan
 from testtools.matchers import Not
 
+from copperrun.adapters.client import HttpClient
 from copperrun.adapters.client import open_session
+from copperrun.adapters.crashes import CrashRoutes
+from copperrun.adapters.crashes import HttpCrashRelays
 from copperrun.adapters.timers import SystemTimers
 from copperrun.model import Ran
 from copperrun.model import Refusal
@@ -33,10 +36,13 @@
 from copperrun.platform.ingress import Ingress
 from copperrun.platform.ingress import _shared_parts
 from copperrun.ports.backends import BackendCall
+from copperrun.ports.crashes import CrashNews
+from copperrun.ports.crashes import LogPosition
 from copperrun.ports.responder import Responder
 from copperrun.routing.catalog import RetrySafety
 from copperrun.routing.catalog import Route
 from copperrun.routing.crashes import CrashLog
+from copperrun.routing.crashes import CrashRecord
 from copperrun.routing.quarantine import PromptQuarantine
 from copperrun.routing.relay import Relay
 from copperrun.routing.requests import RoutedRequest
@@ -645,3 +651,62 @@
     answer = await client.answer()
     client.close()
     return answer
+
+
+async def test_sides_pass_crash_records_on_over_http():
+    log, records = (
+        CrashLog(SystemTimers()),
+        [CrashRecord("i-1/5", "llm", 40, frozenset({"a", "b"}), frozenset({"b"}))],
+    )
+    app = web.Application()
+    CrashRoutes(log, "start-1").add_to(app)
+    runner = web.AppRunner(app, access_log=None, shutdown_timeout=0.1)
+    await runner.setup()
+    await web.TCPSite(runner, "127.0.0.1", 0).start()
+    address = f"127.0.0.1:{runner.addresses[0][1]}"
+    async with open_session() as session:
+        client = HttpClient(session, SystemTimers())
+        relays = HttpCrashRelays(client, lambda record: address)
+        told = await relays.exchange_crashes(server("s"), records, LogPosition(), 0)
+        assert isinstance(told, CrashNews)
+        held = asyncio.create_task(
+            relays.exchange_crashes(server("s"), [], told.position, 5_000)
+        )
+        await SystemTimers().sleep_ms(50)
+        log.clear("llm", frozenset("a"))
+        news = await asyncio.wait_for(held, WAIT_TIMEOUT_S)  # noqa: TID251
+        assert isinstance(news, CrashNews)
+        (record,) = news.records
+        assert_that(record.cleared, Equals(frozenset({"a", "b"})))
+        # A position of another start of the side is void.
+        other = LogPosition("start-0", news.position.version)
+        again = await relays.exchange_crashes(server("s"), [], other, 5_000)
+        assert isinstance(again, CrashNews)
+        assert_that(again.records, HasLength(1))
+    await runner.cleanup()
+
+
+async def test_a_server_has_ended_only_if_it_refuses_connections_or_began_later():
+    async def report(request: ReceivedRequest, writer: asyncio.StreamWriter) -> bool:
+        head = answer_head(
+            request, Content_Length="14", Content_Type="application/json"
+        )
+        writer.write(head + b'{"born": 2000}')
+        return True
+
+    async def reset(request: ReceivedRequest, writer: asyncio.StreamWriter) -> bool:
+        writer.transport.abort()
+        return False
+
+    backend = ScriptedServer()
+    await backend.start()
+    ended = []
+    async with open_session() as session:
+        backends = HttpBackends(session)
+        for script, born_ms in ((report, 2_000), (report, 1_000), (reset, 2_000)):
+            backend.script = script
+            record = server("s", address=backend.address, born_ms=born_ms)
+            ended.append(await backends.has_ended(record, timeout_ms=1_000))
+        await backend.close()
+        ended.append(await backends.has_ended(record, timeout_ms=1_000))
+    assert_that(ended, Equals([False, True, False, True]))
--- a/testing/test_proxy.py
+++ b/testing/test_proxy.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable
 from types import SimpleNamespace
 
+from crash_relays import CrashRelays
 from factories import model
 from factories import pool
 from factories import server
@@ -77,7 +78,14 @@
     view, sides = View(), Sides(timers)
     location = ProcessLocation("e", "a-1", "a", ZONES)
     proxy = ProxyProcess(
-        location, view, None, sides, RetryBounds(1.0, 1, 1_000), timers, NullMetrics()
+        location,
+        view,
+        None,
+        sides,
+        CrashRelays(timers),
+        RetryBounds(1.0, 1, 1_000),
+        timers,
+        NullMetrics(),
     )
     task = asyncio.create_task(proxy.run())
     await run_until_idle()
@@ -102,7 +110,14 @@
     zones = {"a-1": "a", "b-1": "b", "c-1": "c"}
     location = ProcessLocation("e", "a-1", "a", zones)
     proxy = ProxyProcess(
-        location, view, None, sides, RetryBounds(1.0, 1, 1_000), timers, NullMetrics()
+        location,
+        view,
+        None,
+        sides,
+        CrashRelays(timers),
+        RetryBounds(1.0, 1, 1_000),
+        timers,
+        NullMetrics(),
     )
     task = asyncio.create_task(proxy.run())
     await run_until_idle()
--- a/testing/test_view.py
+++ b/testing/test_view.py
@@ -5,6 +5,7 @@
 import asyncio
 from collections.abc import Mapping
 
+from crash_relays import CrashRelays
 from factories import route
 from factories import server
 from network import NullMetrics
@@ -231,7 +232,14 @@
     view = _view(store, timers)
     location = ProcessLocation("e", "a-1", "a", {"a-1": "a"})
     proxy = ProxyProcess(
-        location, view, None, None, RetryBounds(1.0, 1, 1_000), timers, NullMetrics()
+        location,
+        view,
+        None,
+        None,
+        CrashRelays(timers),
+        RetryBounds(1.0, 1, 1_000),
+        timers,
+        NullMetrics(),
     )
     task = asyncio.create_task(proxy.run())
     await run_until_idle()
