Keep blamed crashes in the store for the loss of all processes

Cause: a quarantine lived in entries and sides only, so the loss of all of them at once, as in a closing fault, made a bad part end servers again. Change: the entry that saw a blamed crash writes it to keyed.crashes, also after an outage, and removes it when the part is freed; entries read the topic once, at their start. One store call more for each start of an entry, and one for each blamed crash.

--- a/src/copperrun/entry/proxy.py
+++ b/src/copperrun/entry/proxy.py
@@ -10,6 +10,7 @@
 import xxhash
 from loguru import logger
 
+from copperrun.membership.archive import CrashArchive
 from copperrun.membership.exchange import CrashExchange
 from copperrun.membership.lifecycle import Lifecycle
 from copperrun.membership.lifecycle import State
@@ -28,6 +29,7 @@
 from copperrun.ports.responder import Responder
 from copperrun.ports.sides import SideError
 from copperrun.ports.timers import Timers
+from copperrun.ports.topics import TopicStore
 from copperrun.routing.catalog import Catalog
 from copperrun.routing.crashes import CrashLog
 from copperrun.routing.quarantine import MAX_STAGGER_MS
@@ -59,8 +61,8 @@
 REFRESH_INTERVAL_MS = 500
 INITIAL_ENTRY_COUNT = 8  # until a side reports the number of entries
 NOT_READY_RETRY_AFTER_MS = 1_000
-# An entry that starts waits this long for what the others know of crashes.
-FIRST_EXCHANGE_TIMEOUT_MS = 500
+# An entry that starts waits this long for what others and the store know of crashes.
+CRASHES_TIMEOUT_MS = 500
 
 
 class ProcessLocation(NamedTuple):
@@ -97,6 +99,8 @@
         backends: Backends,
         sides: EngineSides,
         relays: CrashRelays,
+        store: TopicStore,
+        crashes_topic: str,
         retry_bounds: RetryBounds,
         timers: Timers,
         metrics: Metrics,
@@ -119,6 +123,7 @@
             CrashLog(timers), timers, stagger_ms=_stagger_ms(location.instance)
         )
         self._exchange = CrashExchange(self.quarantine.log, relays, timers)
+        self._archive = CrashArchive(self.quarantine, store, crashes_topic, timers)
         self._relay = Relay(
             self.servers,
             backends,
@@ -143,8 +148,12 @@
         try:
             async with asyncio.TaskGroup() as tasks:
                 tasks.create_task(self._view.run())
+                tasks.create_task(self._archive.run())
                 await self._view.wait_until_loaded()
-                await self._exchange.wait_first_reply(FIRST_EXCHANGE_TIMEOUT_MS)
+                await asyncio.gather(
+                    self._exchange.wait_first_reply(CRASHES_TIMEOUT_MS),
+                    self._archive.wait_restored(CRASHES_TIMEOUT_MS),
+                )
                 if self.lifecycle.state is State.STARTING:
                     self.lifecycle.serve()
         finally:
--- /dev/null
+++ b/src/copperrun/membership/archive.py
@@ -0,0 +1,118 @@
+"""Keeps blamed crashes in the platform's store, for when all processes are lost."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from collections.abc import Mapping
+
+from loguru import logger
+
+from copperrun.ports.timers import Timers
+from copperrun.ports.topics import TopicError
+from copperrun.ports.topics import TopicStore
+from copperrun.routing.crashes import CrashRecord
+from copperrun.routing.quarantine import PromptQuarantine
+
+RETRY_DELAY_MS = 1_000  # doubles with each failure
+MAX_RETRY_DELAY_MS = 30_000
+
+
+class CrashArchive:
+    """Writes the crashes that this entry saw and that put a part into quarantine.
+
+    The store is read once, at the start: running entries share their crashes directly.
+    """
+
+    def __init__(
+        self,
+        quarantine: PromptQuarantine,
+        store: TopicStore,
+        topic: str,
+        timers: Timers,
+    ) -> None:
+        self._quarantine = quarantine
+        self._store = store
+        self._topic = topic
+        self._timers = timers
+        self._written: dict[str, frozenset[str]] = {}
+        self._changed = asyncio.Event()
+        self._restored = asyncio.Event()
+        quarantine.subscribe(self._changed.set)
+
+    async def wait_restored(self, timeout_ms: int) -> None:
+        """Wait until the store has been read, at most ``timeout_ms``."""
+        try:
+            async with self._timers.timeout_ms(timeout_ms):
+                await self._restored.wait()
+        except TimeoutError:
+            logger.info("archived crashes not read yet")
+
+    async def run(self) -> None:
+        """Read the archive, then write what changes, until cancelled."""
+        delay_ms = RETRY_DELAY_MS
+        while not await self._restore():
+            await self._timers.sleep_ms(delay_ms)
+            delay_ms = min(2 * delay_ms, MAX_RETRY_DELAY_MS)
+        self._restored.set()
+        delay_ms = RETRY_DELAY_MS
+        while True:
+            await self._changed.wait()
+            self._changed.clear()
+            while not await self._write():
+                await self._timers.sleep_ms(delay_ms)
+                delay_ms = min(2 * delay_ms, MAX_RETRY_DELAY_MS)
+            delay_ms = RETRY_DELAY_MS
+
+    async def _restore(self) -> bool:
+        snapshot = await self._store.read_snapshot(self._topic)
+        if isinstance(snapshot, TopicError):
+            logger.warning("archived crashes not read", detail=snapshot.detail)
+            return False
+        now_ms = self._timers.wall_ms()
+        self._quarantine.log.merge(
+            record
+            for crash, value in snapshot.items.items()
+            if (record := _decode(crash, value, now_ms)) is not None
+        )
+        return True
+
+    async def _write(self) -> bool:
+        """Bring the store up to date; return whether it took all of it."""
+        wanted = self._quarantine.own_blamed_crashes()
+        for crash in wanted.keys() | self._written.keys():
+            record = wanted.get(crash)
+            parts = record.parts if record is not None else frozenset()
+            if parts == self._written.get(crash, frozenset()):
+                continue
+            value = b"" if record is None else self._encode(record)
+            position = await self._store.put(self._topic, crash, value)
+            if isinstance(position, TopicError):
+                logger.warning("crash not archived", detail=position.detail)
+                return False
+            self._written[crash] = parts
+        return True
+
+    def _encode(self, record: CrashRecord) -> bytes:
+        at_ms = self._timers.wall_ms() - record.age_ms
+        fields = {"pool": record.pool, "at": at_ms, "parts": sorted(record.parts)}
+        return json.dumps(fields).encode()
+
+
+def _decode(crash: str, value: bytes, now_ms: int) -> CrashRecord | None:
+    try:
+        fields: Mapping[str, object] = json.loads(value)
+        pool, at_ms, parts = fields["pool"], fields["at"], fields["parts"]
+    except (ValueError, KeyError, TypeError) as exc:
+        logger.warning("archived crash skipped", crash=crash, detail=repr(exc))
+        return None
+    if (
+        not isinstance(pool, str)
+        or not isinstance(at_ms, int)
+        or not isinstance(parts, list)
+    ):
+        logger.warning("archived crash skipped", crash=crash, detail="wrong types")
+        return None
+    # The clocks of two machines may differ.
+    age_ms = max(now_ms - at_ms, 0)
+    return CrashRecord(crash, pool, age_ms, frozenset(map(str, parts)))
--- a/src/copperrun/platform/daemon.py
+++ b/src/copperrun/platform/daemon.py
@@ -46,6 +46,7 @@
 from copperrun.platform.settings import SettingsError
 from copperrun.platform.settings import SettingsFile
 from copperrun.platform.store import CATALOG_KEY
+from copperrun.platform.store import CRASHES_TOPIC
 from copperrun.platform.store import OPERATOR_TOPIC
 from copperrun.platform.store import SERVERS_TOPIC
 from copperrun.platform.store import STATUS_TOPIC
@@ -208,7 +209,7 @@
         cfg = self.cfg
         async with open_session() as session:
             client = HttpClient(session, self.timers)
-            _, view = self.build_view(
+            store, view = self.build_view(
                 client, ENTRY_SERVERS_POLL_FRACTION, ENTRY_CATALOG_WAIT_FRACTION
             )
             process = self._process = ProxyProcess(
@@ -217,6 +218,8 @@
                 HttpBackends(session),
                 HttpEngineSides(client, self.side_address, self.timers),
                 HttpCrashRelays(client, self.side_address),
+                store,
+                CRASHES_TOPIC,
                 cfg.retries,
                 self.timers,
                 self.metrics,
--- a/src/copperrun/platform/store.py
+++ b/src/copperrun/platform/store.py
@@ -26,6 +26,7 @@
 CATALOG_KEY = "config"
 SERVERS_TOPIC = "keyed.servers"  # written by the backend servers
 STATUS_TOPIC = "keyed.status"  # written by copperrun
+CRASHES_TOPIC = "keyed.crashes"  # written by copperrun, created on first use
 
 _PAGE_HEADER = struct.Struct(">QQ")  # end offset, first retained offset
 _RECORD_LENGTH = struct.Struct(">I")
--- a/src/copperrun/routing/quarantine.py
+++ b/src/copperrun/routing/quarantine.py
@@ -36,13 +36,16 @@
     Attributes:
         parts: One part, or several that occurred in the same crashes only. Which of
             these is to blame is not known, so only all of them together are.
-        crashes: Ids of the crashes.
-        latest_ms: Time of the latest one.
+        crashes: Times of the crashes by id, in milliseconds.
     """
 
     parts: frozenset[str]
-    crashes: frozenset[str]
-    latest_ms: int
+    crashes: Mapping[str, int]
+
+    @property
+    def latest_ms(self) -> int:
+        """Time of the latest crash."""
+        return max(self.crashes.values())
 
 
 class PromptQuarantine:
@@ -62,11 +65,13 @@
         self._sound_ms: OrderedDict[tuple[str, str], int] = OrderedDict()
         self._suspects: Mapping[str, frozenset[str]] = {}
         self._culprits: list[_Culprit] = []
+        # Pool by id of the crashes that this process saw itself.
+        self._own_crashes: dict[str, str] = {}
         self._listeners: list[Callable[[], None]] = []
         log.subscribe(self._update)
 
     def subscribe(self, listener: Callable[[], None]) -> None:
-        """Call ``listener`` when parts were put into quarantine."""
+        """Call ``listener`` when other parts or crashes are blamed than before."""
         self._listeners.append(listener)
 
     def record_begun(self, pool: str, parts: Sequence[str]) -> None:
@@ -91,6 +96,7 @@
         """
         suspects = self.unproven(pool, parts)
         if suspects:
+            self._own_crashes[crash] = pool
             self.log.merge([CrashRecord(crash, pool, 0, suspects)])
 
     def unproven(self, pool: str, parts: Iterable[str]) -> frozenset[str]:
@@ -109,12 +115,19 @@
         )
         return max(max(ends_ms, default=now) - now, 0)
 
-    def blamed_crashes(self) -> dict[str, frozenset[str]]:
-        """Return the parts in quarantine by the id of each crash blamed on them."""
+    def own_blamed_crashes(self) -> dict[str, CrashRecord]:
+        """Return the crashes by id that this process saw and parts are blamed for.
+
+        Each record has only the parts that are blamed.
+        """
+        now = self._timers.now_ms()
         return {
-            crash: culprit.parts
+            crash: CrashRecord(
+                crash, self._own_crashes[crash], now - at_ms, culprit.parts
+            )
             for culprit in self._culprits
-            for crash in culprit.crashes
+            for crash, at_ms in culprit.crashes.items()
+            if crash in self._own_crashes
         }
 
     def _is_sound(self, pool: str, part: str) -> bool:
@@ -129,21 +142,33 @@
                 self.log.clear(pool, sound)  # calls this method again
                 return
         self._suspects = self.log.suspects()
-        before = {culprit.parts for culprit in self._culprits}
-        self._culprits = _find_culprits(self.log.crashes())
-        after = {culprit.parts for culprit in self._culprits}
-        for parts in before - after:
+        crashes = self.log.crashes()
+        known = {crash.id for crash in crashes}
+        self._own_crashes = {
+            crash: pool for crash, pool in self._own_crashes.items() if crash in known
+        }
+        before, self._culprits = self._culprits, _find_culprits(crashes)
+        self._log_changes(before)
+        if _blame(before) != _blame(self._culprits):
+            for listener in self._listeners:
+                listener()
+
+    def _log_changes(self, before: Sequence[_Culprit]) -> None:
+        blamed_before = {culprit.parts for culprit in before}
+        blamed = {culprit.parts for culprit in self._culprits}
+        for parts in blamed_before - blamed:
             logger.info("prompt parts no longer in quarantine", parts=sorted(parts))
         for culprit in self._culprits:
-            if culprit.parts not in before:
+            if culprit.parts not in blamed_before:
                 logger.warning(
                     "prompt parts in quarantine",
                     parts=sorted(culprit.parts),
                     crashes=sorted(culprit.crashes),
                 )
-        if after - before:
-            for listener in self._listeners:
-                listener()
+
+
+def _blame(culprits: Sequence[_Culprit]) -> set[tuple[frozenset[str], frozenset[str]]]:
+    return {(culprit.parts, frozenset(culprit.crashes)) for culprit in culprits}
 
 
 def _find_culprits(crashes: Sequence[Crash]) -> list[_Culprit]:
@@ -167,7 +192,7 @@
         )
         explained = by_part[worst]
         parts = frozenset(p for p, found in by_part.items() if found == explained)
-        culprits.append(_Culprit(parts, frozenset(explained), max(explained.values())))
+        culprits.append(_Culprit(parts, explained))
         by_part = {
             part: {key: at for key, at in found.items() if key not in explained}
             for part, found in by_part.items()
--- a/testing/test_proxy.py
+++ b/testing/test_proxy.py
@@ -17,6 +17,7 @@
 from testtools.matchers import Equals
 from testtools.matchers import GreaterThan
 from testtools.matchers import LessThan
+from topic_store import MemoryTopicStore
 
 from copperrun.embedded.clock import ManualTimers
 from copperrun.embedded.clock import run_until_idle
@@ -83,6 +84,8 @@
         None,
         sides,
         CrashRelays(timers),
+        MemoryTopicStore(timers),
+        "crashes",
         RetryBounds(1.0, 1, 1_000),
         timers,
         NullMetrics(),
@@ -115,6 +118,8 @@
         None,
         sides,
         CrashRelays(timers),
+        MemoryTopicStore(timers),
+        "crashes",
         RetryBounds(1.0, 1, 1_000),
         timers,
         NullMetrics(),
--- a/testing/test_view.py
+++ b/testing/test_view.py
@@ -44,7 +44,7 @@
 
 
 class Store:
-    """Two topics; while it is silent, calls end by their client's timeout.
+    """Some topics; while it is silent, calls end by their client's timeout.
 
     Attributes:
         reads: Time, topic and wait of each read.
@@ -58,7 +58,11 @@
         self.silent_topics: set[str] = set()
         self.reads: list[tuple[int, str, int]] = []
         self._timers = timers
-        self._records: dict[str, list[TopicRecord]] = {"op": [], "servers": []}
+        self._records: dict[str, list[TopicRecord]] = {
+            "op": [],
+            "servers": [],
+            "crashes": [],
+        }
 
     def put(self, topic: str, key: str, value: bytes | None) -> None:
         self._records[topic].append(TopicRecord(key, value))
@@ -237,6 +241,8 @@
         None,
         None,
         CrashRelays(timers),
+        store,
+        "crashes",
         RetryBounds(1.0, 1, 1_000),
         timers,
         NullMetrics(),
