Treat a stream without length that ends before any event as broken off

What callers saw: a success without an event, from a server that ended as it began its answer. Cause: a body with neither length nor chunks counted as complete when its connection closed, also where nothing had come. Change: such a stream needs an event to be complete; without one the request goes elsewhere or fails. A stream that ends within an event now counts as lost for the check of its server too.

--- a/src/copperrun/platform/backends.py
+++ b/src/copperrun/platform/backends.py
@@ -46,6 +46,7 @@
             _execution(response),
             _retry_after_ms(headers.get(http_headers.RETRY_AFTER, "")),
             headers.get(http_headers.SERVER_LEAVING) == "1",
+            not self._is_framed,
         )
 
     async def chunks(self) -> AsyncGenerator[bytes | BackendError, None]:
--- a/src/copperrun/ports/backends.py
+++ b/src/copperrun/ports/backends.py
@@ -98,6 +98,7 @@
         execution: Whether the server ran the request.
         retry_after_ms: Delay before a retry that the server asks for; 0 when none.
         leaving: Whether the server says that it is leaving.
+        ends_with_connection: Whether the body has neither a length nor chunks.
     """
 
     status: int
@@ -106,6 +107,7 @@
     execution: Execution
     retry_after_ms: int = 0
     leaving: bool = False
+    ends_with_connection: bool = False
 
 
 class BackendAnswer(Protocol):
--- a/src/copperrun/routing/relay.py
+++ b/src/copperrun/routing/relay.py
@@ -368,6 +368,12 @@
                 progress.resume_after = events[-1].id or progress.resume_after
         if splitter.has_partial_event:
             progress.detail = "the stream ended within an event"
+            progress.answer_lost = True
+            return AttemptOutcome.MAYBE_RAN
+        if answer.head.ends_with_connection and not progress.answer_begun:
+            # Only an event shows that such a stream was not broken off at its start.
+            progress.detail = "the stream ended before its first event"
+            progress.answer_lost = True
             return AttemptOutcome.MAYBE_RAN
         if not progress.response_started:
             progress.response_started = True
--- a/testing/test_platform_http.py
+++ b/testing/test_platform_http.py
@@ -804,3 +804,18 @@
     assert_that((whole[0], whole[3]), Equals((200, True)))
     cut = await end_after(b"id: 1\ndata: a\n\nid: 2\ndata:")
     assert_that((cut[0], cut[3]), Equals((200, False)))
+
+
+async def test_a_stream_that_ends_with_its_channel_before_any_event_is_broken_off():
+    async def end_at_once(
+        request: ReceivedRequest, writer: asyncio.StreamWriter
+    ) -> bool:
+        writer.write(answer_head(request))
+        await writer.drain()
+        return False
+
+    backend = ScriptedServer()
+    backend.script = end_at_once
+    async with running_entry(STREAM, backend) as entry:
+        answer = await send_prompt(entry, "r1", "p:1,o:1")
+    assert_that(answer[0], Equals(502))
