Break each mechanism of the quarantine in a mutant; bound its log by what one engine runs

Cause: 64 parts for a crash are fewer than an engine with 128 slots may be working on, and the cut is by id, so the guilty part could be left out of every record. Change: 512 parts for each of 128 crashes; a check of a server takes 250 ms at most, since a repeat waits for it.

--- a/src/copperrun/routing/crashes.py
+++ b/src/copperrun/routing/crashes.py
@@ -18,8 +18,8 @@
 RETENTION_MS = 1_800_000
 # Bounds the memory and the size of a message; the oldest crashes and, within a crash,
 # the last parts in order of their ids are dropped.
-MAX_CRASHES = 256
-MAX_PARTS = 64
+MAX_CRASHES = 128
+MAX_PARTS = 512
 
 
 class CrashRecord(NamedTuple):
--- a/src/copperrun/routing/detection.py
+++ b/src/copperrun/routing/detection.py
@@ -11,7 +11,7 @@
 from copperrun.routing.requests import RoutedRequest
 from copperrun.routing.servers import ServerRecord
 
-CHECK_TIMEOUT_MS = 500
+CHECK_TIMEOUT_MS = 250  # a repeat waits for the result
 
 
 class CrashDetector:
--- a/testing/mutants.py
+++ b/testing/mutants.py
@@ -234,6 +234,57 @@
         "and entry.offset > change.base + 10",
         "test_configuration_state.py::test_first_of_two_concurrent_changes_of_one_object_wins",
     ),
+    Mutant(
+        "quarantine",
+        "routing/quarantine.py",
+        "        if most < MIN_CRASHES:",
+        "        if most < 9 * MIN_CRASHES:",
+        "test_quarantine.py::test_a_part_is_blocked_after_several_crashes_and_not_before",
+    ),
+    Mutant(
+        "quarantine",
+        "routing/quarantine.py",
+        "for key, at in found.items() if key not in explained}",
+        "for key, at in found.items()}",
+        "test_quarantine.py::test_a_part_that_was_only_near_by_is_explained_away",
+    ),
+    Mutant(
+        "quarantine",
+        "routing/quarantine.py",
+        "if not self._is_sound(pool, part))",
+        "if part)",
+        "test_quarantine.py::test_parts_on_which_answers_begin_are_never_blamed",
+    ),
+    Mutant(
+        "quarantine",
+        "routing/detection.py",
+        "        if await self._has_ended(server):",
+        "        if True:",
+        "test_relay.py::test_answers_lost_by_servers_that_run_on_blame_no_part",
+    ),
+    Mutant(
+        "quarantine",
+        "routing/relay.py",
+        "            if self._blocked_ms(request):\n                scope",
+        "            if False:\n                scope",
+        "test_relay.py::test_waiting_requests_are_refused_at_once_when_their_part_"
+        "is_quarantined",
+    ),
+    Mutant(
+        "quarantine",
+        "membership/exchange.py",
+        "                    self._log.merge(records)",
+        "                    pass",
+        "test_exchange.py::test_crashes_seen_by_different_entries_block_the_part_"
+        "at_all_of_them",
+    ),
+    Mutant(
+        "quarantine",
+        "membership/archive.py",
+        'value = b"" if record is None else self._encode(record)',
+        'value = b""',
+        "test_archive.py::test_a_quarantine_outlasts_the_loss_of_all_processes",
+    ),
     Mutant(
         "oracle: memory",
         "placement/ledger.py",
