End the replies that a side holds when it leaves

Cause: replies that are held for seconds outlive the 0.1 s that a leaving side waits for its handlers; the server cancels its own waiter first and the handler then ends on it. The exchange of crash records holds a reply for each entry, the demand reports did so before. Change: on shutdown both kinds of held replies end at once with 503, and entries turn to others. Result: the new test failed (the connection was cut in place of a 503), passes now.

--- a/src/copperrun/adapters/admission.py
+++ b/src/copperrun/adapters/admission.py
@@ -179,6 +179,7 @@
         self._placement = placement
         self._admission = admission
         self._demand = demand
+        self._is_leaving = False
 
     def add_to(self, app: web.Application) -> None:
         """Add the routes."""
@@ -186,6 +187,12 @@
         app.router.add_post(ADMIT_PATH, self._handle_admit)
         app.router.add_post(PROGRESS_PATH, self._handle_progress)
         app.router.add_post(PEER_CHANGE_PATH, self._handle_peer_change)
+        app.on_shutdown.append(self._end_held_replies)
+
+    async def _end_held_replies(self, app: web.Application) -> None:
+        """End the replies that are held; cutting them off would be logged as errors."""
+        self._is_leaving = True
+        self._placement.end_waits()
 
     async def _handle_demand(self, request: web.Request) -> web.Response:
         message = wire.decode(ttypes.Demand, await request.read())
@@ -202,7 +209,7 @@
             await self._placement.step()
         if message.hold_ms > 0:
             await self._placement.wait_change(message.hold_ms)
-        report = self._admission.report()
+        report = None if self._is_leaving else self._admission.report()
         if report is None:
             return web.Response(status=503)
         reply = ttypes.EngineReport(
--- a/src/copperrun/adapters/crashes.py
+++ b/src/copperrun/adapters/crashes.py
@@ -74,10 +74,17 @@
     def __init__(self, log: CrashLog, origin: str) -> None:
         self._log = log
         self._origin = origin
+        self._is_leaving = False
 
     def add_to(self, app: web.Application) -> None:
         """Add the route."""
         app.router.add_post(CRASHES_PATH, self._handle)
+        app.on_shutdown.append(self._end_held_replies)
+
+    async def _end_held_replies(self, app: web.Application) -> None:
+        """End the replies that are held; cutting them off would be logged as errors."""
+        self._is_leaving = True
+        self._log.end_waits()
 
     async def _handle(self, request: web.Request) -> web.Response:
         query = wire.decode(ttypes.CrashQuery, await request.read())
@@ -87,6 +94,8 @@
         seen = query.version if query.origin == self._origin else 0
         if query.hold_ms > 0 and self._log.version <= seen:
             await self._log.wait_change(query.hold_ms)
+        if self._is_leaving:
+            return web.Response(status=503, text="this side is leaving")
         records = _encode_records(self._log.changes_since(seen))
         news = ttypes.CrashNews(self._origin, self._log.version, records)
         return web.Response(body=wire.encode(news))
--- a/src/copperrun/placement/controller.py
+++ b/src/copperrun/placement/controller.py
@@ -153,6 +153,10 @@
         """Wait until the models in the report change, at most ``timeout_ms``."""
         await self._changed.wait(timeout_ms)
 
+    def end_waits(self) -> None:
+        """Wake the tasks in ``wait_change`` without a change."""
+        self._changed.notify_all()
+
     def report(self) -> ServerReport | None:
         """Return the engine's report for entries; None while its status is unknown."""
         status = self.status
--- a/src/copperrun/routing/crashes.py
+++ b/src/copperrun/routing/crashes.py
@@ -85,6 +85,10 @@
         """Wait for a change, at most ``timeout_ms`` milliseconds."""
         await self._changed.wait(timeout_ms)
 
+    def end_waits(self) -> None:
+        """Wake the tasks in ``wait_change`` without a change."""
+        self._changed.notify_all()
+
     def merge(self, records: Iterable[CrashRecord]) -> None:
         """Add what the records tell beyond what is known."""
         before = self.version
--- a/testing/test_platform_http.py
+++ b/testing/test_platform_http.py
@@ -3,10 +3,13 @@
 from __future__ import annotations
 
 import asyncio
+import logging
 import socket
 import struct
 from collections.abc import AsyncIterator
+from collections.abc import Iterator
 from contextlib import asynccontextmanager
+from contextlib import contextmanager
 
 import pytest
 from aiohttp import web
@@ -41,6 +44,7 @@
 from copperrun.ports.crashes import CrashNews
 from copperrun.ports.crashes import LogPosition
 from copperrun.ports.responder import Responder
+from copperrun.ports.sides import SideError
 from copperrun.routing.catalog import RetrySafety
 from copperrun.routing.catalog import Route
 from copperrun.routing.crashes import CrashLog
@@ -819,3 +823,40 @@
     async with running_entry(STREAM, backend) as entry:
         answer = await send_prompt(entry, "r1", "p:1,o:1")
     assert_that(answer[0], Equals(502))
+
+
+async def test_a_side_that_leaves_ends_the_replies_that_it_holds():
+    app = web.Application()
+    CrashRoutes(CrashLog(SystemTimers()), "start-1").add_to(app)
+    runner = web.AppRunner(
+        app, handler_cancellation=True, access_log=None, shutdown_timeout=0.1
+    )
+    await runner.setup()
+    await web.TCPSite(runner, "127.0.0.1", 0).start()
+    address = f"127.0.0.1:{runner.addresses[0][1]}"
+    async with open_session() as session:
+        client = HttpClient(session, SystemTimers())
+        relays = HttpCrashRelays(client, lambda record: address)
+        held = asyncio.create_task(
+            relays.exchange_crashes(server("s"), [], LogPosition("start-1", 0), 15_000)
+        )
+        await SystemTimers().sleep_ms(50)
+        with capture_errors() as errors:
+            await runner.cleanup()
+        reply = await asyncio.wait_for(held, WAIT_TIMEOUT_S)  # noqa: TID251
+    assert isinstance(reply, SideError)
+    assert_that(reply.detail, Contains("503"))
+    assert_that(errors, Equals([]))
+
+
+@contextmanager
+def capture_errors() -> Iterator[list[str]]:
+    """Collect what libraries log as errors."""
+    errors: list[str] = []
+    handler = logging.Handler(logging.ERROR)
+    handler.emit = lambda record: errors.append(record.getMessage())
+    logging.getLogger().addHandler(handler)
+    try:
+        yield errors
+    finally:
+        logging.getLogger().removeHandler(handler)
