Find a prompt part that was sound and turns bad as fast as a new one

Cause: an answer begun on a part within the last minute kept it out of the evidence, so a part that turned bad would have ended servers for a minute. Change: crashes count for all shared parts; an answer clears a part of the crashes before it only. Recent answers at an entry ask for up to three crashes more, so that what all requests share is not blamed while a pool fails. Crashes are dated by the lost request, and those within 100 ms (250 before) count once.

--- a/src/copperrun/routing/crashes.py
+++ b/src/copperrun/routing/crashes.py
@@ -8,7 +8,7 @@
 
 from collections.abc import Callable
 from collections.abc import Iterable
-from collections.abc import Set
+from collections.abc import Mapping
 from dataclasses import dataclass
 from typing import NamedTuple
 
@@ -99,16 +99,31 @@
         if self.version > before:
             self._notify_listeners()
 
-    def clear(self, pool: str, parts: Set[str]) -> None:
-        """Record that answers begin on these parts at the servers of a pool."""
+    def clear(self, pool: str, answered_ms: Mapping[str, int]) -> bool:
+        """Record that answers have begun on parts at the servers of a pool.
+
+        Args:
+            pool: Pool of the servers.
+            answered_ms: Time of the latest answer by part; it clears the part of the
+                crashes up to then.
+
+        Returns:
+            Whether this is news.
+        """
         before = self.version
         for entry in self._entries.values():
-            cleared = entry.parts & parts
+            cleared = frozenset(
+                part
+                for part in entry.parts & answered_ms.keys()
+                if entry.at_ms <= answered_ms[part]
+            )
             if entry.pool == pool and not cleared <= entry.cleared:
                 entry.cleared |= cleared
                 self.version = entry.version = self.version + 1
-        if self.version > before:
-            self._notify_listeners()
+        if self.version == before:
+            return False
+        self._notify_listeners()
+        return True
 
     def crashes(self) -> list[Crash]:
         """Return the crashes that are not explained by cleared parts alone."""
--- a/src/copperrun/routing/detection.py
+++ b/src/copperrun/routing/detection.py
@@ -7,6 +7,7 @@
 from loguru import logger
 
 from copperrun.ports.backends import Backends
+from copperrun.ports.timers import Timers
 from copperrun.routing.quarantine import PromptQuarantine
 from copperrun.routing.requests import RoutedRequest
 from copperrun.routing.servers import ServerRecord
@@ -17,9 +18,12 @@
 class CrashDetector:
     """Checks a server that lost a request before it began the answer."""
 
-    def __init__(self, backends: Backends, quarantine: PromptQuarantine) -> None:
+    def __init__(
+        self, backends: Backends, quarantine: PromptQuarantine, timers: Timers
+    ) -> None:
         self._backends = backends
         self._quarantine = quarantine
+        self._timers = timers
         self._checks: dict[str, asyncio.Task[bool]] = {}
 
     async def check(self, request: RoutedRequest, server: ServerRecord) -> None:
@@ -30,16 +34,17 @@
             server: Record of the server when the request was sent.
         """
         pool, parts = request.pool.name, request.call.prompt_parts
-        if not self._quarantine.unproven(pool, parts):
-            return
-        if await self._has_ended(server):
+        lost_ms = self._timers.now_ms()
+        if parts and await self._has_ended(server):
             logger.info(
                 "server ended before an answer began",
                 request=request.call.id,
                 server=server.id,
                 prompt_parts=parts,
             )
-            self._quarantine.record_crash(server.start_id, pool, parts)
+            self._quarantine.record_crash(
+                server.start_id, pool, parts, age_ms=self._timers.now_ms() - lost_ms
+            )
 
     async def _has_ended(self, server: ServerRecord) -> bool:
         """Check a server once for all requests that it lost at the same time."""
--- a/src/copperrun/routing/quarantine.py
+++ b/src/copperrun/routing/quarantine.py
@@ -2,9 +2,9 @@
 
 from __future__ import annotations
 
+import math
 from collections import OrderedDict
 from collections.abc import Callable
-from collections.abc import Iterable
 from collections.abc import Mapping
 from collections.abc import Sequence
 from typing import NamedTuple
@@ -19,15 +19,16 @@
 # Crashes with a part, and no answer begun on it, that put it into quarantine.
 MIN_CRASHES = 3
 # Servers that end together, as in a power failure, tell no more than one does.
-SAME_EVENT_MS = 250
+SAME_EVENT_MS = 100
 # Time after the latest crash until requests with the part are tried again.
 QUARANTINE_MS = 600_000
 # Entries try a part again one after the other within this time; the others learn from
 # the first one's result.
 MAX_STAGGER_MS = 60_000
-# Time for which an answer begun on a part shows that the part is sound.
-SOUND_MS = 60_000
-MAX_SOUND_PARTS = 20_000
+# A part needs one more crash for each answer begun on it of late, up to a bound.
+ANSWERS_TIME_CONSTANT_MS = 60_000
+MAX_ANSWERS = 3
+MAX_ANSWERED_PARTS = 20_000
 
 
 class _Culprit(NamedTuple):
@@ -48,6 +49,23 @@
         return max(self.crashes.values())
 
 
+class _Answers(NamedTuple):
+    """Answers begun on a part.
+
+    Attributes:
+        number: Number at the time of the latest one; earlier ones decay.
+        latest_ms: Time of the latest one.
+    """
+
+    number: float
+    latest_ms: int
+
+    def number_at(self, now_ms: int) -> float:
+        """Return the decayed number at a time."""
+        age_ms = now_ms - self.latest_ms
+        return self.number * math.exp(-age_ms / ANSWERS_TIME_CONSTANT_MS)
+
+
 class PromptQuarantine:
     """Decides which prompt parts may not be sent to servers.
 
@@ -61,8 +79,8 @@
         self.log = log
         self._timers = timers
         self._stagger_ms = stagger_ms
-        # Time of the latest answer begun on a part, by pool and part; oldest first.
-        self._sound_ms: OrderedDict[tuple[str, str], int] = OrderedDict()
+        # Answers begun by pool and part, those with the oldest latest answer first.
+        self._answers: OrderedDict[tuple[str, str], _Answers] = OrderedDict()
         self._suspects: Mapping[str, frozenset[str]] = {}
         self._culprits: list[_Culprit] = []
         # Pool by id of the crashes that this process saw itself.
@@ -78,30 +96,28 @@
         """Record that a server of the pool has begun an answer on these parts."""
         now = self._timers.now_ms()
         for part in parts:
-            self._sound_ms[pool, part] = now
-            self._sound_ms.move_to_end((pool, part))
-        while len(self._sound_ms) > MAX_SOUND_PARTS:
-            self._sound_ms.popitem(last=False)
+            answers = self._answers.pop((pool, part), _Answers(0.0, now))
+            self._answers[pool, part] = _Answers(answers.number_at(now) + 1, now)
+        while len(self._answers) > MAX_ANSWERED_PARTS:
+            self._answers.popitem(last=False)
         suspects = self._suspects.get(pool)
         if suspects and not suspects.isdisjoint(parts):
-            self.log.clear(pool, frozenset(parts))
+            self.log.clear(pool, dict.fromkeys(parts, now))
 
-    def record_crash(self, crash: str, pool: str, parts: Sequence[str]) -> None:
+    def record_crash(
+        self, crash: str, pool: str, parts: Sequence[str], *, age_ms: int = 0
+    ) -> None:
         """Record that a server ended before it began an answer on these parts.
 
         Args:
             crash: Id of the start of the server that ended.
             pool: Pool of the server.
             parts: Shared parts of the request's prompt.
+            age_ms: Time since the request was lost, in milliseconds.
         """
-        suspects = self.unproven(pool, parts)
-        if suspects:
+        if parts:
             self._own_crashes[crash] = pool
-            self.log.merge([CrashRecord(crash, pool, 0, suspects)])
-
-    def unproven(self, pool: str, parts: Iterable[str]) -> frozenset[str]:
-        """Return those of the parts that have not recently shown to be sound."""
-        return frozenset(part for part in parts if not self._is_sound(pool, part))
+            self.log.merge([CrashRecord(crash, pool, age_ms, frozenset(parts))])
 
     def blocked_ms(self, parts: Sequence[str]) -> int:
         """Return for how long requests with these parts are refused; 0 if not."""
@@ -130,29 +146,41 @@
             if crash in self._own_crashes
         }
 
-    def _is_sound(self, pool: str, part: str) -> bool:
-        at_ms = self._sound_ms.get((pool, part))
-        return at_ms is not None and self._timers.now_ms() - at_ms < SOUND_MS
-
     def _update(self) -> None:
-        """Clear suspects that are sound here, then find the culprits again."""
-        for pool, suspects in self.log.suspects().items():
-            sound = suspects - self.unproven(pool, suspects)
-            if sound:
-                self.log.clear(pool, sound)  # calls this method again
-                return
+        """Clear suspects on which answers have begun, then find the culprits again."""
         self._suspects = self.log.suspects()
+        for pool, suspects in self._suspects.items():
+            latest_ms = {
+                part: self._answers[pool, part].latest_ms
+                for part in suspects
+                if (pool, part) in self._answers
+            }
+            if self.log.clear(pool, latest_ms):
+                return  # the change has called this method again
         crashes = self.log.crashes()
         known = {crash.id for crash in crashes}
         self._own_crashes = {
             crash: pool for crash, pool in self._own_crashes.items() if crash in known
         }
-        before, self._culprits = self._culprits, _find_culprits(crashes)
+        before, self._culprits = (
+            self._culprits,
+            _find_culprits(crashes, self._crashes_needed),
+        )
         self._log_changes(before)
         if _blame(before) != _blame(self._culprits):
             for listener in self._listeners:
                 listener()
 
+    def _crashes_needed(self, part: str) -> float:
+        """Return the number of crashes for which a part is blamed."""
+        now = self._timers.now_ms()
+        recent = sum(
+            self._answers[pool, part].number_at(now)
+            for pool, suspects in self._suspects.items()
+            if part in suspects and (pool, part) in self._answers
+        )
+        return MIN_CRASHES + min(recent, MAX_ANSWERS)
+
     def _log_changes(self, before: Sequence[_Culprit]) -> None:
         blamed_before = {culprit.parts for culprit in before}
         blamed = {culprit.parts for culprit in self._culprits}
@@ -171,7 +199,9 @@
     return {(culprit.parts, frozenset(culprit.crashes)) for culprit in culprits}
 
 
-def _find_culprits(crashes: Sequence[Crash]) -> list[_Culprit]:
+def _find_culprits(
+    crashes: Sequence[Crash], crashes_needed: Callable[[str], float]
+) -> list[_Culprit]:
     """Return the fewest parts that explain the crashes, as a greedy cover finds them.
 
     A part that was only near by is explained away by the one that is in all crashes.
@@ -182,16 +212,16 @@
             by_part.setdefault(part, {})[crash.id] = crash.at_ms
     culprits: list[_Culprit] = []
     while True:
-        events = {part: _count_events(found) for part, found in by_part.items()}
-        most = max(events.values(), default=0)
-        if most < MIN_CRASHES:
+        events = {
+            part: count
+            for part, found in by_part.items()
+            if (count := _count_events(found)) >= crashes_needed(part)
+        }
+        if not events:
             return culprits
-        worst = min(
-            (part for part, count in events.items() if count == most),
-            key=lambda part: (-len(by_part[part]), part),
-        )
+        worst = min(events, key=lambda part: (-events[part], -len(by_part[part]), part))
         explained = by_part[worst]
-        parts = frozenset(p for p, found in by_part.items() if found == explained)
+        parts = frozenset(part for part in events if by_part[part] == explained)
         culprits.append(_Culprit(parts, explained))
         by_part = {
             part: {key: at for key, at in found.items() if key not in explained}
--- a/src/copperrun/routing/relay.py
+++ b/src/copperrun/routing/relay.py
@@ -76,7 +76,7 @@
         self._metrics = metrics
         self._budget_for = budget_for
         self._quarantine = quarantine
-        self._detector = CrashDetector(backends, quarantine)
+        self._detector = CrashDetector(backends, quarantine, timers)
         self._unsent: dict[asyncio.Timeout, RoutedRequest] = {}
         self._refuses_unsent = False
         quarantine.subscribe(self._refuse_quarantined)
