Send crash records in batches and answers that clear a part only when they matter

Cause: with all shared parts in the evidence, each answer after a crash changed the log, and each change went to three sides and from them to all entries. Change: changes within 50 ms share a message on both ends; an answer is shared only for a part that is one crash short of being blamed.

--- a/src/copperrun/adapters/crashes.py
+++ b/src/copperrun/adapters/crashes.py
@@ -17,11 +17,13 @@
 from copperrun.ports.crashes import LogPosition
 from copperrun.ports.sides import SideError
 from copperrun.ports.sides import SideErrorReason
+from copperrun.ports.timers import Timers
 from copperrun.routing.crashes import CrashLog
 from copperrun.routing.crashes import CrashRecord
 from copperrun.routing.servers import ServerRecord
 
 CRASHES_PATH = "/internal/crashes"
+BATCH_MS = 50  # records that come together share a reply
 REPLY_MARGIN_MS = 600  # added to hold_ms, for which a side may hold a reply
 
 AddressResolver = Callable[[ServerRecord], str]
@@ -69,10 +71,12 @@
     Args:
         log: Log of this side.
         origin: Identity of this start of the side.
+        timers: Timer service.
     """
 
-    def __init__(self, log: CrashLog, origin: str) -> None:
+    def __init__(self, log: CrashLog, origin: str, timers: Timers) -> None:
         self._log = log
+        self._timers = timers
         self._origin = origin
         self._is_leaving = False
 
@@ -94,6 +98,8 @@
         seen = query.version if query.origin == self._origin else 0
         if query.hold_ms > 0 and self._log.version <= seen:
             await self._log.wait_change(query.hold_ms)
+            if self._log.version > seen:
+                await self._timers.sleep_ms(BATCH_MS)
         if self._is_leaving:
             return web.Response(status=503, text="this side is leaving")
         records = _encode_records(self._log.changes_since(seen))
--- a/src/copperrun/membership/exchange.py
+++ b/src/copperrun/membership/exchange.py
@@ -22,6 +22,7 @@
 RETRY_DELAY_MS = 2_000  # before the next try of a side that did not reply
 # How long a side may hold its reply, and so how long news may wait on a connection that
 # went silent. It grows with the pool, since all its entries use the same sides.
+BATCH_MS = 50  # records that come together share a message
 MIN_HOLD_MS = 2_000
 MAX_HOLD_MS = 20_000
 HOLD_PER_ENGINE_MS = 20
@@ -90,7 +91,7 @@
             news = await self._exchange(engine, sent_version, seen, hold_ms)
             match news:
                 case None:
-                    continue
+                    await self._timers.sleep_ms(BATCH_MS)
                 case SideError(_, detail):
                     self._log_failure(engine, detail)
                     del self._tasks[engine.address]
--- a/src/copperrun/platform/daemon.py
+++ b/src/copperrun/platform/daemon.py
@@ -326,7 +326,9 @@
             )
             app = self.build_internal_app(view)
             EngineSideRoutes(placement, admission, demand).add_to(app)
-            CrashRoutes(CrashLog(self.timers), secrets.token_hex(8)).add_to(app)
+            CrashRoutes(
+                CrashLog(self.timers), secrets.token_hex(8), self.timers
+            ).add_to(app)
             internal = web.AppRunner(
                 app, handler_cancellation=True, access_log=None, shutdown_timeout=0.1
             )
--- a/src/copperrun/routing/crashes.py
+++ b/src/copperrun/routing/crashes.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from collections.abc import Callable
 from collections.abc import Iterable
 from collections.abc import Mapping
@@ -134,13 +135,16 @@
             if (suspects := entry.parts - entry.cleared)
         ]
 
-    def suspects(self) -> dict[str, frozenset[str]]:
-        """Return the parts by pool that are not cleared of every crash there."""
-        suspects: dict[str, frozenset[str]] = {}
+    def suspects(self, min_crashes: int) -> dict[str, frozenset[str]]:
+        """Return the parts by pool that are not cleared of so many crashes there."""
+        counts: dict[str, Counter[str]] = {}
         for entry in self._entries.values():
-            known = suspects.get(entry.pool, frozenset())
-            suspects[entry.pool] = known | (entry.parts - entry.cleared)
-        return suspects
+            found = counts.setdefault(entry.pool, Counter())
+            found.update(entry.parts - entry.cleared)
+        return {
+            pool: frozenset(p for p, count in found.items() if count >= min_crashes)
+            for pool, found in counts.items()
+        }
 
     def changes_since(self, version: int) -> list[CrashRecord]:
         """Return the records that changed after ``version``."""
--- a/src/copperrun/routing/quarantine.py
+++ b/src/copperrun/routing/quarantine.py
@@ -148,7 +148,8 @@
 
     def _update(self) -> None:
         """Clear suspects on which answers have begun, then find the culprits again."""
-        self._suspects = self.log.suspects()
+        # Answers that clear a part are shared only once it is close to being blamed.
+        self._suspects = self.log.suspects(MIN_CRASHES - 1)
         for pool, suspects in self._suspects.items():
             latest_ms = {
                 part: self._answers[pool, part].latest_ms
--- a/testing/crash_relays.py
+++ b/testing/crash_relays.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Sequence
 
+from copperrun.adapters.crashes import BATCH_MS
 from copperrun.adapters.crashes import REPLY_MARGIN_MS
 from copperrun.embedded.clock import ManualTimers
 from copperrun.ports.crashes import CrashNews
@@ -58,5 +59,6 @@
         version = seen.version if seen.origin == origin else 0
         if hold_ms and log.version <= version:
             await log.wait_change(hold_ms)
+            await self._timers.sleep_ms(BATCH_MS)
         await self._timers.sleep_ms(LATENCY_MS)
         return CrashNews(LogPosition(origin, log.version), log.changes_since(version))
--- a/testing/test_exchange.py
+++ b/testing/test_exchange.py
@@ -173,6 +173,22 @@
     fleet.close()
 
 
+async def test_one_crash_seen_by_all_entries_takes_few_messages():
+    fleet = Fleet(68, 59)
+    await fleet.timers.advance(1_000)
+    before = sum(fleet.relays.calls.values())
+    for number, entry in enumerate(fleet.entries):
+        entry.quarantine.record_crash("c", "llm", ("first", f"s{number}"))
+    for _ in range(10):
+        await fleet.timers.advance(50)
+        for number, entry in enumerate(fleet.entries):
+            entry.quarantine.record_begun("llm", ("first", f"s{number}"))
+    # Each entry tells and is told by each of its sides a few times.
+    calls = sum(fleet.relays.calls.values()) - before
+    assert_that(calls, LessThan(68 * RELAYS * 6))
+    fleet.close()
+
+
 @pytest.mark.parametrize("seed", range(4))
 @pytest.mark.parametrize(("entries", "engines"), [(5, 6), (32, 29), (68, 59)])
 async def test_few_requests_reach_servers_after_five_have_ended(seed, entries, engines):
--- a/testing/test_platform_http.py
+++ b/testing/test_platform_http.py
@@ -665,7 +665,7 @@
         [CrashRecord("i-1/5", "llm", 40, frozenset({"a", "b"}), frozenset({"b"}))],
     )
     app = web.Application()
-    CrashRoutes(log, "start-1").add_to(app)
+    CrashRoutes(log, "start-1", SystemTimers()).add_to(app)
     runner = web.AppRunner(app, access_log=None, shutdown_timeout=0.1)
     await runner.setup()
     await web.TCPSite(runner, "127.0.0.1", 0).start()
@@ -827,7 +827,7 @@
 
 async def test_a_side_that_leaves_ends_the_replies_that_it_holds():
     app = web.Application()
-    CrashRoutes(CrashLog(SystemTimers()), "start-1").add_to(app)
+    CrashRoutes(CrashLog(SystemTimers()), "start-1", SystemTimers()).add_to(app)
     runner = web.AppRunner(
         app, handler_cancellation=True, access_log=None, shutdown_timeout=0.1
     )
