Do not hold back a crash that is seen while a call to a side begins

Cause: the wait for changes of the log began one turn of the event loop after the call was built; a crash recorded between the two waited for the end of the hold, up to 20 s in a large pool. Change: the wait names the version that the call has told. Sides are ranked only when their addresses change, and what is kept of sides that are gone is dropped.

--- a/src/copperrun/adapters/crashes.py
+++ b/src/copperrun/adapters/crashes.py
@@ -97,7 +97,7 @@
         self._log.merge(_decode_records(query.crashes))
         seen = query.version if query.origin == self._origin else 0
         if query.hold_ms > 0 and self._log.version <= seen:
-            await self._log.wait_change(query.hold_ms)
+            await self._log.wait_newer(seen, query.hold_ms)
             if self._log.version > seen:
                 await self._timers.sleep_ms(BATCH_MS)
         if self._is_leaving:
--- a/src/copperrun/membership/exchange.py
+++ b/src/copperrun/membership/exchange.py
@@ -56,10 +56,16 @@
         """Use the sides beside these engines; also tries lost ones again."""
         # A machine's engine may be listed under several starts.
         by_address = {engine.address: engine for engine in engines}
-        self._ranked = sorted(by_address.values(), key=_rank)
-        self._hold_ms = min(
-            max(HOLD_PER_ENGINE_MS * len(self._ranked), MIN_HOLD_MS), MAX_HOLD_MS
-        )
+        if by_address.keys() != {engine.address for engine in self._ranked}:
+            self._ranked = sorted(by_address.values(), key=_rank)
+            hold_ms = HOLD_PER_ENGINE_MS * len(self._ranked)
+            self._hold_ms = min(max(hold_ms, MIN_HOLD_MS), MAX_HOLD_MS)
+            self._failing &= by_address.keys()
+            self._retry_at_ms = {
+                address: at_ms
+                for address, at_ms in self._retry_at_ms.items()
+                if address in by_address
+            }
         self._update_tasks()
 
     def close(self) -> None:
@@ -122,12 +128,13 @@
         self, engine: ServerRecord, sent_version: int, seen: LogPosition, hold_ms: int
     ) -> CrashNews | SideError | None:
         """Return the side's news, or None if there is something to tell it first."""
+        version = self._log.version
         call = asyncio.create_task(
             self._relays.exchange_crashes(
                 engine, self._log.changes_since(sent_version), seen, hold_ms
             )
         )
-        changed = asyncio.create_task(self._log.wait_change(2 * MAX_HOLD_MS))
+        changed = asyncio.create_task(self._log.wait_newer(version, 2 * MAX_HOLD_MS))
         try:
             await asyncio.wait({call, changed}, return_when=asyncio.FIRST_COMPLETED)
             if not hold_ms:
--- a/src/copperrun/routing/crashes.py
+++ b/src/copperrun/routing/crashes.py
@@ -82,12 +82,13 @@
         """Call ``listener`` after each change."""
         self._listeners.append(listener)
 
-    async def wait_change(self, timeout_ms: float) -> None:
-        """Wait for a change, at most ``timeout_ms`` milliseconds."""
-        await self._changed.wait(timeout_ms)
+    async def wait_newer(self, version: int, timeout_ms: float) -> None:
+        """Wait until the log is newer than ``version``, at most ``timeout_ms``."""
+        if self.version <= version:
+            await self._changed.wait(timeout_ms)
 
     def end_waits(self) -> None:
-        """Wake the tasks in ``wait_change`` without a change."""
+        """Wake the tasks in ``wait_newer`` without a change."""
         self._changed.notify_all()
 
     def merge(self, records: Iterable[CrashRecord]) -> None:
--- a/testing/crash_relays.py
+++ b/testing/crash_relays.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from collections.abc import Sequence
 
 from copperrun.adapters.crashes import BATCH_MS
@@ -25,12 +26,14 @@
         logs: Log of each side.
         unreachable: Addresses whose sides answer nothing.
         calls: Number of calls by address.
+        on_call: Called as each call begins.
     """
 
     def __init__(self, timers: ManualTimers) -> None:
         self.logs: dict[str, CrashLog] = {}
         self.unreachable: set[str] = set()
         self.calls: dict[str, int] = {}
+        self.on_call: Callable[[], None] = lambda: None
         self._starts: dict[str, int] = {}
         self._timers = timers
 
@@ -48,6 +51,7 @@
     ) -> CrashNews | SideError:
         address = server.address
         self.calls[address] = self.calls.get(address, 0) + 1
+        self.on_call()
         if address not in self.logs:
             self.restart(address)
         if address in self.unreachable:
@@ -58,7 +62,7 @@
         log.merge(records)
         version = seen.version if seen.origin == origin else 0
         if hold_ms and log.version <= version:
-            await log.wait_change(hold_ms)
+            await log.wait_newer(version, hold_ms)
             await self._timers.sleep_ms(BATCH_MS)
         await self._timers.sleep_ms(LATENCY_MS)
         return CrashNews(LogPosition(origin, log.version), log.changes_since(version))
--- a/testing/test_exchange.py
+++ b/testing/test_exchange.py
@@ -16,6 +16,7 @@
 
 from copperrun.embedded.clock import ManualTimers
 from copperrun.embedded.clock import run_until
+from copperrun.membership.exchange import MIN_HOLD_MS
 from copperrun.membership.exchange import RELAYS
 from copperrun.membership.exchange import CrashExchange
 from copperrun.routing.crashes import CrashLog
@@ -89,6 +90,24 @@
     fleet.close()
 
 
+async def test_a_crash_seen_while_a_call_begins_is_not_held_back():
+    fleet = Fleet(2, 1)
+    await fleet.timers.advance(SHARE_MS)
+    crashes = iter(range(MIN_CRASHES))
+
+    def crash() -> None:
+        for number in crashes:
+            fleet.entries[0].quarantine.record_crash(
+                f"c{number}", "llm", ("bad",), age_ms=number * 1_000
+            )
+
+    fleet.relays.on_call = crash
+    # The next calls begin when the held ones end.
+    await fleet.timers.advance(MIN_HOLD_MS + SHARE_MS)
+    assert_that(fleet.blocked_entries("bad"), Equals(2))
+    fleet.close()
+
+
 async def test_an_answer_at_one_entry_frees_the_part_at_all_of_them():
     fleet = Fleet(5, 6)
     for number in range(MIN_CRASHES):
