Soak: let requests with a bad prompt part end engines among the other faults

Engines of the soak end on a part, refuse connections and start again under a new id; clients send it to all entries. After the faults and a stability window at most three engines may end, once five have.

--- a/testing/platform_engine.py
+++ b/testing/platform_engine.py
@@ -5,6 +5,7 @@
 import asyncio
 import time
 from collections import Counter
+from collections.abc import Callable
 from typing import Any
 
 from aiohttp import web
@@ -31,6 +32,9 @@
         self.runs: Counter[str] = Counter()
         self.refused: set[str] = set()
         self.port = 0
+        # Requests with this part of their prompt end the engine.
+        self.crash_part = ""
+        self.on_crash: Callable[[], None] = lambda: None
         self._runner: web.AppRunner | None = None
 
     async def start(self, host: str) -> None:
@@ -49,6 +53,14 @@
         if self._runner is not None:
             await self._runner.cleanup()
 
+    def begin_again(self, server_id: str) -> None:
+        """Take the state of a new start."""
+        self.id = server_id
+        self.born_ms = time.time_ns() // 1_000_000
+        self.held = {}
+        self.sequence = 0
+        self.busy = False
+
     def registry_entry(self, service: str, address: str, zone: str) -> dict[str, Any]:
         """Return the engine's registry entry."""
         return {
@@ -124,6 +136,10 @@
         response.content_type = "text/event-stream"
         response.enable_chunked_encoding()
         await response.prepare(request)
+        parts = request.headers.get("Prompt-Prefix", "").split(",")[:-1]
+        if self.crash_part in [part.partition(":")[0] for part in parts]:
+            self.on_crash()
+            await TIMERS.sleep_ms(60_000)
         first = int(request.headers.get("Last-Event-Id") or 0) + 1
         for number in range(first, EVENTS_PER_STREAM + 1):
             await TIMERS.sleep_ms(EVENT_INTERVAL_MS)
--- a/testing/soak.py
+++ b/testing/soak.py
@@ -13,6 +13,7 @@
 import subprocess
 import sys
 import tempfile
+from functools import partial
 from pathlib import Path
 from random import Random
 from typing import Any
@@ -38,7 +39,14 @@
     "fall_backs", False, "Let the store also come back from older copies."
 )
 
+_BAD_PART = flags.DEFINE_bool(
+    "bad_part", False, "Send requests with a prompt part that ends engines, too."
+)
+
 TIMERS = SystemTimers()
+BAD_PART = "bad"
+STABILITY_WINDOW_MS = 4_000
+MAX_LATE_REQUESTS = 3  # with a bad part, after five engines ended and that window
 ENTRIES, ENGINES, SERVICES, CLIENTS = 2, 2, 2, 6
 MODELS = ("m1", "m2", "m3")
 START_TIMEOUT_MS = 20_000
@@ -114,7 +122,9 @@
 class Soak:
     """One run of one seed."""
 
-    def __init__(self, seed: int, folder: Path, *, fall_backs: bool) -> None:
+    def __init__(
+        self, seed: int, folder: Path, *, fall_backs: bool, bad_part: bool
+    ) -> None:
         self.violations: list[str] = []
         self._faults = [self._kill, self._pause, self._terminate, self._reload]
         self._faults += [self._break_link] * 3
@@ -135,6 +145,9 @@
         self._unsafe_ids: set[str] = set()
         self._request_count = 0
         self._stopping = False
+        self._has_bad_part = bad_part
+        self._crashes_ms: list[int] = []
+        self._restarts: dict[PlatformEngine, asyncio.Task[None]] = {}
 
     async def run(self, seconds: float) -> list[str]:
         """Run the soak and return the violated promises."""
@@ -147,9 +160,13 @@
                     *self._describe_instances(),
                 ]
             clients = [asyncio.create_task(self._run_client(n)) for n in range(CLIENTS)]
+            if self._has_bad_part:
+                clients.append(asyncio.create_task(self._run_bad_client()))
             await self._inject_faults(seconds)
             await self._clear_faults()
             await self._check_recovery()
+            if self._has_bad_part:
+                await self._check_quarantine()
             self._stopping = True
             await asyncio.gather(*clients)
             self._check_runs()
@@ -193,6 +210,8 @@
             pool = "llm" if is_engine else "pay"
             self._registry[backend.id] = (backend, pool, proxy.address)
             if is_engine:
+                backend.crash_part = BAD_PART
+                backend.on_crash = partial(self._crash, backend, proxy, host)
                 extra = {"app": proxy.address, "service": "llm"}
                 self._add_instance("side", host, store.address, ports, extra)
         self._write_registry()
@@ -362,12 +381,56 @@
                 self.outcomes[outcome] = self.outcomes.get(outcome, 0) + 1
                 await TIMERS.sleep_ms(random.uniform(5, 60))
 
+    async def _run_bad_client(self) -> None:
+        """Send streams with the bad part to all entries until the run ends."""
+        async with aiohttp.ClientSession() as session:
+            while not self._stopping:
+                instance = self._random.choice(self._entries())
+                model = self._random.choice(MODELS)
+                await self._send(session, instance, "bad", model, subject=BAD_PART)
+                await TIMERS.sleep_ms(self._random.uniform(100, 400))
+
+    def _crash(self, backend: PlatformEngine, proxy: Proxy, host: str) -> None:
+        """End an engine and start it again after some time, without its models."""
+        if backend in self._restarts:
+            return
+        self._crashes_ms.append(TIMERS.now_ms())
+        proxy.refuse()
+        restart = asyncio.create_task(self._restart_engine(backend, proxy, host))
+        self._restarts[backend] = restart
+
+    async def _restart_engine(
+        self, backend: PlatformEngine, proxy: Proxy, host: str
+    ) -> None:
+        await backend.close()
+        await TIMERS.sleep_ms(self._random.uniform(300, 1_500))
+        _, pool, address = self._registry.pop(backend.id)
+        self._store.put("keyed.servers", backend.id, b"")
+        backend.begin_again(f"i-{host}-{len(self._crashes_ms)}")
+        await backend.start(host)
+        proxy.target = (host, backend.port)
+        await proxy.start(host, int(address.rpartition(":")[2]))
+        self._registry[backend.id] = (backend, pool, address)
+        self._write_registry()
+        del self._restarts[backend]
+
+    async def _check_quarantine(self) -> None:
+        """Check that engines no longer end once enough of them have."""
+        await TIMERS.sleep_ms(STABILITY_WINDOW_MS)
+        before = len(self._crashes_ms)
+        await TIMERS.sleep_ms(STABILITY_WINDOW_MS)
+        late = len(self._crashes_ms) - before
+        if before >= 5 and late > MAX_LATE_REQUESTS:
+            self.violations.append(f"{late} engines ended after {before} had")
+
     async def _send(
         self,
         session: aiohttp.ClientSession,
         instance: InstanceProcess,
         kind: str,
         model: str,
+        *,
+        subject: str = "sound",
     ) -> str:
         """Send one request, check its answer and return the outcome."""
         self._request_count += 1
@@ -377,7 +440,10 @@
         path = "/stream/x" if model else f"/{kind}/x"
         headers = {"Host": "h", "Request-Id": request_id, "Deadline-Ms": "3000"}
         if model:
-            headers.update({"Model": model, "Token-Usage": "100,20"})
+            parts = f"first:40,{subject}:40,{request_id}:20"
+            headers.update(
+                {"Model": model, "Token-Usage": "100,20", "Prompt-Prefix": parts}
+            )
         url = f"http://{instance.settings['listen']['front']}{path}"
         timeout = aiohttp.ClientTimeout(total=5.0)
         try:
@@ -490,11 +556,11 @@
 
 
 async def run_seed(
-    seed: int, seconds: float, *, fall_backs: bool = False
+    seed: int, seconds: float, *, fall_backs: bool = False, bad_part: bool = False
 ) -> tuple[list[str], dict[str, int]]:
     """Run one seed; return the violated promises and counts of request outcomes."""
     with tempfile.TemporaryDirectory(prefix="copperrun-soak-") as folder:
-        soak = Soak(seed, Path(folder), fall_backs=fall_backs)
+        soak = Soak(seed, Path(folder), fall_backs=fall_backs, bad_part=bad_part)
         violations = await soak.run(seconds)
         return violations, soak.outcomes
 
@@ -504,7 +570,12 @@
     failed = 0
     for seed in range(_SEED.value, _SEED.value + _SEEDS.value):
         violations, outcomes = asyncio.run(
-            run_seed(seed, _SECONDS.value, fall_backs=_FALL_BACKS.value)
+            run_seed(
+                seed,
+                _SECONDS.value,
+                fall_backs=_FALL_BACKS.value,
+                bad_part=_BAD_PART.value,
+            )
         )
         print(f"seed {seed}: {outcomes}", flush=True)
         for line in violations[:10]:
--- a/testing/soak_proxy.py
+++ b/testing/soak_proxy.py
@@ -48,8 +48,8 @@
         self._writers: set[asyncio.StreamWriter] = set()
         self._cleared = asyncio.Event()
 
-    async def start(self, host: str) -> None:
-        self._server = await asyncio.start_server(self._accept, host, 0)
+    async def start(self, host: str, port: int = 0) -> None:
+        self._server = await asyncio.start_server(self._accept, host, port)
         port = self._server.sockets[0].getsockname()[1]
         self.address = f"{host}:{port}"
 
@@ -69,6 +69,13 @@
         for writer in list(self._writers):
             writer.close()
 
+    def refuse(self) -> None:
+        """Refuse connections until the next start, as while no process listens."""
+        if self._server is not None:
+            self._server.close()
+        for writer in list(self._writers):
+            _reset(writer)
+
     async def _accept(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
--- a/testing/test_soak.py
+++ b/testing/test_soak.py
@@ -22,3 +22,9 @@
 def test_epochs_and_configurations_hold_while_the_store_falls_back() -> None:
     violations, _ = asyncio.run(run_seed(CI_SEED, CI_SECONDS, fall_backs=True))
     assert_that(violations, Equals([]))
+
+
+def test_few_engines_end_by_a_bad_prompt_part_among_other_faults() -> None:
+    violations, outcomes = asyncio.run(run_seed(CI_SEED, CI_SECONDS, bad_part=True))
+    assert_that(violations, Equals([]))
+    assert_that(outcomes.get("answered", 0), GreaterThan(50))
