Show quarantines in the timeline of a request

Operators read with copperrunctl explain why a request was refused; the change of what the entry knew was missing there. The new test failed before.

--- a/src/copperrun/ctl/timeline.py
+++ b/src/copperrun/ctl/timeline.py
@@ -27,6 +27,8 @@
         "lifecycle state changed",
         "move cancelled: not enough accelerator memory",
         "move started",
+        "prompt parts in quarantine",
+        "prompt parts no longer in quarantine",
         "server left the registry",
         "side responsive again",
         "side unresponsive",
--- a/testing/test_timeline.py
+++ b/testing/test_timeline.py
@@ -82,6 +82,12 @@
     assert_that(messages, Contains(message))
 
 
+def test_a_quarantine_that_begins_meanwhile_is_in_the_timeline() -> None:
+    logs = [line(11, "front-1", "prompt parts in quarantine", parts=["a"]), *LOGS]
+    messages = [item.message for item in build_timeline("r1", logs)]
+    assert_that(messages, Contains("prompt parts in quarantine"))
+
+
 def test_request_that_no_line_names_has_an_empty_timeline():
     assert_that(build_timeline("r9", LOGS), Equals([]))
 
