Take only hexadecimal ids of prompt parts into account

Cause: a caller could send bytes in Prompt-Prefix that cannot be encoded again; the messages of the exchange would fail on them at every entry, and a header of 16 KB could name thousands of parts. Change: other ids are ignored, the header is passed on as before, and at most 64 parts count.

--- a/src/copperrun/platform/ingress.py
+++ b/src/copperrun/platform/ingress.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import re
 from collections import Counter
 from collections.abc import Awaitable
 from collections.abc import Callable
@@ -27,6 +28,9 @@
     RefusalReason.BODY_TOO_LARGE: 413,
     RefusalReason.RATE_LIMITED: 429,
 }
+_PART_ID = re.compile(r"[0-9A-Fa-f]{1,64}")
+MAX_PARTS = 64  # of one prompt; the header is bounded in bytes only
+
 _FAILURE_STATUS = 502
 _TIMEOUT_STATUS = 504
 _REFUSAL_STATUS = 503
@@ -220,9 +224,12 @@
 
 
 def _shared_parts(text: str) -> tuple[str, ...]:
-    """Decode the ids of all parts of a prompt but the last."""
+    """Decode the ids of all parts of a prompt but the last; others are ignored.
+
+    The ids go to other processes, so what is no hexadecimal number is left out.
+    """
     ids = [item.partition(":")[0].strip() for item in text.split(",")]
-    return tuple(filter(None, ids[:-1]))
+    return tuple(filter(_PART_ID.fullmatch, ids[:-1][:MAX_PARTS]))
 
 
 def _bad_request(detail: str) -> Refusal:
--- a/testing/soak.py
+++ b/testing/soak.py
@@ -430,7 +430,7 @@
         kind: str,
         model: str,
         *,
-        subject: str = "sound",
+        subject: str = "50",
     ) -> str:
         """Send one request, check its answer and return the outcome."""
         self._request_count += 1
@@ -440,7 +440,7 @@
         path = "/stream/x" if model else f"/{kind}/x"
         headers = {"Host": "h", "Request-Id": request_id, "Deadline-Ms": "3000"}
         if model:
-            parts = f"first:40,{subject}:40,{request_id}:20"
+            parts = f"f1:40,{subject}:40,{self._request_count:x}:20"
             headers.update(
                 {"Model": model, "Token-Usage": "100,20", "Prompt-Prefix": parts}
             )
