Follow the code in a mutant of the quarantine

Cause: changed the line that the mutant replaces, and the mutants were not run after it. Change: the mutant names the present line; a constant stands above the comment of the next ones.

--- a/src/copperrun/membership/exchange.py
+++ b/src/copperrun/membership/exchange.py
@@ -19,10 +19,10 @@
 # Sides through which each entry exchanges records. All entries prefer the same ones, so
 # that they meet there even if each reaches only some of them.
 RELAYS = 3
+BATCH_MS = 50  # records that come together share a message
 RETRY_DELAY_MS = 2_000  # before the next try of a side that did not reply
 # How long a side may hold its reply, and so how long news may wait on a connection that
 # went silent. It grows with the pool, since all its entries use the same sides.
-BATCH_MS = 50  # records that come together share a message
 MIN_HOLD_MS = 2_000
 MAX_HOLD_MS = 20_000
 HOLD_PER_ENGINE_MS = 20
--- a/testing/mutants.py
+++ b/testing/mutants.py
@@ -258,8 +258,8 @@
     Mutant(
         "quarantine",
         "routing/detection.py",
-        "        if await self._has_ended(server):",
-        "        if True:",
+        "        if parts and await self._has_ended(server):",
+        "        if parts:",
         "test_relay.py::test_answers_lost_by_servers_that_run_on_blame_no_part",
     ),
     Mutant(
