Tell streams that were cut from requests that failed in the log

'request ended' said 'failed' for an answer that had begun and was aborted as for one that never began, so that a lost stream could not be found in the logs. It says 'cut' now.

--- a/src/copperrun/routing/relay.py
+++ b/src/copperrun/routing/relay.py
@@ -97,7 +97,10 @@
         try:
             async with self._timers.timeout_ms(self._remaining_ms(request)) as scope:
                 done = await self._try_servers(request, progress, responder, scope)
-            outcome = "answered" if done else "failed"
+            if done:
+                outcome = "answered"
+            else:
+                outcome = "cut" if progress.response_started else "failed"
         except TimeoutError:
             done = False
             outcome = "timed_out"
