--- a/testing/test_failover.py
+++ b/testing/test_failover.py
@@ -91,7 +91,7 @@
     prefer_a(bench)
     bench.backends.plans = {
         "a": [PAUSED_STREAM],
-        "b": [Plan(parts=[Part(1_500, b"id: 3\n\n"), *events(4, 4)])],
+        "b": [Plan(parts=[Part(1_500, b"id: 3\ndata: b\n\n"), *events(4, 4)])],
     }
     caller = await bench.handle(STREAM, model="m")
     assert_that((caller.body, caller.is_complete), Equals((WHOLE_STREAM, True)))
