Log a fingerprint that tells repeats of a request from others

Change: a 16 byte digest over method, host, target, credentials and body, each with its length, goes into request ended as fingerprint. It is computed once a request. The id, the time limit and the last event's id are not in it: they differ between repeats.

--- a/src/copperrun/routing/relay.py
+++ b/src/copperrun/routing/relay.py
@@ -491,6 +491,7 @@
             model=request.call.model,
             adapter=request.call.adapter,
             prompt_parts=request.call.prompt_parts,
+            fingerprint=request.fingerprint,
             outcome=outcome,
             reason=refusal.reason.value if refusal else "",
             detail=progress.detail or (refusal.detail if refusal else ""),
--- a/src/copperrun/routing/requests.py
+++ b/src/copperrun/routing/requests.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+from dataclasses import dataclass
 from enum import Enum
+from functools import cached_property
 from typing import NamedTuple
 
 from copperrun.model import Refusal
@@ -11,9 +13,11 @@
 from copperrun.routing.catalog import BackendPool
 from copperrun.routing.catalog import RetrySafety
 from copperrun.routing.catalog import Route
+from copperrun.routing.fingerprints import fingerprint
 
 
-class RoutedRequest(NamedTuple):
+@dataclass(frozen=True, eq=False)
+class RoutedRequest:
     """A request with its route, pool and deadline.
 
     Attributes:
@@ -30,6 +34,11 @@
     started_ms: int
     deadline_ms: int
 
+    @cached_property
+    def fingerprint(self) -> str:
+        """Id that all repeats of the request share."""
+        return fingerprint(self.call)
+
     @property
     def first_event_deadline_ms(self) -> int:
         """Time at which the caller disconnects unless its answer has begun."""
--- a/testing/test_relay.py
+++ b/testing/test_relay.py
@@ -14,6 +14,7 @@
 from factories import route
 from factories import server
 from factories import spec
+from loguru import logger
 from network import NullMetrics
 from testtools.assertions import assert_that
 from testtools.matchers import Contains
@@ -774,3 +775,19 @@
         bench.quarantine.record_crash(f"c{number}", "llm", ("bad",))
     await bench.handle(STREAM, model="n", prompt_parts=("bad",))
     assert_that(bench.demand.arrival_totals("llm"), Equals({}))
+
+
+async def test_the_log_tells_repeats_of_a_request_from_other_requests():
+    bench = Bench(server("a"))
+    found: list[tuple[str, str]] = []
+    sink = logger.add(
+        lambda message: found.append(
+            (message.record["message"], message.record["extra"].get("fingerprint"))
+        )
+    )
+    for changes in ({}, {"id": "id-2"}, {"id": "id-3", "body": b"other"}):
+        await bench.handle(**changes)
+    logger.remove(sink)
+    first, repeat, other = (value for name, value in found if name == "request ended")
+    assert_that(repeat, Equals(first))
+    assert_that(other != first, Is(True))
