--- a/testing/platform_standins.py
+++ b/testing/platform_standins.py
@@ -174,6 +174,7 @@
         self.closed = asyncio.Event()
         self.script: AnswerScript = send_answer
         self._server: asyncio.Server | None = None
+        self._writers: set[asyncio.StreamWriter] = set()
 
     async def start(self, port: int = 0) -> None:
         loop = asyncio.get_running_loop()
@@ -186,10 +187,17 @@
         if self._server is not None:
             self._server.close()
 
+    async def end(self) -> None:
+        """End as a crashed process does, with all its connections."""
+        await self.close()
+        for writer in self._writers:
+            writer.transport.abort()
+
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         self.connections += 1
+        self._writers.add(writer)
         try:
             while True:
                 request = await _read_request(reader)
@@ -209,6 +217,7 @@
             pass
         finally:
             self.closed.set()
+            self._writers.discard(writer)
             writer.close()
 
 
--- a/testing/test_platform_http.py
+++ b/testing/test_platform_http.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 import logging
 import socket
 import struct
 from collections.abc import AsyncIterator
 from collections.abc import Iterator
+from contextlib import AsyncExitStack
 from contextlib import asynccontextmanager
 from contextlib import contextmanager
 
@@ -33,6 +35,7 @@
 from copperrun.adapters.crashes import CrashRoutes
 from copperrun.adapters.crashes import HttpCrashRelays
 from copperrun.adapters.timers import SystemTimers
+from copperrun.membership.exchange import CrashExchange
 from copperrun.model import Ran
 from copperrun.model import Refusal
 from copperrun.model import RefusalReason
@@ -189,6 +192,9 @@
         self.writer.close()
 
 
+POST = (
+    "POST /a/x HTTP/1.1\nHost: h\nRequest-Id: {}\nDeadline-Ms: 4000\nContent-Length: {}"
+)
 GET = "GET /a/x HTTP/1.1\nHost: h\nRequest-Id: {}\nDeadline-Ms: 4000"
 
 
@@ -663,6 +669,153 @@
     return answer
 
 
+STABILITY_WINDOW_MS = 4_000
+MAX_LATE_RETRIES = 3  # what the platform allows that long after the third crash
+ROUND_MS = 200  # longer than the time within which two crashes count as one event
+RESTART_MS = 150
+LATE_ROUNDS = 8
+CRASHES_TO_TELL = 3
+
+
+class EndingServer(ScriptedServer):
+    """Ends with requests whose body says so, and is back after a time."""
+
+    def __init__(self, name: str) -> None:
+        super().__init__(f"{name}-0")
+        self.ends_ms: list[int] = []
+        self.restarts: list[asyncio.Task[None]] = []
+        self.script = self._answer
+        self._name = name
+
+    async def _answer(
+        self, request: ReceivedRequest, writer: asyncio.StreamWriter
+    ) -> bool:
+        await SystemTimers().sleep_ms(10)
+        if b"ends servers" in request.body:
+            self.ends_ms.append(SystemTimers().now_ms())
+            self.restarts.append(asyncio.create_task(self._restart()))
+            await self.end()
+            return False
+        body = b"id: 1\n\n"
+        own_id = {"Content_Length": str(len(body)), "Instance_Id": self.id}
+        writer.write(answer_head(request, **own_id) + body)
+        return True
+
+    async def _restart(self) -> None:
+        await SystemTimers().sleep_ms(RESTART_MS)
+        self.id = f"{self._name}-{len(self.ends_ms)}"
+        await self.start(int(self.address.rpartition(":")[2]))
+
+
+@asynccontextmanager
+async def entries_that_share_crashes(
+    served_route: Route, servers: list[EndingServer], count: int
+) -> AsyncIterator[list[Entry]]:
+    app = web.Application()
+    CrashRoutes(CrashLog(SystemTimers()), "start-1", SystemTimers()).add_to(app)
+    side = web.AppRunner(app, access_log=None, shutdown_timeout=0.1)
+    await side.setup()
+    await web.TCPSite(side, "127.0.0.1", 0).start()
+    address = f"127.0.0.1:{side.addresses[0][1]}"
+    async with AsyncExitStack() as stack:
+        stack.push_async_callback(side.cleanup)
+        for item in servers:
+            await item.start()
+            stack.push_async_callback(item.close)
+        entries = []
+        for _ in range(count):
+            session = await stack.enter_async_context(open_session())
+            entry = Entry(served_route, list(servers))
+            await entry.start(session)
+            assert entry.listener is not None
+            stack.push_async_callback(entry.listener.cleanup)
+            relays = HttpCrashRelays(
+                HttpClient(session, entry.timers), lambda record: address
+            )
+            exchange = CrashExchange(entry.quarantine.log, relays, entry.timers)
+            exchange.set_engines([server("e")])
+            stack.callback(exchange.close)
+            entries.append(entry)
+        yield entries
+
+
+async def repeat_bad_request(
+    served_route: Route, headers: str = ""
+) -> tuple[list[int], list[int]]:
+    """Send a bad request again and again to all entries, beside sound ones.
+
+    Args:
+        served_route: Route of all of them.
+        headers: Further headers; sound requests have their own number in them.
+
+    Returns:
+        Times at which servers ended, from the third one on, and the statuses of the
+        sound requests in the last rounds.
+    """
+    servers = [EndingServer(name) for name in "abc"]
+    ends_ms: list[int] = []
+    statuses: list[int] = []
+    numbers, late_rounds = itertools.count(1), 0
+    async with entries_that_share_crashes(served_route, servers, 3) as entries:
+        while late_rounds < LATE_ROUNDS:
+            number = next(numbers)
+            ends_ms = sorted(at_ms for item in servers for at_ms in item.ends_ms)
+            late_rounds += is_late(entries[0].timers.now_ms(), ends_ms)
+            for entry in entries:
+                entry.servers.set_records(
+                    server(item.id, address=item.address) for item in servers
+                )
+            bad = f"bad-{number}", b"ends servers", headers.format("ad")
+            poll = f"poll-{number}", b"poll", headers.format("b0")
+            new = f"new-{number}", b"new %d" % number, headers.format(number)
+            targets = (entries[(number + shift) % len(entries)] for shift in range(3))
+            _, *sound = await asyncio.gather(
+                *(
+                    send_post(entry, *request)
+                    for entry, request in zip(targets, (bad, poll, new), strict=True)
+                )
+            )
+            statuses += [answer[0] for answer in sound if late_rounds]
+            await entries[0].timers.sleep_ms(ROUND_MS)
+    return ends_ms[CRASHES_TO_TELL - 1 :], statuses
+
+
+def is_late(now_ms: int, ends_ms: list[int]) -> bool:
+    """Return whether the third crash was longer ago than the platform's window."""
+    if len(ends_ms) < CRASHES_TO_TELL:
+        return False
+    return now_ms - ends_ms[CRASHES_TO_TELL - 1] > STABILITY_WINDOW_MS
+
+
+async def send_post(
+    entry: Entry, request_id: str, body: bytes, headers: str = ""
+) -> tuple:
+    client = await Client.open(entry.port)
+    head = POST.format(request_id, len(body)) + headers
+    client.send(head, body)
+    answer = await client.answer()
+    client.close()
+    return answer
+
+
+def late_ends(ends_ms: list[int]) -> list[int]:
+    return [at for at in ends_ms if at - ends_ms[0] > STABILITY_WINDOW_MS]
+
+
+async def test_a_request_that_ends_plain_servers_stops_reaching_them():
+    ends_ms, statuses = await repeat_bad_request(SAFE._replace(max_attempts=2))
+    assert_that(len(late_ends(ends_ms)), LessThan(MAX_LATE_RETRIES + 1))
+    assert_that(set(statuses), Equals({200}))
+
+
+async def test_a_stream_with_a_last_part_of_its_own_that_ends_servers_stops():
+    ends_ms, statuses = await repeat_bad_request(
+        STREAM, "\nPrompt-Prefix: f1:9,0c:9,{}:9"
+    )
+    assert_that(len(late_ends(ends_ms)), LessThan(MAX_LATE_RETRIES + 1))
+    assert_that(set(statuses), Equals({200}))
+
+
 async def test_sides_pass_crash_records_on_over_http():
     log, records = (
         CrashLog(SystemTimers()),
