--- a/src/copperrun/platform/backends.py
+++ b/src/copperrun/platform/backends.py
@@ -18,6 +18,7 @@
 from copperrun.routing.servers import ServerRecord
 
 MAX_DETAIL_CHARACTERS = 300
+REPORT_PATH = "/report"  # of an engine
 
 
 class BackendAnswer:
@@ -116,24 +117,36 @@
             return BackendError(BackendErrorReason.LOST, "answer of another request")
         return BackendAnswer(response)
 
-    async def has_ended(self, server: ServerRecord, *, timeout_ms: int) -> bool:
+    async def has_ended(
+        self, server: ServerRecord, *, health_path: str, timeout_ms: int
+    ) -> bool:
         """Return whether a start of a server has surely ended.
 
-        A refused connection shows it, and so does a report of a later start.
+        A refused connection shows it, and so do an engine's report of a later start
+        and another server's id in the answer to a health check.
         """
         for _ in range(2):  # the first may use an idle connection to the ended start
             try:
                 async with self._session.get(
-                    f"http://{server.address}/report",
+                    URL(
+                        f"http://{server.address}{health_path or REPORT_PATH}",
+                        encoded=True,
+                    ),
                     timeout=aiohttp.ClientTimeout(total=timeout_ms / 1000),
+                    allow_redirects=False,
                 ) as response:
+                    if health_path:
+                        answered_by = response.headers.get(http_headers.SERVER_ID, "")
+                        return answered_by not in ("", server.id)
                     fields = await response.json(content_type=None)
             except aiohttp.ClientConnectorError as exc:
                 return isinstance(exc.os_error, ConnectionRefusedError)
             except (TimeoutError, ValueError):
                 return False
-            except (aiohttp.ClientError, OSError):
+            except (aiohttp.ServerDisconnectedError, OSError):
                 continue
+            except aiohttp.ClientError:
+                return False
             born_ms = fields.get("born") if isinstance(fields, dict) else None
             return isinstance(born_ms, int) and born_ms > server.born_ms > 0
         return False
--- a/src/copperrun/platform/records.py
+++ b/src/copperrun/platform/records.py
@@ -125,6 +125,7 @@
         _string(item["name"]),
         _number(item.get("max-connections", 0)),
         _engine(engine) if engine else None,
+        _string(item.get("health-check-path") or "/"),
     )
 
 
--- a/src/copperrun/ports/backends.py
+++ b/src/copperrun/ports/backends.py
@@ -136,8 +136,17 @@
     ) -> BackendAnswer | BackendError:
         """Send a call and return the head of its answer."""
 
-    async def has_ended(self, server: ServerRecord, *, timeout_ms: int) -> bool:
+    async def has_ended(
+        self, server: ServerRecord, *, health_path: str, timeout_ms: int
+    ) -> bool:
         """Return whether a start of a server has surely ended.
 
-        False when it runs or when that cannot be told in time.
+        Args:
+            server: Record of that start.
+            health_path: Health check of a plain service; empty for an engine, which
+                reports its start.
+            timeout_ms: Time for each try.
+
+        Returns:
+            False when it runs or when that cannot be told in time.
         """
--- a/src/copperrun/routing/catalog.py
+++ b/src/copperrun/routing/catalog.py
@@ -126,11 +126,13 @@
         name: Name given by the operator.
         max_connections: Connections that one server accepts in total.
         engine: Engine properties, or None for a plain service.
+        health_path: Path on which each server says whether it is well.
     """
 
     name: str
     max_connections: int
     engine: EngineSpec | None
+    health_path: str = "/"
 
 
 class CallerLimits(NamedTuple):
--- a/src/copperrun/routing/crashes.py
+++ b/src/copperrun/routing/crashes.py
@@ -1,4 +1,7 @@
-"""Crashes of backend servers and the prompt parts that may have caused them.
+"""Crashes of backend servers and what may have caused them.
+
+Suspects are the prompt parts of the requests that a server had taken and not begun to
+answer, and the fingerprints of these requests.
 
 Processes exchange their records. Merging is commutative and idempotent, so that all of
 them come to the same log whatever the order and however often a record arrives.
@@ -13,12 +16,14 @@
 from dataclasses import dataclass
 from typing import NamedTuple
 
+import xxhash
+
 from copperrun.ports.timers import Timers
 from copperrun.signals import ChangeSignal
 
 RETENTION_MS = 1_800_000
 # Bounds the memory and the size of a message; the oldest crashes and, within a crash,
-# the last parts in order of their ids are dropped.
+# suspects chosen by a hash are dropped.
 MAX_CRASHES = 128
 MAX_PARTS = 512
 
@@ -30,7 +35,7 @@
         crash: Id of the start of the server that ended.
         pool: Pool of the server.
         age_ms: Time since the crash, in milliseconds.
-        parts: Ids of the prompt parts that may have caused it.
+        parts: Ids of the prompt parts and fingerprints that may have caused it.
         cleared: Those of them that did not, since answers begin on them.
     """
 
@@ -47,7 +52,7 @@
     Attributes:
         id: Id of the start of the server that ended.
         at_ms: Time of the crash on the timer service's clock, in milliseconds.
-        suspects: Ids of the parts that may have caused it and are not cleared.
+        suspects: Those that may have caused it and are not cleared.
     """
 
     id: str
@@ -167,7 +172,7 @@
             self._entries[record.crash] = entry
         # The age grows by the time on the way, so the earliest time is the best one.
         entry.at_ms = min(entry.at_ms, at_ms)
-        parts = frozenset(sorted(entry.parts | record.parts)[:MAX_PARTS])
+        parts = _limit_parts(record.crash, entry.parts | record.parts)
         cleared = (entry.cleared | record.cleared) & parts
         if (parts, cleared) != (entry.parts, entry.cleared):
             entry.parts, entry.cleared = parts, cleared
@@ -186,3 +191,17 @@
         for listener in self._listeners:
             listener()
         self._changed.notify_all()
+
+
+def _limit_parts(crash: str, parts: frozenset[str]) -> frozenset[str]:
+    """Return the parts to keep, the same whatever the order of the records.
+
+    The order differs from crash to crash, so that no suspect is dropped from all.
+    """
+    if len(parts) <= MAX_PARTS:
+        return parts
+    ranked = sorted(
+        parts,
+        key=lambda part: (xxhash.xxh64_intdigest(f"{crash} {part}".encode()), part),
+    )
+    return frozenset(ranked[:MAX_PARTS])
--- a/src/copperrun/routing/refusals.py
+++ b/src/copperrun/routing/refusals.py
@@ -69,11 +69,11 @@
 
 
 def quarantined(retry_after_ms: int) -> Refusal:
-    """Return the refusal for a prompt with a part that crashes the servers."""
+    """Return the refusal for a request that, or a part of which, crashes servers."""
     return Refusal(
         RefusalReason.QUARANTINED,
         Ran.NO,
-        "a part of the prompt crashes the backend servers; change the prompt",
+        "the request or a part of its prompt may crash the backend servers; change it",
         retry_after_ms,
     )
 
--- a/src/copperrun/routing/relay.py
+++ b/src/copperrun/routing/relay.py
@@ -150,10 +150,10 @@
         return quarantined(blocked_ms) if blocked_ms else None
 
     def _blocked_ms(self, request: RoutedRequest) -> int:
-        return self._quarantine.blocked_ms(request.call.prompt_parts)
+        return self._quarantine.blocked_ms(request.suspects)
 
     def _refuse_quarantined(self) -> None:
-        """Refuse the waiting requests whose prompts are now in quarantine."""
+        """Refuse the waiting requests that are now in quarantine."""
         for scope, request in self._unsent.items():
             if self._blocked_ms(request):
                 scope.reschedule(asyncio.get_running_loop().time())
@@ -190,6 +190,9 @@
             outcome = await self._exchange(request, server, progress, responder)
             if progress.answer_lost and not progress.answer_begun:
                 await self._detector.check(request, record)
+            if outcome is AttemptOutcome.FAILED:
+                # It fails by itself but does not crash the server.
+                self._quarantine.record_begun(request.pool.name, [request.fingerprint])
             return outcome
         finally:
             server.end_request()
@@ -278,9 +281,7 @@
         else:
             outcome = await self._forward_buffered(progress, responder, answer)
             if outcome is AttemptOutcome.DONE:
-                self._quarantine.record_begun(
-                    request.pool.name, request.call.prompt_parts
-                )
+                self._quarantine.record_begun(request.pool.name, request.suspects)
         server.record_answer(failed=outcome is not AttemptOutcome.DONE)
         return outcome
 
@@ -431,7 +432,7 @@
         if progress.answer_begun:
             return
         progress.answer_begun = True
-        self._quarantine.record_begun(request.pool.name, request.call.prompt_parts)
+        self._quarantine.record_begun(request.pool.name, request.suspects)
         if progress.admission == Granted.__name__:
             self._sides.report_started(server.record, request.call.id)
 
--- a/src/copperrun/routing/requests.py
+++ b/src/copperrun/routing/requests.py
@@ -39,6 +39,11 @@
         """Id that all repeats of the request share."""
         return fingerprint(self.call)
 
+    @cached_property
+    def suspects(self) -> tuple[str, ...]:
+        """Ids of what may crash a server: shared parts of the prompt and the whole."""
+        return (*self.call.prompt_parts, self.fingerprint)
+
     @property
     def first_event_deadline_ms(self) -> int:
         """Time at which the caller disconnects unless its answer has begun."""
--- a/testing/test_platform_http.py
+++ b/testing/test_platform_http.py
@@ -449,7 +449,11 @@
         status, headers, _, _ = await send_get(entry)
         assert_that(status, Equals(502))
         assert_that(headers, Not(Contains("retry-after")))
-        assert_that(len(first.requests) + len(second.requests), Equals(1))
+    # Health checks come beside it: they carry no id of a request.
+    arrived = [*first.requests, *second.requests]
+    assert_that([item.id for item in arrived if item.id], Equals(["r1"]))
+    checks = [(item.method, item.target) for item in arrived if not item.id]
+    assert_that(set(checks), Equals({("GET", "/")}))
 
 
 async def test_a_refusal_of_the_server_gets_503_with_retry_after():
@@ -869,9 +873,11 @@
         for script, born_ms in ((report, 2_000), (report, 1_000), (reset, 2_000)):
             backend.script = script
             record = server("s", address=backend.address, born_ms=born_ms)
-            ended.append(await backends.has_ended(record, timeout_ms=1_000))
+            ended.append(
+                await backends.has_ended(record, health_path="", timeout_ms=1_000)
+            )
         await backend.close()
-        ended.append(await backends.has_ended(record, timeout_ms=1_000))
+        ended.append(await backends.has_ended(record, health_path="", timeout_ms=1_000))
     assert_that(ended, Equals([False, True, False, True]))
 
 
--- a/testing/test_relay.py
+++ b/testing/test_relay.py
@@ -109,7 +109,9 @@
         self.has_crashed: Callable[[ServerRecord], bool] = lambda record: False
         self._timers = timers
 
-    async def has_ended(self, record: ServerRecord, *, timeout_ms: int) -> bool:
+    async def has_ended(
+        self, record: ServerRecord, *, health_path: str, timeout_ms: int
+    ) -> bool:
         await self._timers.sleep_ms(1)
         return self.has_crashed(record)
 
