Test ties, clearing, bounds and loss of state of blamed requests

Change: unit tests on the manual clock for requests that cannot be told apart, recent answers, servers that end together, parts beside a request, bounds and memory; for the log's choice of dropped suspects; for the relay (plain requests, any status clears, a caller that leaves during the check, waiting requests); for the check of plain servers; for entries and sides that start again, sides lost, a cut between entries and sides, a store outage followed by the loss of all processes.

--- a/testing/test_archive.py
+++ b/testing/test_archive.py
@@ -13,11 +13,13 @@
 from copperrun.embedded.clock import ManualTimers
 from copperrun.membership.archive import CrashArchive
 from copperrun.routing.crashes import CrashLog
+from copperrun.routing.fingerprints import FINGERPRINT_PREFIX
 from copperrun.routing.quarantine import MIN_CRASHES
 from copperrun.routing.quarantine import QUARANTINE_MS
 from copperrun.routing.quarantine import PromptQuarantine
 
 TOPIC = "crashes"
+REQUEST, OTHER = f"{FINGERPRINT_PREFIX}1", f"{FINGERPRINT_PREFIX}2"
 
 
 class Entry:
@@ -118,3 +120,31 @@
     entry = await restart(entry, store)
     assert_that(entry.is_blocked("bad"), Equals(True))
     entry.task.cancel()
+
+
+async def test_a_request_in_quarantine_outlasts_the_loss_of_all_processes():
+    entry, store = await start()
+    store.is_available = False
+    await entry.crash_often("first", REQUEST)
+    await entry.timers.advance(5_000)
+    store.is_available = True
+    await entry.timers.advance(40_000)
+    entry = await restart(entry, store)
+    assert_that(entry.is_blocked("first", REQUEST), Equals(True))
+    assert_that(entry.is_blocked("first", OTHER), Equals(False))
+    entry.task.cancel()
+
+
+async def test_requests_that_take_turns_do_so_after_the_loss_of_all_processes():
+    entry, store = await start()
+    for number in range(MIN_CRASHES):
+        for request in (REQUEST, OTHER):
+            entry.quarantine.record_crash(f"c{number}/1", "pay", [request])
+        await entry.timers.advance(500)
+    entry = await restart(entry, store)
+    blocked = [entry.is_blocked(REQUEST), entry.is_blocked(OTHER)]
+    assert_that(sorted(blocked), Equals([False, True]))
+    entry.quarantine.record_begun("pay", [OTHER])
+    assert_that(entry.is_blocked(REQUEST), Equals(True))
+    assert_that(entry.is_blocked(OTHER), Equals(False))
+    entry.task.cancel()
--- a/testing/test_crashes.py
+++ b/testing/test_crashes.py
@@ -92,3 +92,23 @@
     log.merge([record("wide", *(f"p{number}" for number in range(MAX_PARTS + 5)))])
     (wide,) = (crash for crash in log.crashes() if crash.id == "wide")
     assert_that(wide.suspects, HasLength(MAX_PARTS))
+
+
+@given(st.lists(st.frozensets(st.integers(0, 2_000), min_size=1), max_size=8))
+def test_the_same_suspects_are_dropped_in_any_order_of_the_records(sets):
+    records = [record("c1", *(f"{number:x}" for number in ids)) for ids in sets]
+    wide = record("c1", *(f"{number:x}" for number in range(MAX_PARTS)))
+    once, reverse = CrashLog(ManualTimers()), CrashLog(ManualTimers())
+    once.merge([wide, *records])
+    for item in [*reversed(records), wide, *records]:
+        reverse.merge([item])
+    assert_that(reverse.crashes(), Equals(once.crashes()))
+
+
+def test_no_suspect_is_dropped_from_every_crash_for_its_id():
+    log = CrashLog(ManualTimers())
+    last = "request-ffff"
+    others = [f"p{number}" for number in range(2 * MAX_PARTS)]
+    log.merge(record(f"c{number}", last, *others) for number in range(40))
+    kept = [crash for crash in log.crashes() if last in crash.suspects]
+    assert_that(len(kept), GreaterThan(5))
--- a/testing/test_exchange.py
+++ b/testing/test_exchange.py
@@ -20,6 +20,7 @@
 from copperrun.membership.exchange import RELAYS
 from copperrun.membership.exchange import CrashExchange
 from copperrun.routing.crashes import CrashLog
+from copperrun.routing.fingerprints import FINGERPRINT_PREFIX
 from copperrun.routing.quarantine import MIN_CRASHES
 from copperrun.routing.quarantine import PromptQuarantine
 
@@ -28,6 +29,7 @@
 MAX_LATE_REQUESTS = 3
 # Time for a record from one entry through a side to another.
 SHARE_MS = 200
+REQUEST, OTHER = f"{FINGERPRINT_PREFIX}1", f"{FINGERPRINT_PREFIX}2"
 
 
 class Entry:
@@ -315,3 +317,59 @@
     blocked = [entry.is_blocked("first", "bad") for entry in fleet.entries]
     assert_that(blocked, AllMatch(Equals(True)))
     fleet.close()
+
+
+async def test_a_request_in_quarantine_is_known_to_an_entry_that_starts_again():
+    fleet = Fleet(3, 6)
+    for number in range(MIN_CRASHES):
+        await fleet.crash(fleet.entries[number], number, REQUEST)
+    assert_that(fleet.blocked_entries(REQUEST), Equals(3))
+    fleet.entries[0].exchange.close()
+    fleet.entries[0] = fleet.add_entry()
+    await fleet.wait_first_reply(fleet.entries[0])
+    assert_that(fleet.blocked_entries(REQUEST), Equals(3))
+    fleet.close()
+
+
+async def test_crashes_with_a_request_meet_though_sides_are_lost():
+    fleet = Fleet(3, 6)
+    await fleet.timers.advance(SHARE_MS)
+    usual = fleet.relay_addresses()
+    fleet.relays.unreachable = set(usual[: RELAYS - 1])
+    fleet.relays.restart(usual[RELAYS - 1])
+    for number in range(MIN_CRASHES):
+        await fleet.crash(fleet.entries[number], number, REQUEST)
+    assert_that(fleet.blocked_entries(REQUEST), Equals(3))
+    fleet.close()
+
+
+async def test_crashes_in_a_cut_between_entries_and_sides_are_told_after_it():
+    fleet = Fleet(3, 6)
+    await fleet.timers.advance(SHARE_MS)
+    fleet.relays.unreachable = {item.address for item in fleet.engines}
+    for number in range(MIN_CRASHES):
+        await fleet.crash(fleet.entries[number], number, REQUEST)
+    assert_that(fleet.blocked_entries(REQUEST), Equals(0))
+    fleet.relays.unreachable = set()
+    for _ in range(20):
+        await fleet.timers.advance(500)
+        fleet.refresh()
+    assert_that(fleet.blocked_entries(REQUEST), Equals(3))
+    fleet.close()
+
+
+async def test_an_answer_at_one_entry_ends_the_turns_at_all_of_them():
+    fleet = Fleet(3, 6)
+    for number in range(MIN_CRASHES):
+        for entry in fleet.entries[:2]:
+            request = REQUEST if entry is fleet.entries[0] else OTHER
+            entry.quarantine.record_crash(f"c{number}", "pay", [request])
+        await fleet.timers.advance(500)
+    assert_that(
+        fleet.blocked_entries(REQUEST) + fleet.blocked_entries(OTHER), Equals(3)
+    )
+    fleet.entries[2].quarantine.record_begun("pay", [OTHER])
+    await fleet.timers.advance(SHARE_MS)
+    assert_that(fleet.blocked_entries(REQUEST), Equals(3))
+    assert_that(fleet.blocked_entries(OTHER), Equals(0))
+    fleet.close()
--- a/testing/test_platform_http.py
+++ b/testing/test_platform_http.py
@@ -18,6 +18,7 @@
 from factories import route
 from factories import server
 from network import NullMetrics
+from platform_standins import AnswerScript
 from platform_standins import ReceivedRequest
 from platform_standins import ScriptedServer
 from platform_standins import answer_head
@@ -881,6 +882,53 @@
     assert_that(ended, Equals([False, True, False, True]))
 
 
+async def test_a_plain_server_has_ended_if_another_one_answers_its_health_check():
+    targets: list[str] = []
+
+    def answer_as(server_id: str, status: str) -> AnswerScript:
+        async def answer(
+            request: ReceivedRequest, writer: asyncio.StreamWriter
+        ) -> bool:
+            targets.append(request.target)
+            head = {"Content_Length": "0"} | (
+                {"Instance_Id": server_id} if server_id else {}
+            )
+            writer.write(answer_head(request, status, **head))
+            return True
+
+        return answer
+
+    async def be_silent(request: ReceivedRequest, writer: asyncio.StreamWriter) -> bool:
+        await SystemTimers().sleep_ms(10_000)
+        return False
+
+    scripts = [
+        answer_as("i-1", "200 OK"),
+        answer_as("i-1", "503 Service Unavailable"),
+        answer_as("", "200 OK"),
+        be_silent,
+        answer_as("i-2", "503 Service Unavailable"),
+        answer_as("i-2", "200 OK"),
+    ]
+    backend = ScriptedServer()
+    await backend.start()
+    ended = []
+    async with open_session() as session:
+        backends = HttpBackends(session)
+        record = server("i-1", address=backend.address)
+        for script in scripts:
+            backend.script = script
+            ended.append(
+                await backends.has_ended(record, health_path="/well?a", timeout_ms=200)
+            )
+        await backend.close()
+        ended.append(
+            await backends.has_ended(record, health_path="/well?a", timeout_ms=200)
+        )
+    assert_that(ended, Equals([False, False, False, False, True, True, True]))
+    assert_that(set(targets), Equals({"/well?a"}))
+
+
 ENDLESS_BYTES = 64 * 1024 * 1024
 MAX_BYTES_TAKEN = 8 * 1024 * 1024
 
--- a/testing/test_platform_records.py
+++ b/testing/test_platform_records.py
@@ -290,3 +290,19 @@
     assert_that(settings_path(), IsInstance(SettingsError))
     monkeypatch.setenv(SETTINGS_PATH_VARIABLE, "/x.yaml")
     assert_that(settings_path(), Equals(Path("/x.yaml")))
+
+
+def test_a_service_without_a_health_check_is_asked_at_its_root():
+    plain, named, empty = (
+        {"name": name, "max-connections": 1, **changes}
+        for name, changes in (
+            ("a", {}),
+            ("b", {"health-check-path": "/health"}),
+            ("c", {"health-check-path": ""}),
+        )
+    )
+    value = json.dumps(configuration(services=[plain, named, empty])).encode()
+    catalog = decode_catalog(value)
+    assert isinstance(catalog, Catalog)
+    paths = [pool.health_path for pool in catalog.pools.values()]
+    assert_that(paths, Equals(["/", "/health", "/"]))
--- a/testing/test_relay.py
+++ b/testing/test_relay.py
@@ -43,6 +43,7 @@
 from copperrun.ports.sides import SideError
 from copperrun.routing.catalog import RetrySafety
 from copperrun.routing.crashes import CrashLog
+from copperrun.routing.fingerprints import fingerprint
 from copperrun.routing.quarantine import MIN_CRASHES
 from copperrun.routing.quarantine import PromptQuarantine
 from copperrun.routing.relay import Relay
@@ -106,12 +107,14 @@
         self.plans: dict[str, list[Plan]] = {}
         self.calls: list[tuple[str, int, str]] = []
         self.closed = 0
+        self.checks = 0
         self.has_crashed: Callable[[ServerRecord], bool] = lambda record: False
         self._timers = timers
 
     async def has_ended(
         self, record: ServerRecord, *, health_path: str, timeout_ms: int
     ) -> bool:
+        self.checks += 1
         await self._timers.sleep_ms(1)
         return self.has_crashed(record)
 
@@ -793,3 +796,68 @@
     first, repeat, other = (value for name, value in found if name == "request ended")
     assert_that(repeat, Equals(first))
     assert_that(other != first, Is(True))
+
+
+async def test_a_plain_request_lost_with_ended_servers_is_refused_at_once():
+    bench = Bench(*(server(f"s{number}") for number in range(9)))
+    bench.backends.has_crashed = lambda record: True
+    bench.backends.plans = {f"s{number}": [LOST] for number in range(9)}
+    for number in range(3):
+        caller = await bench.handle(SAFE, id=f"r{number}")
+        await bench.timers.advance(1_000)
+    # The second one is sent once more, and not repeated after the third crash.
+    assert_that(bench.backends.calls, HasLength(MIN_CRASHES))
+    assert caller.refusal is not None
+    assert_that(caller.refusal.reason, Is(RefusalReason.QUARANTINED))
+    assert_that(caller.refusal.ran, Is(Ran.NO))
+    assert_that(caller.refusal.retry_after_ms, GreaterThan(60_000))
+    other = await bench.handle(SAFE, id="r9", target="/a/other")
+    assert other.refusal is not None
+    assert_that(other.refusal.reason, Is(RefusalReason.SERVER_FAILED))
+
+
+async def test_an_answer_of_a_server_clears_the_request_whatever_its_status():
+    for status in (200, 404, 500):
+        bench = Bench(*(server(f"s{number}") for number in range(4)))
+        bench.backends.has_crashed = lambda record: True
+        bench.backends.plans = {
+            "s0": [LOST],
+            "s1": [LOST],
+            "s2": [Plan(status)],
+            "s3": [LOST],
+        }
+        for _ in range(4):
+            await bench.handle(SAFE._replace(max_attempts=1))
+            await bench.timers.advance(1_000)
+        assert_that(bench.backends.calls, HasLength(4))
+        await bench.handle(SAFE._replace(max_attempts=1))
+        assert_that(bench.backends.calls, HasLength(5))
+
+
+async def test_a_crash_is_recorded_though_the_caller_leaves_during_the_check():
+    bench = Bench(server("a"))
+    bench.backends.has_crashed = lambda record: True
+    bench.backends.plans = {"a": [LOST]}
+    _, task = bench.begin(SAFE)
+    while not bench.backends.checks:
+        await bench.timers.advance(1)
+    task.cancel()
+    await bench.timers.advance(1_000)
+    assert_that(task.cancelled(), Is(True))
+    assert_that(bench.quarantine.log.crashes(), HasLength(1))
+
+
+async def test_a_waiting_request_is_refused_at_once_when_its_repeat_is_blamed():
+    bench = Bench(engine("a", ["m"]))
+    bench.sides.delay_ms = 3_000
+    caller, task = bench.begin(STREAM, model="m")
+    repeated = BackendCall("id-2", "POST", "h.example", "/a/b?c", [], b"body", 3_000)
+    for number in range(MIN_CRASHES):
+        await bench.timers.advance(300)
+        bench.quarantine.record_crash(f"c{number}", "llm", [fingerprint(repeated)])
+    await bench.timers.advance(1)
+    assert caller.refusal is not None
+    assert_that(caller.refusal.reason, Is(RefusalReason.QUARANTINED))
+    assert_that(caller.refusal.ran, Is(Ran.NO))
+    await task
+    assert_that(bench.backends.calls, HasLength(0))
