Show that the tests notice a broken quarantine of requests

Change: thirteen mutants for the fingerprint, turns, counting, bounds, the check and what clears a request. Three older ones name the text as it is now.

--- a/testing/mutants.py
+++ b/testing/mutants.py
@@ -237,7 +237,7 @@
     Mutant(
         "quarantine",
         "routing/quarantine.py",
-        "return MIN_CRASHES + min(recent, MAX_ANSWERS)",
+        "return MIN_CRASHES + min(self._recent_answers(part), most)",
         "return 9 * MIN_CRASHES",
         "test_quarantine.py::test_a_part_is_blocked_after_several_crashes_and_not_before",
     ),
@@ -251,15 +251,15 @@
     Mutant(
         "quarantine",
         "routing/quarantine.py",
-        "return MIN_CRASHES + min(recent, MAX_ANSWERS)",
+        "return MIN_CRASHES + min(self._recent_answers(part), most)",
         "return MIN_CRASHES",
         "test_quarantine.py::test_parts_with_recent_answers_need_more_crashes",
     ),
     Mutant(
         "quarantine",
         "routing/detection.py",
-        "        if parts and await self._has_ended(server):",
-        "        if parts:",
+        "        if not await self._has_ended(request.pool, server):",
+        "        if False:",
         "test_relay.py::test_answers_lost_by_servers_that_run_on_blame_no_part",
     ),
     Mutant(
@@ -285,6 +285,106 @@
         'value = b""',
         "test_archive.py::test_a_quarantine_outlasts_the_loss_of_all_processes",
     ),
+    Mutant(
+        "quarantine",
+        "routing/requests.py",
+        "return (*self.call.prompt_parts, self.fingerprint)",
+        "return self.call.prompt_parts",
+        "test_relay.py::test_a_plain_request_lost_with_ended_servers_is_refused_at_once",
+    ),
+    Mutant(
+        "quarantine",
+        "routing/fingerprints.py",
+        '        digest.update(b"%d:" % len(field))\n',
+        "",
+        "test_fingerprints.py::test_fields_cannot_run_into_each_other",
+    ),
+    Mutant(
+        "quarantine",
+        "routing/quarantine.py",
+        "    if len(requests) > 1:",
+        "    if False:",
+        "test_quarantine.py::test_requests_carried_on_together_are_tried_one_after_the_"
+        "other",
+    ),
+    Mutant(
+        "quarantine",
+        "routing/quarantine.py",
+        "_Turn(number, len(requests), latest_ms),",
+        "None,",
+        "test_quarantine.py::test_a_sound_request_lost_in_each_crash_is_not_put_into_"
+        "quarantine",
+    ),
+    Mutant(
+        "quarantine",
+        "routing/quarantine.py",
+        "if is_fingerprint(part) and is_single:",
+        "if False:",
+        "test_quarantine.py::test_a_request_is_blocked_by_servers_that_end_with_it_one_"
+        "after_the_other",
+    ),
+    Mutant(
+        "quarantine",
+        "routing/quarantine.py",
+        "if is_fingerprint(part) and is_single:",
+        "if is_fingerprint(part):",
+        "test_quarantine.py::test_a_request_that_many_send_is_not_blocked_by_servers_"
+        "that_end_together",
+    ),
+    Mutant(
+        "quarantine",
+        "routing/quarantine.py",
+        "    if requests and is_sure:",
+        "    if False:",
+        "test_quarantine.py::test_a_part_that_is_always_near_by_does_not_hide_a_bad_"
+        "request",
+    ),
+    Mutant(
+        "quarantine",
+        "routing/quarantine.py",
+        "return self._request_answers if is_fingerprint(part) else self._part_answers",
+        "return self._part_answers",
+        "test_quarantine.py::test_answers_on_requests_do_not_push_out_those_on_parts",
+    ),
+    Mutant(
+        "quarantine",
+        "routing/crashes.py",
+        'xxhash.xxh64_intdigest(f"{crash} {part}".encode())',
+        "0",
+        "test_crashes.py::test_no_suspect_is_dropped_from_every_crash_for_its_id",
+    ),
+    Mutant(
+        "quarantine",
+        "routing/detection.py",
+        "await asyncio.shield(record)",
+        "await record",
+        "test_relay.py::test_a_crash_is_recorded_though_the_caller_leaves_during_the_"
+        "check",
+    ),
+    Mutant(
+        "quarantine",
+        "routing/relay.py",
+        "            if outcome is AttemptOutcome.FAILED:\n                # It",
+        "            if False:\n                # It",
+        "test_relay.py::test_an_answer_of_a_server_clears_the_request_whatever_its_"
+        "status",
+    ),
+    Mutant(
+        "quarantine",
+        "platform/backends.py",
+        'return answered_by not in ("", server.id)',
+        "return answered_by != server.id",
+        "test_platform_http.py::test_a_plain_server_has_ended_if_another_one_answers_"
+        "its_health_check",
+    ),
+    Mutant(
+        "quarantine",
+        "platform/backends.py",
+        "                    if health_path:\n",
+        "                    if False:\n",
+        "test_platform_http.py::test_a_plain_server_has_ended_if_another_one_answers_"
+        "its_health_check",
+    ),
     Mutant(
         "oracle: memory",
         "placement/ledger.py",
--- a/testing/test_quarantine.py
+++ b/testing/test_quarantine.py
@@ -291,7 +291,9 @@
     case = Case()
     for _ in range(2 * MIN_CRASHES):
         await case.crash((REQUEST,), (NEAR,))
-        assert_that(case.quarantine.blocked_ms([NEAR]), LessThan(TURN_MS + 1))
+        for request in (REQUEST, NEAR):
+            blocked_ms = case.quarantine.blocked_ms([request])
+            assert_that(blocked_ms, LessThan(TURN_MS + 1))
 
 
 async def test_requests_in_as_many_crashes_some_of_them_shared_take_turns():
