--- a/src/copperrun/routing/attempt.py
+++ b/src/copperrun/routing/attempt.py
@@ -214,6 +214,10 @@
                 return self._fail(f"{server_id}: failure without an end")
         self._fail(f"{server_id} answered {answer.head.status}")
         self._progress.failure = ServerFailure(answer.head, b"".join(self._parts))
+        # It fails by itself but does not crash the server.
+        self._ports.quarantine.record_begun(
+            self._request.pool.name, [self._request.fingerprint]
+        )
         return AttemptOutcome.FAILED
 
     async def _next_bytes(self, answer: BackendAnswer) -> Piece | AttemptOutcome:
@@ -237,7 +241,7 @@
             self._is_forwarding = True
             return Piece(b"".join(self._parts), self._buffered_bytes)
         self._ports.quarantine.record_begun(
-            self._request.pool.name, self._request.call.prompt_parts
+            self._request.pool.name, self._request.suspects
         )
         return self._finish()
 
@@ -275,10 +279,10 @@
         if self._has_begun:
             return
         self._has_begun = True
-        call = self._request.call
-        self._ports.quarantine.record_begun(self._request.pool.name, call.prompt_parts)
+        pool, request_id = self._request.pool.name, self._request.call.id
+        self._ports.quarantine.record_begun(pool, self._request.suspects)
         if self._is_admitted:
-            self._ports.sides.report_started(self.server.record, call.id)
+            self._ports.sides.report_started(self.server.record, request_id)
 
     def _finish(self) -> AttemptOutcome:
         self.server.record_answer(failed=False)
--- a/src/copperrun/routing/relay.py
+++ b/src/copperrun/routing/relay.py
@@ -141,10 +141,10 @@
         return quarantined(blocked_ms) if blocked_ms else None
 
     def _blocked_ms(self, request: RoutedRequest) -> int:
-        return self._quarantine.blocked_ms(request.call.prompt_parts)
+        return self._quarantine.blocked_ms(request.suspects)
 
     def _refuse_quarantined(self) -> None:
-        """Refuse the waiting requests whose prompts are now in quarantine."""
+        """Refuse the waiting requests that are now in quarantine."""
         for scope, request in self._unsent.items():
             if self._blocked_ms(request):
                 scope.reschedule(asyncio.get_running_loop().time())
@@ -291,6 +291,7 @@
             model=request.call.model,
             adapter=request.call.adapter,
             prompt_parts=request.call.prompt_parts,
+            fingerprint=request.fingerprint,
             outcome=outcome,
             reason=refusal.reason.value if refusal else "",
             detail=progress.detail or (refusal.detail if refusal else ""),
