Keep connections on which a request has begun when an entry leaves

Cause: `Ingress.close_idle` took a connection for idle until the handler of its request had started. A request that the HTTP server had read, whose bytes were still in the socket or whose head was incomplete lost its connection without an answer. Change: the listener's own connection class knows whether a request has begun; only idle connections close, and the drain waits for the others.

--- a/src/copperrun/platform/daemon.py
+++ b/src/copperrun/platform/daemon.py
@@ -38,6 +38,7 @@
 from copperrun.placement.demand import DemandView
 from copperrun.placement.loads import LoadRateLimiter
 from copperrun.platform.backends import HttpBackends
+from copperrun.platform.connections import CallerServer
 from copperrun.platform.engine_control import HttpEngineControl
 from copperrun.platform.ingress import Ingress
 from copperrun.platform.records import decode_catalog
@@ -225,17 +226,8 @@
                 self.metrics,
             )
             ingress = Ingress(process.handle, self._max_body_bytes)
-            front = web.ServerRunner(
-                web.Server(
-                    ingress.handle,
-                    handler_cancellation=True,
-                    access_log=None,
-                    keepalive_timeout=self._limits().idle_timeout_ms / 1000,
-                    max_line_size=self._limits().header_bytes,
-                    max_field_size=self._limits().header_bytes,
-                ),
-                shutdown_timeout=0.1,
-            )
+            server = CallerServer(ingress.handle, self._limits)
+            front = web.ServerRunner(server, shutdown_timeout=0.1)
             app = self.build_internal_app(view)
             app.router.add_get(READINESS_PATH, _readiness_handler(process))
             internal = web.AppRunner(app, access_log=None, shutdown_timeout=0.1)
@@ -244,7 +236,7 @@
             )
             sites = await self.listen(front, cfg.front_port)
             task = await self.run_until_shutdown(process.run())
-            await self._drain(process, ingress, front, sites)
+            await self._drain(process, ingress, server, sites)
             await _cancel(task)
             await self.close()
 
@@ -257,7 +249,7 @@
         self,
         process: ProxyProcess,
         ingress: Ingress,
-        front: web.ServerRunner,
+        server: CallerServer,
         sites: list[web.TCPSite],
     ) -> None:
         """Fail the readiness probe, wait for the load balancer, finish the requests."""
@@ -265,19 +257,19 @@
         grace_ms = self.cfg.grace_ms
         process.lifecycle.leave()
         ingress.is_leaving = True
-        ingress.close_idle(front.server)
+        server.close_idle()
         await self.timers.sleep_ms(
             min(LISTEN_WHILE_LEAVING_MS, grace_ms * UNSENT_DEADLINE_FRACTION)
         )
         for site in sites:
             await site.stop()
         ingress.is_refusing = True
-        ingress.close_idle(front.server)
+        server.close_idle()
         idle_since_ms = self.timers.now_ms()
         while (now_ms := self.timers.now_ms()) < started_ms + grace_ms - EXIT_MARGIN_MS:
             if now_ms - started_ms >= grace_ms * UNSENT_DEADLINE_FRACTION:
                 process.refuse_unsent()
-            if ingress.is_busy:
+            if server.is_busy:
                 idle_since_ms = now_ms
             elif now_ms - idle_since_ms >= IDLE_BEFORE_EXIT_MS:
                 break
--- a/src/copperrun/platform/ingress.py
+++ b/src/copperrun/platform/ingress.py
@@ -3,12 +3,10 @@
 from __future__ import annotations
 
 import re
-from collections import Counter
 from collections.abc import Awaitable
 from collections.abc import Callable
 
 from aiohttp import web
-from aiohttp.web_protocol import RequestHandler
 from loguru import logger
 
 from copperrun.model import Ran
@@ -49,23 +47,9 @@
         self._max_body_bytes = max_body_bytes
         self.is_leaving = False
         self.is_refusing = False
-        self._open_requests: Counter[RequestHandler] = Counter()
-
-    @property
-    def is_busy(self) -> bool:
-        """Whether requests are in progress."""
-        return bool(self._open_requests)
-
-    def close_idle(self, server: web.Server | None) -> None:
-        """Close the idle connections; the others close after their answer."""
-        for protocol in server.connections if server is not None else ():
-            if protocol not in self._open_requests:
-                protocol.force_close()
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Answer one request; called by the HTTP server."""
-        protocol = request.protocol
-        self._open_requests[protocol] += 1
         try:
             return await self._answer(request)
         except ConnectionError as exc:
@@ -75,10 +59,6 @@
                 request.transport.abort()
             # Never sent; the HTTP server would log an exception as its own failure.
             return web.Response(status=_FAILURE_STATUS)
-        finally:
-            self._open_requests[protocol] -= 1
-            if not self._open_requests[protocol]:
-                del self._open_requests[protocol]
 
     async def _answer(self, request: web.BaseRequest) -> web.StreamResponse:
         responder = HttpResponder(request, lambda: self.is_leaving)
--- a/testing/test_answers.py
+++ b/testing/test_answers.py
@@ -11,6 +11,7 @@
 from pathlib import Path
 
 import pytest
+from aiohttp.web_protocol import RequestHandler
 from platform_entry import SIDE_HOST
 from platform_entry import TIMERS
 from platform_entry import PausingServer
@@ -27,6 +28,8 @@
 from testtools.matchers import MatchesAny
 from testtools.matchers import Not
 
+from copperrun.platform.connections import CallerServer
+
 ANSWERED = MatchesAny(
     *(Equals((status, True)) for status in (200, 400, 404, 408, 413, 429)),
     *(Equals((status, True)) for status in (500, 502, 503, 504)),
@@ -222,7 +225,7 @@
         assert_that(await held.finish(), DELIVERED if sent else ANSWERED)
 
 
-@pytest.mark.parametrize("state", STATES[1:])
+@pytest.mark.parametrize("state", STATES)
 async def test_a_request_is_answered_while_the_entry_leaves(
     tmp_path: Path, state: str
 ) -> None:
@@ -233,7 +236,7 @@
         assert_that(await held.finish(), DELIVERED if sent else ANSWERED)
 
 
-@pytest.mark.parametrize("state", STATES[1:])
+@pytest.mark.parametrize("state", STATES)
 async def test_a_request_is_answered_after_the_entry_has_stopped_listening(
     tmp_path: Path, state: str
 ) -> None:
@@ -277,6 +280,48 @@
         client.close()
 
 
+async def test_a_request_that_was_read_but_not_yet_handled_is_answered_on_a_leave(
+    tmp_path: Path,
+) -> None:
+    # close_idle took a connection for idle until its handler had started.
+    server = PausingServer()
+    async with running_entry_role(tmp_path, server) as entry:
+        front = entry.role._runners[1].server
+        for steps in range(3):
+            client = await Client.open(entry.port)
+            await until(lambda: front.connections)
+            await TIMERS.sleep_ms(20)
+            data = get("safe", f"r{steps}").replace("\n", "\r\n") + "\r\n\r\n"
+            connection_of(front, client).data_received(data.encode())
+            for _ in range(steps):
+                await asyncio.sleep(0)  # noqa: TID251
+            front.close_idle()
+            assert_that(await outcome(client), DELIVERED)
+            client.close()
+            await until(lambda: not front.connections)
+
+
+async def test_a_request_in_the_receive_buffer_is_answered_on_a_leave(
+    tmp_path: Path,
+) -> None:
+    # It had arrived before the close, but the event loop had not read it.
+    async with running_entry_role(tmp_path, PausingServer()) as entry:
+        front = entry.role._runners[1].server
+        client = await Client.open(entry.port)
+        await until(lambda: front.connections)
+        await TIMERS.sleep_ms(20)
+        client.send(get("safe"))
+        front.close_idle()
+        assert_that(await outcome(client), DELIVERED)
+        client.close()
+
+
+def connection_of(front: CallerServer, client: Client) -> RequestHandler:
+    name = client.writer.get_extra_info("sockname")
+    [connection] = [conn for conn in front.connections if conn.peername == name]
+    return connection
+
+
 async def test_requests_on_kept_and_new_connections_are_answered_until_a_leave_ends(
     tmp_path: Path,
 ) -> None:
@@ -449,7 +494,7 @@
 PROCESS_STATES = ("head begun", "body begun", "sent")
 
 
-@pytest.mark.parametrize("number", [signal.SIGHUP])
+@pytest.mark.parametrize("number", [signal.SIGTERM, signal.SIGHUP])
 async def test_requests_beside_a_signal_are_answered(
     tmp_path: Path, number: signal.Signals
 ) -> None:
--- a/testing/test_platform_http.py
+++ b/testing/test_platform_http.py
@@ -38,6 +38,7 @@
 from copperrun.model import RefusalReason
 from copperrun.placement.demand import DemandMeter
 from copperrun.platform.backends import HttpBackends
+from copperrun.platform.connections import CallerServer
 from copperrun.platform.ingress import MAX_PARTS
 from copperrun.platform.ingress import Ingress
 from copperrun.platform.ingress import _shared_parts
@@ -46,6 +47,7 @@
 from copperrun.ports.crashes import LogPosition
 from copperrun.ports.responder import Responder
 from copperrun.ports.sides import SideError
+from copperrun.routing.catalog import CallerLimits
 from copperrun.routing.catalog import RetrySafety
 from copperrun.routing.catalog import Route
 from copperrun.routing.crashes import CrashLog
@@ -98,12 +100,9 @@
             budget_for=lambda name: budget,
         )
         self.listener = web.ServerRunner(
-            web.Server(
+            CallerServer(
                 self.ingress.handle,
-                handler_cancellation=True,
-                access_log=None,
-                max_line_size=8_190,
-                max_field_size=8_190,
+                lambda: CallerLimits(header_bytes=8_190),
             ),
             shutdown_timeout=0.1,
         )
@@ -565,7 +564,8 @@
         status, headers, _, _ = await busy.answer()
         assert_that((status, headers["connection"]), Equals((200, "close")))
         assert entry.listener is not None
-        entry.ingress.close_idle(entry.listener.server)
+        assert isinstance(entry.listener.server, CallerServer)
+        entry.listener.server.close_idle()
         end = await asyncio.wait_for(idle.reader.read(), WAIT_TIMEOUT_S)  # noqa: TID251
         assert_that(end, Equals(b""))
 
