Let the idle timeout of callers' connections follow the configuration

Cause: the listener took `idle-timeout-ms` and `max-header-bytes` once at its start, before the first configuration was read, so that the defaults stayed in force. After a change that raised the timeout, callers reused connections that the entry closed. The timeout also cut off a head of which a part had arrived, and nothing applied `header-timeout-ms`. Change: the entry itself closes idle connections by the timeout in force. A higher value applies at once, also to open connections. A lower one applies `config-apply-ms` and one second later, and never within the idle time of a connection, so that callers that know the old value are not cut. An incomplete head is bounded by `header-timeout-ms` and gets 408. Log lines count the connections closed by the idle timeout and name those closed in a head.

--- a/src/copperrun/platform/connections.py
+++ b/src/copperrun/platform/connections.py
@@ -1,4 +1,4 @@
-"""Connections of callers, and which of them are idle."""
+"""Connections of callers: which of them are idle, and when those close."""
 
 from __future__ import annotations
 
@@ -14,36 +14,67 @@
 from aiohttp.web_protocol import RequestHandler
 from loguru import logger
 
+from copperrun.ports.timers import Timers
 from copperrun.routing.catalog import CallerLimits
 
+CHECK_INTERVAL_MS = 500
+# aiohttp's own idle timeout is fixed when a connection opens, so it is not used.
+UNUSED_KEEPALIVE_S = 7 * 86_400
+_HEAD_TIMEOUT_ANSWER = (
+    b"HTTP/1.1 408 Request Timeout\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+)
+
 RequestCallback = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
 
 
+class IdleTimeout:
+    """The idle timeout that callers know; they learn a lower one with a delay."""
+
+    def __init__(self, lowering_delay_ms: int) -> None:
+        self._lowering_delay_ms = lowering_delay_ms
+        self._value_ms = 0
+        self._target_ms = 0
+        self._target_since_ms = 0
+
+    def update(self, target_ms: int, now_ms: int) -> int:
+        """Return the timeout, given the one in the newest configuration."""
+        if target_ms != self._target_ms:
+            self._target_ms, self._target_since_ms = target_ms, now_ms
+        waited_ms = now_ms - self._target_since_ms
+        if target_ms > self._value_ms or waited_ms >= self._lowering_delay_ms:
+            self._value_ms = target_ms
+        return self._value_ms
+
+
 class CallerConnection(RequestHandler):
     """A connection that knows whether a request has begun on it."""
 
-    __slots__ = ("_has_partial_head",)
+    __slots__ = ("_head_since_ms", "_idle_since_ms", "_idle_timeout_ms", "_timers")
 
-    def __init__(self, server: web.Server, **options: Any) -> None:
+    def __init__(self, server: web.Server, timers: Timers, **options: Any) -> None:
         super().__init__(server, **options)
-        self._has_partial_head = False
+        self._timers = timers
+        self._head_since_ms: int | None = None
+        self._idle_since_ms: int | None = None
+        self._idle_timeout_ms = 0
 
     @property
     def is_idle(self) -> bool:
         """Whether no part of a request has arrived since the last answer."""
         return (
             self._awaits_request
-            and not self._has_partial_head
+            and self._head_since_ms is None
             and not self._has_unread_bytes
         )
 
     def data_received(self, data: bytes) -> None:
         """Pass data to the parser and note the begin of a head."""
+        self._idle_since_ms = None
         super().data_received(data)
         if not self._awaits_request:
-            self._has_partial_head = False
-        elif data.strip(b"\r\n"):
-            self._has_partial_head = True
+            self._head_since_ms = None
+        elif self._head_since_ms is None and data.strip(b"\r\n"):
+            self._head_since_ms = self._timers.now_ms()
 
     def connection_lost(self, exc: BaseException | None) -> None:
         """Log requests that were read and will not be answered."""
@@ -51,6 +82,31 @@
             logger.info("connection closed with unread requests", detail=repr(exc))
         super().connection_lost(exc)
 
+    def close_expired(self, idle_timeout_ms: int, head_timeout_ms: int) -> bool:
+        """Close the connection if it was idle too long, or a head takes too long.
+
+        Returns:
+            Whether it was idle too long.
+        """
+        now_ms = self._timers.now_ms()
+        if self._head_since_ms is not None:
+            if now_ms - self._head_since_ms >= head_timeout_ms:
+                self._refuse_head()
+            return False
+        if not self._awaits_request:
+            return False
+        if self._idle_since_ms is None:
+            self._idle_since_ms = now_ms
+            self._idle_timeout_ms = 0
+        # The greatest value in force in the idle time is the one its caller may know.
+        self._idle_timeout_ms = max(self._idle_timeout_ms, idle_timeout_ms)
+        if now_ms - self._idle_since_ms < self._idle_timeout_ms:
+            return False
+        if self._has_unread_bytes:
+            return False
+        self.force_close()
+        return True
+
     @property
     def _awaits_request(self) -> bool:
         return self._waiter is not None and not self._waiter.done()
@@ -64,24 +120,47 @@
         count = fcntl.ioctl(sock.fileno(), termios.FIONREAD, b"\0" * 4)
         return bool(struct.unpack("i", count)[0])
 
+    def _refuse_head(self) -> None:
+        logger.info("connection closed with an incomplete head")
+        if self.transport is not None:
+            self.transport.write(_HEAD_TIMEOUT_ANSWER)
+        self.force_close()
+
 
 class CallerServer(web.Server):
-    """HTTP server that can close its idle connections."""
+    """HTTP server whose limits follow the configuration.
+
+    Args:
+        handler: Answers one request.
+        limits: Returns the limits in force; None before the first configuration.
+        timers: Timer service.
+        lowering_delay_ms: Time in which callers learn of a lower idle timeout.
+    """
 
     def __init__(
-        self, handler: RequestCallback, limits: Callable[[], CallerLimits]
+        self,
+        handler: RequestCallback,
+        limits: Callable[[], CallerLimits | None],
+        timers: Timers,
+        lowering_delay_ms: int,
     ) -> None:
         super().__init__(handler, handler_cancellation=True)
         self._limits = limits
+        self._timers = timers
+        self._idle_timeout = IdleTimeout(lowering_delay_ms)
 
     def __call__(self) -> RequestHandler:
         """Return the protocol of a new connection."""
         limits = self._limits()
+        if limits is not None:
+            self._current_idle_timeout_ms(limits)
+        limits = limits or CallerLimits()
         return CallerConnection(
             self,
+            self._timers,
             loop=asyncio.get_running_loop(),
             access_log=None,
-            keepalive_timeout=limits.idle_timeout_ms / 1000,
+            keepalive_timeout=UNUSED_KEEPALIVE_S,
             max_line_size=limits.header_bytes,
             max_field_size=limits.header_bytes,
         )
@@ -103,3 +182,21 @@
             conn.force_close()
         kept = len(self.connections) - len(idle)
         logger.info("idle connections closed", closed=len(idle), kept=kept)
+
+    async def close_expired(self) -> None:
+        """Close the connections whose time is over; called every few moments."""
+        limits = self._limits()
+        if limits is None:
+            return
+        idle_timeout_ms = self._current_idle_timeout_ms(limits)
+        closed = sum(
+            conn.close_expired(idle_timeout_ms, limits.header_timeout_ms)
+            for conn in self.caller_connections
+        )
+        if closed:
+            logger.info(
+                "idle connections closed", closed=closed, timeout_ms=idle_timeout_ms
+            )
+
+    def _current_idle_timeout_ms(self, limits: CallerLimits) -> int:
+        return self._idle_timeout.update(limits.idle_timeout_ms, self._timers.now_ms())
--- a/src/copperrun/platform/daemon.py
+++ b/src/copperrun/platform/daemon.py
@@ -38,6 +38,7 @@
 from copperrun.placement.demand import DemandView
 from copperrun.placement.loads import LoadRateLimiter
 from copperrun.platform.backends import HttpBackends
+from copperrun.platform.connections import CHECK_INTERVAL_MS
 from copperrun.platform.connections import CallerServer
 from copperrun.platform.engine_control import HttpEngineControl
 from copperrun.platform.ingress import Ingress
@@ -73,6 +74,8 @@
 # Time without a request after which the remaining connections close.
 IDLE_BEFORE_EXIT_MS = 300
 LISTEN_BACKLOG = 1024
+# Callers learn of a changed limit this long after the entries at the latest.
+CALLERS_LEARN_MS = 1_000
 SETTINGS_POLL_INTERVAL_MS = 1_000  # the file may change without SIGHUP
 RELOADABLE_FIELDS = ("seeds", "grace_ms", "retries", "loads")
 
@@ -226,7 +229,12 @@
                 self.metrics,
             )
             ingress = Ingress(process.handle, self._max_body_bytes)
-            server = CallerServer(ingress.handle, self._limits)
+            server = CallerServer(
+                ingress.handle,
+                self._limits,
+                self.timers,
+                lowering_delay_ms=cfg.apply_ms + CALLERS_LEARN_MS,
+            )
             front = web.ServerRunner(server, shutdown_timeout=0.1)
             app = self.build_internal_app(view)
             app.router.add_get(READINESS_PATH, _readiness_handler(process))
@@ -235,8 +243,12 @@
                 internal, cfg.ready_port, cfg.control_port, cfg.internal_port
             )
             sites = await self.listen(front, cfg.front_port)
+            connection_check = self.timers.subscribe(
+                CHECK_INTERVAL_MS, server.close_expired
+            )
             task = await self.run_until_shutdown(process.run())
             await self._drain(process, ingress, server, sites)
+            connection_check.cancel()
             await _cancel(task)
             await self.close()
 
@@ -276,12 +288,12 @@
             await self.timers.sleep_ms(DRAIN_POLL_INTERVAL_MS)
         process.lifecycle.finish()
 
-    def _limits(self) -> CallerLimits:
+    def _limits(self) -> CallerLimits | None:
         catalog = self.catalog.catalog
-        return catalog.limits if catalog is not None else CallerLimits()
+        return catalog.limits if catalog is not None else None
 
     def _max_body_bytes(self) -> int:
-        return self._limits().body_bytes
+        return (self._limits() or CallerLimits()).body_bytes
 
 
 class SideRole(_BaseRole):
--- a/testing/test_answers.py
+++ b/testing/test_answers.py
@@ -29,6 +29,8 @@
 from testtools.matchers import Not
 
 from copperrun.platform.connections import CallerServer
+from copperrun.platform.connections import IdleTimeout
+from copperrun.routing.catalog import CallerLimits
 
 ANSWERED = MatchesAny(
     *(Equals((status, True)) for status in (200, 400, 404, 408, 413, 429)),
@@ -351,6 +353,95 @@
         assert_that(answered, GreaterThan(50))
 
 
+@pytest.fixture
+def short_default(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Shorten the idle timeout that applies before the first configuration."""
+    default = CallerLimits(idle_timeout_ms=300)
+    monkeypatch.setattr("copperrun.platform.daemon.CallerLimits", lambda: default)
+
+
+async def test_a_raised_idle_timeout_applies_to_new_and_open_connections(
+    tmp_path: Path, short_default: None
+) -> None:
+    # The listener kept the value from before the first configuration.
+    limits = {"idle-timeout-ms": 600}
+    async with running_entry_role(tmp_path, PausingServer(), limits=limits) as entry:
+        early = await Client.open(entry.port)
+        early.send(get("safe"))
+        assert_that(await outcome(early), DELIVERED)
+        await entry.publish(idle_timeout_ms=30_000)
+        late = await Client.open(entry.port)
+        await TIMERS.sleep_ms(1_500)
+        for client in (early, late):
+            client.send(get("safe"))
+            assert_that(await outcome(client), DELIVERED)
+            client.close()
+
+
+async def test_an_idle_connection_closes_after_the_configured_time(
+    tmp_path: Path,
+) -> None:
+    # A value below the one before the first configuration had no effect.
+    limits = {"idle-timeout-ms": 300}
+    async with running_entry_role(tmp_path, PausingServer(), limits=limits) as entry:
+        clients = [await Client.open(entry.port) for _ in range(2)]
+        clients[0].send(get("safe"))
+        assert_that(await outcome(clients[0]), DELIVERED)
+        for client in clients:
+            async with TIMERS.timeout_ms(2_000):
+                assert_that(await client.reader.read(), Equals(b""))
+
+
+async def test_a_lowered_idle_timeout_does_not_cut_callers_that_know_the_old_one(
+    tmp_path: Path, short_default: None
+) -> None:
+    limits = {"idle-timeout-ms": 1_500}
+    async with running_entry_role(tmp_path, PausingServer(), limits=limits) as entry:
+        before, after = [await Client.open(entry.port) for _ in range(2)]
+        before.send(get("safe"))
+        assert_that(await outcome(before), DELIVERED)
+        await entry.publish(idle_timeout_ms=100)
+        after.send(get("safe"))
+        assert_that(await outcome(after), DELIVERED)
+        await TIMERS.sleep_ms(1_200)
+        for client in (before, after):
+            client.send(get("safe"))
+            assert_that(await outcome(client), DELIVERED)
+            client.close()
+
+
+async def test_a_lowered_idle_timeout_applies_once_callers_know_it() -> None:
+    timeout = IdleTimeout(lowering_delay_ms=1_000)
+    steps = [(15_000, 0), (60_000, 10), (5_000, 20), (5_000, 1_019), (5_000, 1_020)]
+    values = [timeout.update(target_ms, at_ms) for target_ms, at_ms in steps]
+    assert_that(values, Equals([15_000, 60_000, 60_000, 60_000, 5_000]))
+
+
+async def test_a_request_that_begins_as_the_idle_time_ends_is_answered(
+    tmp_path: Path, short_default: None
+) -> None:
+    # A head of which a part had arrived was cut off by the idle timeout.
+    limits = {"idle-timeout-ms": 300}
+    async with running_entry_role(tmp_path, PausingServer(), limits=limits) as entry:
+        client = await Client.open(entry.port)
+        text = get("safe").replace("\n", "\r\n").encode() + b"\r\n\r\n"
+        await TIMERS.sleep_ms(100)
+        client.writer.write(text[:30])
+        await TIMERS.sleep_ms(1_200)
+        client.writer.write(text[30:])
+        assert_that(await outcome(client), DELIVERED)
+        client.close()
+
+
+async def test_a_head_that_takes_too_long_is_refused(tmp_path: Path) -> None:
+    limits = {"header-timeout-ms": 300, "idle-timeout-ms": 30_000}
+    async with running_entry_role(tmp_path, PausingServer(), limits=limits) as entry:
+        client = await Client.open(entry.port)
+        client.writer.write(b"GET /safe/x HTTP/1.1\r\nHost:")
+        assert_that(await outcome(client), Equals((408, True)))
+        assert_that(await client.reader.read(), Equals(b""))
+
+
 @pytest.mark.parametrize("route", ["safe", "unsafe", "stream"])
 async def test_a_server_that_closes_its_kept_connection_as_a_request_is_sent(
     tmp_path: Path, route: str
--- a/testing/test_platform_http.py
+++ b/testing/test_platform_http.py
@@ -103,6 +103,8 @@
             CallerServer(
                 self.ingress.handle,
                 lambda: CallerLimits(header_bytes=8_190),
+                self.timers,
+                lowering_delay_ms=0,
             ),
             shutdown_timeout=0.1,
         )
