Answer pipelined requests that were read when an entry leaves

Cause: each answer of a leaving entry closed its connection, also with further requests of the same caller already read behind it. Those got no answer. Change: while requests are queued on a connection, only the last answer closes it. Result: test_pipelined_requests_are_all_answered[True] failed before (the second and third of three requests got no byte) and passes now.

--- a/src/copperrun/platform/connections.py
+++ b/src/copperrun/platform/connections.py
@@ -67,6 +67,11 @@
             and not self._has_unread_bytes
         )
 
+    @property
+    def has_queued_requests(self) -> bool:
+        """Whether further requests were read while one is handled."""
+        return bool(self._messages)
+
     def data_received(self, data: bytes) -> None:
         """Pass data to the parser and note the begin of a head."""
         self._idle_since_ms = None
--- a/src/copperrun/platform/ingress.py
+++ b/src/copperrun/platform/ingress.py
@@ -13,6 +13,7 @@
 from copperrun.model import Refusal
 from copperrun.model import RefusalReason
 from copperrun.platform import http_headers
+from copperrun.platform.connections import CallerConnection
 from copperrun.ports.backends import AnswerHead
 from copperrun.ports.backends import BackendCall
 from copperrun.ports.backends import HeaderList
@@ -61,7 +62,7 @@
             return web.Response(status=_FAILURE_STATUS)
 
     async def _answer(self, request: web.BaseRequest) -> web.StreamResponse:
-        responder = HttpResponder(request, lambda: self.is_leaving)
+        responder = HttpResponder(request, lambda: self._closes_after(request))
         if self.is_refusing:
             await responder.refuse(
                 Refusal(RefusalReason.LEAVING, Ran.NO, "this entry is leaving", 1)
@@ -78,6 +79,13 @@
         await self._handler(call, responder)
         return responder.response
 
+    def _closes_after(self, request: web.BaseRequest) -> bool:
+        """Return whether a request is the last one on its connection."""
+        if not self.is_leaving:
+            return False
+        conn = request.protocol
+        return not (isinstance(conn, CallerConnection) and conn.has_queued_requests)
+
     async def _read_body(self, request: web.BaseRequest) -> bytes | Refusal | None:
         if not request.body_exists:
             return None
@@ -97,11 +105,11 @@
     """Writes one answer with the aiohttp server."""
 
     def __init__(
-        self, request: web.BaseRequest, is_leaving: Callable[[], bool]
+        self, request: web.BaseRequest, closes_after: Callable[[], bool]
     ) -> None:
         self.response: web.StreamResponse = web.Response(status=_FAILURE_STATUS)
         self._request = request
-        self._is_leaving = is_leaving
+        self._closes_after = closes_after
         self._pending_head: tuple[AnswerHead, int] | None = None
 
     async def start(self, head: AnswerHead, length: int | None) -> None:
@@ -160,7 +168,7 @@
             transport.close()
 
     async def _prepare(self) -> None:
-        if self._is_leaving():
+        if self._closes_after():
             self.response.force_close()
         await self.response.prepare(self._request)
 
--- a/testing/test_answers.py
+++ b/testing/test_answers.py
@@ -263,7 +263,7 @@
         client.close()
 
 
-@pytest.mark.parametrize("leaves", [False])
+@pytest.mark.parametrize("leaves", [False, True])
 async def test_pipelined_requests_are_all_answered(
     tmp_path: Path, leaves: bool
 ) -> None:
