Wait for unsent answers before an entry exits

Cause: the drain ended once no handler ran. The end of an answer that its caller reads slowly may then still be in the write buffer of the process, and was lost with it. Change: a connection with unsent bytes is not idle. Result: test_an_answer_that_its_caller_reads_slowly_outlasts_the_leave failed before (the entry had ended with bytes unsent) and passes now.

--- a/src/copperrun/platform/connections.py
+++ b/src/copperrun/platform/connections.py
@@ -60,10 +60,11 @@
 
     @property
     def is_idle(self) -> bool:
-        """Whether no part of a request has arrived since the last answer."""
+        """Whether the last answer has been sent and no part of a request arrived."""
         return (
             self._awaits_request
             and self._head_since_ms is None
+            and not self._has_unsent_bytes
             and not self._has_unread_bytes
         )
 
@@ -116,6 +117,10 @@
     def _awaits_request(self) -> bool:
         return self._waiter is not None and not self._waiter.done()
 
+    @property
+    def _has_unsent_bytes(self) -> bool:
+        return self.transport is not None and self.transport.get_write_buffer_size() > 0
+
     @property
     def _has_unread_bytes(self) -> bool:
         """Whether the socket has bytes that the event loop has not read yet."""
--- a/testing/test_answers.py
+++ b/testing/test_answers.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import signal
+import socket
 from collections.abc import AsyncIterator
 from collections.abc import Awaitable
 from collections.abc import Callable
@@ -442,6 +443,43 @@
         assert_that(await client.reader.read(), Equals(b""))
 
 
+async def test_an_answer_that_its_caller_reads_slowly_outlasts_the_leave(
+    tmp_path: Path,
+) -> None:
+    # The process exited with the end of the answer in its write buffer.
+    server = PausingServer()
+    body = b"x" * 60_000
+
+    async def send_much(request, writer) -> bool:
+        writer.write(answer_head(request, Content_Length=str(len(body))) + body)
+        return True
+
+    server.script = send_much
+    async with running_entry_role(tmp_path, server, **{"grace-s": 3.5}) as entry:
+        client = await slow_client(entry.port)
+        await TIMERS.sleep_ms(20)
+        sending = connection_of(entry.role._runners[1].server, client).transport
+        sock = sending.get_extra_info("socket")
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4_096)
+        client.send(get("safe"))
+        await until(sending.get_write_buffer_size)
+        entry.leave()
+        await until(lambda: not is_listening(entry))
+        await TIMERS.sleep_ms(600)
+        assert_that(entry.has_ended, Equals(False))
+        assert_that(await outcome(client), DELIVERED)
+        client.close()
+
+
+async def slow_client(port: int) -> Client:
+    """Return a client whose socket takes little until it is read."""
+    sock = socket.socket()
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4_096)
+    sock.setblocking(False)
+    await asyncio.get_running_loop().sock_connect(sock, ("127.0.0.1", port))
+    return Client(*await asyncio.open_connection(sock=sock, limit=4_096))
+
+
 @pytest.mark.parametrize("route", ["safe", "unsafe", "stream"])
 async def test_a_server_that_closes_its_kept_connection_as_a_request_is_sent(
     tmp_path: Path, route: str
