Send 100 Continue to callers that wait for it

Cause: aiohttp's low-level server does not handle `Expect: 100-continue`, so a caller that waits for the interim answer never sent its body. Change: the interim answer is sent before the body is read, unless a part has arrived. Result: test_a_caller_that_waits_for_100_continue_is_answered failed before (no byte within 1 s) and passes now.

--- a/src/copperrun/platform/ingress.py
+++ b/src/copperrun/platform/ingress.py
@@ -89,6 +89,9 @@
     async def _read_body(self, request: web.BaseRequest) -> bytes | Refusal | None:
         if not request.body_exists:
             return None
+        if _awaits_continue(request):
+            await request.writer.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+            request.writer.output_size = 0  # counts the bytes of the final answer
         limit = self._max_body_bytes()
         parts: list[bytes] = []
         size = 0
@@ -173,6 +176,12 @@
         await self.response.prepare(self._request)
 
 
+def _awaits_continue(request: web.BaseRequest) -> bool:
+    """Return whether the caller sends the body only after an interim answer."""
+    expects = request.headers.get("Expect", "").lower() == "100-continue"
+    return expects and request.version >= (1, 1) and not request.content.total_bytes
+
+
 def _decode_call(request: web.BaseRequest, body: bytes | None) -> BackendCall | Refusal:
     headers = request.headers
     request_id = headers.get(http_headers.REQUEST_ID, "")
--- a/testing/test_answers.py
+++ b/testing/test_answers.py
@@ -264,6 +264,25 @@
         client.close()
 
 
+async def test_a_caller_that_waits_for_100_continue_is_answered(
+    tmp_path: Path,
+) -> None:
+    async with running_entry_role(tmp_path, PausingServer()) as entry:
+        client = await Client.open(entry.port)
+        client.send(post("safe", "r1", "Expect: 100-continue"))
+        async with TIMERS.timeout_ms(1_000):
+            status, _, _, _ = await informational(client)
+        assert_that(status, Equals(100))
+        client.writer.write(b"abcd")
+        assert_that(await outcome(client), DELIVERED)
+        client.close()
+
+
+async def informational(client: Client) -> tuple[int, str, str, str]:
+    line, _, _ = (await client.reader.readuntil(b"\r\n\r\n")).partition(b"\r\n")
+    return int(line.split()[1]), "", "", ""
+
+
 @pytest.mark.parametrize("leaves", [False, True])
 async def test_pipelined_requests_are_all_answered(
     tmp_path: Path, leaves: bool
