Refuse a Deadline-Ms of digits that are no decimal number

Cause: `str.isdigit` accepts characters such as a superscript two, which `int` refuses; the request ended with 500 and a traceback in the log. Change: `str.isdecimal`. Result: test_unusual_bytes_in_a_head_are_answered[digit] failed before (500) and passes now.

--- a/src/copperrun/platform/ingress.py
+++ b/src/copperrun/platform/ingress.py
@@ -188,7 +188,7 @@
     if not request_id or len(headers.getall(http_headers.REQUEST_ID)) > 1:
         return _bad_request(f"send one {http_headers.REQUEST_ID} header")
     timeout = headers.get(http_headers.TIMEOUT)
-    if timeout is not None and not timeout.isdigit():
+    if timeout is not None and not timeout.isdecimal():
         return _bad_request(f"{http_headers.TIMEOUT} is not a whole number")
     model, _, adapter = headers.get(http_headers.MODEL, "").partition("/")
     return BackendCall(
@@ -215,8 +215,8 @@
     """Decode the prompt tokens and the maximum output tokens; 0 when not given."""
     prompt, _, output = text.partition(",")
     return (
-        int(prompt) if prompt.strip().isdigit() else 0,
-        int(output) if output.strip().isdigit() else 0,
+        int(prompt) if prompt.strip().isdecimal() else 0,
+        int(output) if output.strip().isdecimal() else 0,
     )
 
 
--- a/testing/test_answers.py
+++ b/testing/test_answers.py
@@ -606,7 +606,11 @@
             client.close()
 
 
-@pytest.mark.parametrize(("line", "status"), [("X-Own: \udcff", 200)], ids=["bytes"])
+@pytest.mark.parametrize(
+    ("line", "status"),
+    [("X-Own: \udcff", 200), ("Deadline-Ms: \udcc2\udcb2", 400)],
+    ids=["bytes", "digit"],
+)
 async def test_unusual_bytes_in_a_head_are_answered(
     tmp_path: Path, line: str, status: int
 ) -> None:
