Handle signals before the first request can arrive

Cause: both roles listened before they handled SIGTERM and SIGHUP. Until then either signal ends the process at once, together with the requests that it has read; a SIGHUP is only a change of the settings. Change: the handlers are installed before the first listener. Result: test_signals_are_handled_before_the_first_request_can_arrive failed before (the default action at both listeners of an entry) and passes now. A signal during the imports still ends the process; it has no requests then.

--- a/src/copperrun/platform/daemon.py
+++ b/src/copperrun/platform/daemon.py
@@ -152,13 +152,16 @@
         """Return the address of the side on a server's machine; all use one port."""
         return f"{server.address.rpartition(':')[0]}:{self.cfg.internal_port}"
 
+    def handle_signals(self) -> None:
+        """Handle SIGTERM and SIGHUP, which would end the process at once."""
+        loop = asyncio.get_running_loop()
+        loop.add_signal_handler(signal.SIGTERM, self.shutdown.request)
+        loop.add_signal_handler(signal.SIGHUP, self.reload, "signal")
+
     async def run_until_shutdown(
         self, coro: Coroutine[Any, Any, None]
     ) -> asyncio.Task[None]:
         """Run ``coro`` until shutdown is requested; raise its failure."""
-        loop = asyncio.get_running_loop()
-        loop.add_signal_handler(signal.SIGTERM, self.shutdown.request)
-        loop.add_signal_handler(signal.SIGHUP, self.reload, "signal")
         task = asyncio.create_task(coro)
         settings_watch = self.timers.subscribe(
             SETTINGS_POLL_INTERVAL_MS, self._watch_settings
@@ -239,6 +242,7 @@
             app = self.build_internal_app(view)
             app.router.add_get(READINESS_PATH, _readiness_handler(process))
             internal = web.AppRunner(app, access_log=None, shutdown_timeout=0.1)
+            self.handle_signals()
             await self.listen(
                 internal, cfg.ready_port, cfg.control_port, cfg.internal_port
             )
@@ -336,6 +340,7 @@
             internal = web.AppRunner(
                 app, handler_cancellation=True, access_log=None, shutdown_timeout=0.1
             )
+            self.handle_signals()
             await self.listen(internal, cfg.internal_port)
             task = await self.run_until_shutdown(process.run())
             process.lifecycle.leave()
--- a/testing/test_answers.py
+++ b/testing/test_answers.py
@@ -12,6 +12,7 @@
 from pathlib import Path
 
 import pytest
+from aiohttp import web
 from aiohttp.web_protocol import RequestHandler
 from platform_entry import SIDE_HOST
 from platform_entry import TIMERS
@@ -31,6 +32,7 @@
 
 from copperrun.platform.connections import CallerServer
 from copperrun.platform.connections import IdleTimeout
+from copperrun.platform.daemon import EntryRole
 from copperrun.routing.catalog import CallerLimits
 
 ANSWERED = MatchesAny(
@@ -679,6 +681,24 @@
         await server.close()
 
 
+async def test_signals_are_handled_before_the_first_request_can_arrive(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    # A signal between the two ended the process with the requests it had read.
+    numbers = (signal.SIGTERM, signal.SIGHUP)
+    seen: list[bool] = []
+    listen = EntryRole.listen
+
+    async def check_and_listen(*args) -> list[web.TCPSite]:
+        handlers = [signal.getsignal(number) for number in numbers]
+        seen.append(signal.SIG_DFL not in handlers)
+        return await listen(*args)
+
+    monkeypatch.setattr(EntryRole, "listen", check_and_listen)
+    async with running_entry_role(tmp_path, PausingServer()):
+        assert_that(seen, Equals([True, True]))
+
+
 async def _send_until_refused(entry: PlatformEntry, count: int) -> set[str]:
     """Send requests on new connections; return the ids of the unanswered ones."""
     unanswered = set()
