--- a/src/copperrun/platform/daemon.py
+++ b/src/copperrun/platform/daemon.py
@@ -38,6 +38,8 @@
 from copperrun.placement.demand import DemandView
 from copperrun.placement.loads import LoadRateLimiter
 from copperrun.platform.backends import HttpBackends
+from copperrun.platform.connections import CHECK_INTERVAL_MS
+from copperrun.platform.connections import CallerServer
 from copperrun.platform.engine_control import HttpEngineControl
 from copperrun.platform.ingress import Ingress
 from copperrun.platform.records import decode_catalog
@@ -72,6 +74,8 @@
 # Time without a request after which the remaining connections close.
 IDLE_BEFORE_EXIT_MS = 300
 LISTEN_BACKLOG = 1024
+# Callers learn of a changed limit this long after the entries at the latest.
+CALLERS_LEARN_MS = 1_000
 SETTINGS_POLL_INTERVAL_MS = 1_000  # the file may change without SIGHUP
 RELOADABLE_FIELDS = ("seeds", "grace_ms", "retries", "loads")
 
@@ -148,13 +152,16 @@
         """Return the address of the side on a server's machine; all use one port."""
         return f"{server.address.rpartition(':')[0]}:{self.cfg.internal_port}"
 
+    def handle_signals(self) -> None:
+        """Handle SIGTERM and SIGHUP, which would end the process at once."""
+        loop = asyncio.get_running_loop()
+        loop.add_signal_handler(signal.SIGTERM, self.shutdown.request)
+        loop.add_signal_handler(signal.SIGHUP, self.reload, "signal")
+
     async def run_until_shutdown(
         self, coro: Coroutine[Any, Any, None]
     ) -> asyncio.Task[None]:
         """Run ``coro`` until shutdown is requested; raise its failure."""
-        loop = asyncio.get_running_loop()
-        loop.add_signal_handler(signal.SIGTERM, self.shutdown.request)
-        loop.add_signal_handler(signal.SIGHUP, self.reload, "signal")
         task = asyncio.create_task(coro)
         settings_watch = self.timers.subscribe(
             SETTINGS_POLL_INTERVAL_MS, self._watch_settings
@@ -225,26 +232,27 @@
                 self.metrics,
             )
             ingress = Ingress(process.handle, self._max_body_bytes)
-            front = web.ServerRunner(
-                web.Server(
-                    ingress.handle,
-                    handler_cancellation=True,
-                    access_log=None,
-                    keepalive_timeout=self._limits().idle_timeout_ms / 1000,
-                    max_line_size=self._limits().header_bytes,
-                    max_field_size=self._limits().header_bytes,
-                ),
-                shutdown_timeout=0.1,
+            server = CallerServer(
+                ingress.handle,
+                self._limits,
+                self.timers,
+                lowering_delay_ms=cfg.apply_ms + CALLERS_LEARN_MS,
             )
+            front = web.ServerRunner(server, shutdown_timeout=0.1)
             app = self.build_internal_app(view)
             app.router.add_get(READINESS_PATH, _readiness_handler(process))
             internal = web.AppRunner(app, access_log=None, shutdown_timeout=0.1)
+            self.handle_signals()
             await self.listen(
                 internal, cfg.ready_port, cfg.control_port, cfg.internal_port
             )
             sites = await self.listen(front, cfg.front_port)
+            connection_check = self.timers.subscribe(
+                CHECK_INTERVAL_MS, server.close_expired
+            )
             task = await self.run_until_shutdown(process.run())
-            await self._drain(process, ingress, front, sites)
+            await self._drain(process, ingress, server, sites)
+            connection_check.cancel()
             await _cancel(task)
             await self.close()
 
@@ -257,7 +265,7 @@
         self,
         process: ProxyProcess,
         ingress: Ingress,
-        front: web.ServerRunner,
+        server: CallerServer,
         sites: list[web.TCPSite],
     ) -> None:
         """Fail the readiness probe, wait for the load balancer, finish the requests."""
@@ -265,31 +273,31 @@
         grace_ms = self.cfg.grace_ms
         process.lifecycle.leave()
         ingress.is_leaving = True
-        ingress.close_idle(front.server)
+        server.close_idle()
         await self.timers.sleep_ms(
             min(LISTEN_WHILE_LEAVING_MS, grace_ms * UNSENT_DEADLINE_FRACTION)
         )
         for site in sites:
             await site.stop()
         ingress.is_refusing = True
-        ingress.close_idle(front.server)
+        server.close_idle()
         idle_since_ms = self.timers.now_ms()
         while (now_ms := self.timers.now_ms()) < started_ms + grace_ms - EXIT_MARGIN_MS:
             if now_ms - started_ms >= grace_ms * UNSENT_DEADLINE_FRACTION:
                 process.refuse_unsent()
-            if ingress.is_busy:
+            if server.is_busy:
                 idle_since_ms = now_ms
             elif now_ms - idle_since_ms >= IDLE_BEFORE_EXIT_MS:
                 break
             await self.timers.sleep_ms(DRAIN_POLL_INTERVAL_MS)
         process.lifecycle.finish()
 
-    def _limits(self) -> CallerLimits:
+    def _limits(self) -> CallerLimits | None:
         catalog = self.catalog.catalog
-        return catalog.limits if catalog is not None else CallerLimits()
+        return catalog.limits if catalog is not None else None
 
     def _max_body_bytes(self) -> int:
-        return self._limits().body_bytes
+        return (self._limits() or CallerLimits()).body_bytes
 
 
 class SideRole(_BaseRole):
@@ -332,6 +340,7 @@
             internal = web.AppRunner(
                 app, handler_cancellation=True, access_log=None, shutdown_timeout=0.1
             )
+            self.handle_signals()
             await self.listen(internal, cfg.internal_port)
             task = await self.run_until_shutdown(process.run())
             process.lifecycle.leave()
--- a/src/copperrun/platform/ingress.py
+++ b/src/copperrun/platform/ingress.py
@@ -3,18 +3,17 @@
 from __future__ import annotations
 
 import re
-from collections import Counter
 from collections.abc import Awaitable
 from collections.abc import Callable
 
 from aiohttp import web
-from aiohttp.web_protocol import RequestHandler
 from loguru import logger
 
 from copperrun.model import Ran
 from copperrun.model import Refusal
 from copperrun.model import RefusalReason
 from copperrun.platform import http_headers
+from copperrun.platform.connections import CallerConnection
 from copperrun.ports.backends import AnswerHead
 from copperrun.ports.backends import BackendCall
 from copperrun.ports.backends import HeaderList
@@ -49,23 +48,9 @@
         self._max_body_bytes = max_body_bytes
         self.is_leaving = False
         self.is_refusing = False
-        self._open_requests: Counter[RequestHandler] = Counter()
-
-    @property
-    def is_busy(self) -> bool:
-        """Whether requests are in progress."""
-        return bool(self._open_requests)
-
-    def close_idle(self, server: web.Server | None) -> None:
-        """Close the idle connections; the others close after their answer."""
-        for protocol in server.connections if server is not None else ():
-            if protocol not in self._open_requests:
-                protocol.force_close()
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Answer one request; called by the HTTP server."""
-        protocol = request.protocol
-        self._open_requests[protocol] += 1
         try:
             return await self._answer(request)
         except ConnectionError as exc:
@@ -75,13 +60,9 @@
                 request.transport.abort()
             # Never sent; the HTTP server would log an exception as its own failure.
             return web.Response(status=_FAILURE_STATUS)
-        finally:
-            self._open_requests[protocol] -= 1
-            if not self._open_requests[protocol]:
-                del self._open_requests[protocol]
 
     async def _answer(self, request: web.BaseRequest) -> web.StreamResponse:
-        responder = HttpResponder(request, lambda: self.is_leaving)
+        responder = HttpResponder(request, lambda: self._closes_after(request))
         if self.is_refusing:
             await responder.refuse(
                 Refusal(RefusalReason.LEAVING, Ran.NO, "this entry is leaving", 1)
@@ -98,9 +79,19 @@
         await self._handler(call, responder)
         return responder.response
 
+    def _closes_after(self, request: web.BaseRequest) -> bool:
+        """Return whether a request is the last one on its connection."""
+        if not self.is_leaving:
+            return False
+        conn = request.protocol
+        return not (isinstance(conn, CallerConnection) and conn.has_queued_requests)
+
     async def _read_body(self, request: web.BaseRequest) -> bytes | Refusal | None:
         if not request.body_exists:
             return None
+        if _awaits_continue(request):
+            await request.writer.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+            request.writer.output_size = 0  # counts the bytes of the final answer
         limit = self._max_body_bytes()
         parts: list[bytes] = []
         size = 0
@@ -117,11 +108,11 @@
     """Writes one answer with the aiohttp server."""
 
     def __init__(
-        self, request: web.BaseRequest, is_leaving: Callable[[], bool]
+        self, request: web.BaseRequest, closes_after: Callable[[], bool]
     ) -> None:
         self.response: web.StreamResponse = web.Response(status=_FAILURE_STATUS)
         self._request = request
-        self._is_leaving = is_leaving
+        self._closes_after = closes_after
         self._pending_head: tuple[AnswerHead, int] | None = None
 
     async def start(self, head: AnswerHead, length: int | None) -> None:
@@ -180,18 +171,24 @@
             transport.close()
 
     async def _prepare(self) -> None:
-        if self._is_leaving():
+        if self._closes_after():
             self.response.force_close()
         await self.response.prepare(self._request)
 
 
+def _awaits_continue(request: web.BaseRequest) -> bool:
+    """Return whether the caller sends the body only after an interim answer."""
+    expects = request.headers.get("Expect", "").lower() == "100-continue"
+    return expects and request.version >= (1, 1) and not request.content.total_bytes
+
+
 def _decode_call(request: web.BaseRequest, body: bytes | None) -> BackendCall | Refusal:
     headers = request.headers
     request_id = headers.get(http_headers.REQUEST_ID, "")
     if not request_id or len(headers.getall(http_headers.REQUEST_ID)) > 1:
         return _bad_request(f"send one {http_headers.REQUEST_ID} header")
     timeout = headers.get(http_headers.TIMEOUT)
-    if timeout is not None and not timeout.isdigit():
+    if timeout is not None and not timeout.isdecimal():
         return _bad_request(f"{http_headers.TIMEOUT} is not a whole number")
     model, _, adapter = headers.get(http_headers.MODEL, "").partition("/")
     return BackendCall(
@@ -218,8 +215,8 @@
     """Decode the prompt tokens and the maximum output tokens; 0 when not given."""
     prompt, _, output = text.partition(",")
     return (
-        int(prompt) if prompt.strip().isdigit() else 0,
-        int(output) if output.strip().isdigit() else 0,
+        int(prompt) if prompt.strip().isdecimal() else 0,
+        int(output) if output.strip().isdecimal() else 0,
     )
 
 
