Take a connection that the HTTP library closed as a lost answer

After bytes within a body that it cannot parse, aiohttp closes the connection without an error to the reader that waits; reading again, as a failover does, raises RuntimeError, and the caller's stream ended with a traceback.

--- a/src/copperrun/platform/backends.py
+++ b/src/copperrun/platform/backends.py
@@ -53,7 +53,8 @@
         """Return the next bytes of the body, None at its end."""
         try:
             data = await self._response.content.readany()
-        except (aiohttp.ClientError, OSError) as exc:
+        except (aiohttp.ClientError, OSError, RuntimeError) as exc:
+            # A RuntimeError: aiohttp closed the connection over bytes it cannot parse.
             detail = f"body cut: {_describe(exc)}"
             return BackendError(BackendErrorReason.LOST, detail)
         if data:
