Play a repeated bad request at 5, 32 and 68 entries

Cause: the plays of the exchange know bad parts of prompts only.

Change: a play of plain requests with one that ends each server, sent again and again to all entries; what is lost with a server is carried on to the next one, and callers repeat it.

--- a/testing/test_exchange.py
+++ b/testing/test_exchange.py
@@ -373,3 +373,73 @@
     assert_that(fleet.blocked_entries(REQUEST), Equals(3))
     assert_that(fleet.blocked_entries(OTHER), Equals(0))
     fleet.close()
+
+
+MAX_ATTEMPTS = 2
+
+
+class RequestPlay(Play):
+    """Requests of a plain service; one, sent again and again, ends each server.
+
+    A request lost with a server is carried on to the next one, and its caller sends
+    it again after some time.
+    """
+
+    async def _request(self, entry: Entry, parts: tuple[str, ...]) -> None:
+        timers = self._fleet.timers
+        is_bad = parts[1] == "bad"
+        subject = parts[1] if self._random.random() < 0.5 else f"{timers.now_ms()}"
+        request = REQUEST if is_bad else f"{FINGERPRINT_PREFIX}{subject}"
+        for _ in range(2):
+            for _ in range(MAX_ATTEMPTS):
+                if entry.is_blocked(request):
+                    self.sound_refused += not is_bad
+                    break
+                self.sound_sent += not is_bad
+                if await self._send(entry, request, is_bad=is_bad):
+                    return
+            await timers.sleep_ms(self._random.uniform(200, 2_000))
+            entry = self._random.choice(self._fleet.entries)
+
+    async def _send(self, entry: Entry, request: str, *, is_bad: bool) -> bool:
+        """Send a request to a server; return whether it was answered."""
+        timers = self._fleet.timers
+        up = [name for name, at_ms in self._up.items() if at_ms <= timers.now_ms()]
+        if not up:
+            return False
+        address = self._random.choice(up)
+        start = f"{address}/{self._up[address]}"
+        victims = self._victims.setdefault(start, [])
+        sent = (entry, (request, str(timers.now_ms())))
+        victims.append(sent)
+        if is_bad:
+            self.bad_sent_ms.append(timers.now_ms())
+        end_ms = timers.now_ms() + self._random.uniform(40, 80 if is_bad else 600)
+        while timers.now_ms() < end_ms:
+            await timers.sleep_ms(5)
+            if sent not in victims:
+                return False
+        if not is_bad:
+            victims.remove(sent)
+            entry.quarantine.record_begun("pay", [request])
+            return True
+        self.crashes_ms.append(timers.now_ms())
+        self._up[address] = timers.now_ms() + self._random.randint(1_000, 6_000)
+        for victim, (lost, _) in victims:
+            victim.quarantine.record_crash(start, "pay", [lost])
+        victims.clear()
+        return False
+
+
+@pytest.mark.parametrize("seed", range(4))
+@pytest.mark.parametrize(("entries", "engines"), [(5, 3), (32, 12), (68, 29)])
+async def test_a_repeated_request_reaches_few_servers_after_three_have_ended(
+    seed, entries, engines
+):
+    play = RequestPlay(Random(seed), Fleet(entries, engines))
+    await play.run(30_000)
+    third_ms = play.crashes_ms[2]
+    late = [at for at in play.bad_sent_ms if at > third_ms + STABILITY_WINDOW_MS]
+    assert_that(len(late), LessThan(MAX_LATE_REQUESTS + 1))
+    assert_that(play.sound_refused, LessThan(play.sound_sent // 50 + 1))
+    assert_that(play.sound_sent, GreaterThan(100))
