--- a/testing/platform_engine.py
+++ b/testing/platform_engine.py
@@ -34,6 +34,8 @@
         self.port = 0
         # Requests with this part of their prompt end the engine.
         self.crash_part = ""
+        # Requests with this body do, too.
+        self.crash_body = b""
         self.on_crash: Callable[[], None] = lambda: None
         self._runner: web.AppRunner | None = None
 
@@ -41,6 +43,7 @@
         app = web.Application()
         app.router.add_get("/report", self._report)
         app.router.add_post("/order", self._order)
+        app.router.add_get("/health", self._check_health)
         app.router.add_route("*", "/{path:.*}", self._serve)
         self._runner = web.AppRunner(
             app, handler_cancellation=True, access_log=None, shutdown_timeout=0.1
@@ -92,6 +95,9 @@
             }
         )
 
+    async def _check_health(self, request: web.Request) -> web.Response:
+        return web.Response(headers={"Instance-Id": self.id})
+
     async def _order(self, request: web.Request) -> web.Response:
         fields = await request.json()
         if request.headers.get("Expect-Instance", self.id) != self.id:
@@ -128,6 +134,9 @@
             return web.Response(status=421, headers={"Instance-Id": self.id})
         body = await request.read()
         self.runs[request_id] += 1
+        if body and body == self.crash_body:
+            self.on_crash()
+            await TIMERS.sleep_ms(60_000)
         if not model:
             await TIMERS.sleep_ms(EVENT_INTERVAL_MS)
             text = f"{request_id}:{len(body)}"
--- a/testing/soak.py
+++ b/testing/soak.py
@@ -40,13 +40,18 @@
 )
 
 _BAD_PART = flags.DEFINE_bool(
-    "bad_part", False, "Send requests with a prompt part that ends engines, too."
+    "bad_part",
+    False,
+    "Send streams with a prompt part and a plain request that end servers, too.",
 )
 
 TIMERS = SystemTimers()
 BAD_PART = "bad"
+BAD_BODY = b"ends servers"
 STABILITY_WINDOW_MS = 4_000
-MAX_LATE_REQUESTS = 3  # with a bad part, after five engines ended and that window
+# Sends that the platform allows later than that window after so many servers ended.
+MAX_LATE_REQUESTS = 3
+CRASHES_TO_TELL = {"llm": 5, "pay": 3}
 ENTRIES, ENGINES, SERVICES, CLIENTS = 2, 2, 2, 6
 MODELS = ("m1", "m2", "m3")
 START_TIMEOUT_MS = 20_000
@@ -146,7 +151,7 @@
         self._request_count = 0
         self._stopping = False
         self._has_bad_part = bad_part
-        self._crashes_ms: list[int] = []
+        self._crashes_ms: dict[str, list[int]] = {"llm": [], "pay": []}
         self._restarts: dict[PlatformEngine, asyncio.Task[None]] = {}
 
     async def run(self, seconds: float) -> list[str]:
@@ -162,6 +167,7 @@
             clients = [asyncio.create_task(self._run_client(n)) for n in range(CLIENTS)]
             if self._has_bad_part:
                 clients.append(asyncio.create_task(self._run_bad_client()))
+                clients.append(asyncio.create_task(self._run_bad_plain_client()))
             await self._inject_faults(seconds)
             await self._clear_faults()
             await self._check_recovery()
@@ -209,9 +215,9 @@
             self._backends.append(backend)
             pool = "llm" if is_engine else "pay"
             self._registry[backend.id] = (backend, pool, proxy.address)
+            backend.on_crash = partial(self._crash, backend, proxy, host)
+            backend.crash_part, backend.crash_body = BAD_PART, BAD_BODY
             if is_engine:
-                backend.crash_part = BAD_PART
-                backend.on_crash = partial(self._crash, backend, proxy, host)
                 extra = {"app": proxy.address, "service": "llm"}
                 self._add_instance("side", host, store.address, ports, extra)
         self._write_registry()
@@ -390,11 +396,20 @@
                 await self._send(session, instance, "bad", model, subject=BAD_PART)
                 await TIMERS.sleep_ms(self._random.uniform(100, 400))
 
+    async def _run_bad_plain_client(self) -> None:
+        """Send the same bad request to all entries until the run ends."""
+        async with aiohttp.ClientSession() as session:
+            while not self._stopping:
+                instance = self._random.choice(self._entries())
+                await self._send(session, instance, "safe", "", body=BAD_BODY)
+                await TIMERS.sleep_ms(self._random.uniform(100, 400))
+
     def _crash(self, backend: PlatformEngine, proxy: Proxy, host: str) -> None:
-        """End an engine and start it again after some time, without its models."""
+        """End a server and start it again after some time, without its models."""
         if backend in self._restarts:
             return
-        self._crashes_ms.append(TIMERS.now_ms())
+        _, pool, _ = self._registry[backend.id]
+        self._crashes_ms[pool].append(TIMERS.now_ms())
         proxy.refuse()
         restart = asyncio.create_task(self._restart_engine(backend, proxy, host))
         self._restarts[backend] = restart
@@ -406,7 +421,7 @@
         await TIMERS.sleep_ms(self._random.uniform(300, 1_500))
         _, pool, address = self._registry.pop(backend.id)
         self._store.put("keyed.servers", backend.id, b"")
-        backend.begin_again(f"i-{host}-{len(self._crashes_ms)}")
+        backend.begin_again(f"i-{host}-{len(self._crashes_ms[pool])}")
         await backend.start(host)
         proxy.target = (host, backend.port)
         await proxy.start(host, int(address.rpartition(":")[2]))
@@ -415,13 +430,17 @@
         del self._restarts[backend]
 
     async def _check_quarantine(self) -> None:
-        """Check that engines no longer end once enough of them have."""
+        """Check that servers no longer end once enough of them have."""
         await TIMERS.sleep_ms(STABILITY_WINDOW_MS)
-        before = len(self._crashes_ms)
+        before = {pool: len(times) for pool, times in self._crashes_ms.items()}
         await TIMERS.sleep_ms(STABILITY_WINDOW_MS)
-        late = len(self._crashes_ms) - before
-        if before >= 5 and late > MAX_LATE_REQUESTS:
-            self.violations.append(f"{late} engines ended after {before} had")
+        for pool, times in self._crashes_ms.items():
+            self.outcomes[f"{pool} servers ended"] = len(times)
+            late = len(times) - before[pool]
+            if before[pool] >= CRASHES_TO_TELL[pool] and late > MAX_LATE_REQUESTS:
+                self.violations.append(
+                    f"{late} {pool} servers ended after {before[pool]} had"
+                )
 
     async def _send(
         self,
@@ -431,6 +450,7 @@
         model: str,
         *,
         subject: str = "50",
+        body: bytes = b"x" * 10,
     ) -> str:
         """Send one request, check its answer and return the outcome."""
         self._request_count += 1
@@ -448,9 +468,9 @@
         timeout = aiohttp.ClientTimeout(total=5.0)
         try:
             async with session.post(
-                url, headers=headers, data=b"x" * 10, timeout=timeout
+                url, headers=headers, data=body, timeout=timeout
             ) as response:
-                body = await response.read()
+                answer = await response.read()
         except TimeoutError:
             return "no answer"
         except (aiohttp.ClientError, OSError):
@@ -460,7 +480,7 @@
             return "refused"
         if response.status != 200:
             return str(response.status)
-        self._check_answer(request_id, model, body, response.headers)
+        self._check_answer(request_id, model, answer, response.headers)
         return "answered"
 
     def _check_answer(
@@ -549,7 +569,7 @@
             | {"target-gap-ms": 300},
         ],
         "services": [
-            {"name": "pay", "max-connections": 100},
+            {"name": "pay", "max-connections": 100, "health-check-path": "/health"},
             {"name": "llm", "max-connections": 100, "engine": engine},
         ],
     }
