--- a/src/copperrun/routing/quarantine.py
+++ b/src/copperrun/routing/quarantine.py
@@ -254,8 +254,7 @@
         """Count the crashes with a suspect that tell more than one does."""
         # A request that few send runs at one server after the other, not at the same
         # time, so each server that ends with it tells more.
-        is_single = self._recent_answers(part) < CONCURRENT_ANSWERS
-        if is_fingerprint(part) and is_single:
+        if is_fingerprint(part) and self._recent_answers(part) < CONCURRENT_ANSWERS:
             return len(crashes)
         return _count_events(crashes)
 
@@ -313,7 +312,8 @@
         counts = {
             part: count
             for part, found in by_part.items()
-            if (count := count_crashes(part, found)) >= crashes_needed(part)
+            if len(found) >= MIN_CRASHES
+            and (count := count_crashes(part, found)) >= crashes_needed(part)
         }
         if not counts:
             return culprits
--- a/testing/mutants.py
+++ b/testing/mutants.py
@@ -318,7 +318,7 @@
     Mutant(
         "quarantine",
         "routing/quarantine.py",
-        "if is_fingerprint(part) and is_single:",
+        "if is_fingerprint(part) and self._recent_answers(part) < CONCURRENT_ANSWERS:",
         "if False:",
         "test_quarantine.py::test_a_request_is_blocked_by_servers_that_end_with_it_one_"
         "after_the_other",
@@ -326,7 +326,7 @@
     Mutant(
         "quarantine",
         "routing/quarantine.py",
-        "if is_fingerprint(part) and is_single:",
+        "if is_fingerprint(part) and self._recent_answers(part) < CONCURRENT_ANSWERS:",
         "if is_fingerprint(part):",
         "test_quarantine.py::test_a_request_that_many_send_is_not_blocked_by_servers_"
         "that_end_together",
--- a/testing/test_timeline.py
+++ b/testing/test_timeline.py
@@ -82,10 +82,19 @@
     assert_that(messages, Contains(message))
 
 
-def test_a_quarantine_that_begins_meanwhile_is_in_the_timeline() -> None:
-    logs = [line(11, "front-1", "prompt parts in quarantine", parts=["a"]), *LOGS]
+@pytest.mark.parametrize(
+    "message",
+    [
+        "prompt parts in quarantine",
+        "request in quarantine",
+        "request no longer in quarantine",
+        "requests tried one after the other",
+    ],
+)
+def test_a_quarantine_that_begins_meanwhile_is_in_the_timeline(message: str) -> None:
+    logs = [line(11, "front-1", message, parts=["a"]), *LOGS]
     messages = [item.message for item in build_timeline("r1", logs)]
-    assert_that(messages, Contains("prompt parts in quarantine"))
+    assert_that(messages, Contains(message))
 
 
 def test_request_that_no_line_names_has_an_empty_timeline():
