--- a/testing/test_answers.py
+++ b/testing/test_answers.py
@@ -521,7 +521,7 @@
         client.send(get(route, "r2"))
         assert_that(await outcome(client), ANSWERED)
         # Health checks of the server have no id.
-    assert_that([item for item in seen if item], Equals(["r1", "r2"]))
+        assert_that([item for item in seen if item], Equals(["r1", "r2"]))
         client.close()
 
 
