--- a/src/copperrun/routing/relay.py
+++ b/src/copperrun/routing/relay.py
@@ -128,6 +128,9 @@
                 return True
             if outcome is not AttemptOutcome.NOT_RUN and not request.may_retry:
                 return False
+            if progress.response_started and not request.route.streaming:
+                # Another answer would be joined to the part that the caller has.
+                return False
             if not self._may_send_again(request, progress):
                 return False
 
