Try a third server while the first two are silent

A successor is read through a failover of its own; the route's attempts and the budget bound the depth.

--- a/src/copperrun/routing/relay.py
+++ b/src/copperrun/routing/relay.py
@@ -172,12 +172,7 @@
     ) -> AttemptOutcome:
         """Forward the answer of a server, or of another one if it stays silent."""
         attempt = self._begin(request, server, progress, progress.last_outcome.value)
-        failover = Failover(
-            request,
-            self._ports.timers,
-            lambda: self._can_fail_over(request, progress),
-            lambda: self._find_successor(request, progress),
-        )
+        failover = self._open_failover(request, progress)
         outcome = AttemptOutcome.MAYBE_RAN
         try:
             while True:
@@ -218,6 +213,14 @@
         await responder.write(piece.data)
         progress.resume_after = piece.event_id or progress.resume_after
 
+    def _open_failover(self, request: RoutedRequest, progress: Progress) -> Failover:
+        return Failover(
+            request,
+            self._ports.timers,
+            lambda: self._can_fail_over(request, progress),
+            lambda: self._find_successor(request, progress),
+        )
+
     async def _find_successor(
         self, request: RoutedRequest, progress: Progress
     ) -> Found | None:
@@ -237,7 +240,9 @@
                 self._ports.sides.report_ended(server.record, request.call.id)
                 return None
             attempt = self._begin(request, server, progress, SILENT_SERVER)
-            result = await attempt.next_piece()
+            # It may be silent, too.
+            failover = self._open_failover(request, progress)
+            attempt, result = await failover.next_piece(attempt)
             if isinstance(result, Piece) or result is AttemptOutcome.DONE:
                 found, attempt = Found(attempt, result), None
                 return found
