--- a/src/copperrun/routing/attempt.py
+++ b/src/copperrun/routing/attempt.py
@@ -137,7 +137,7 @@
 
     async def check_crash(self) -> None:
         """Check whether the server ended, if it lost the request before an answer."""
-        if self._is_lost and not self._has_begun:
+        if self._is_lost and not self._has_begun and not self._is_closed:
             await self._ports.detector.check(self._request, self._record)
 
     def close(self, outcome: AttemptOutcome) -> None:
@@ -145,17 +145,17 @@
         if self._is_closed:
             return
         self._is_closed = True
+        self.server.end_request()
+        if self._is_admitted:
+            self._ports.sides.report_ended(self.server.record, self._request.call.id)
+        if outcome is not AttemptOutcome.NOT_RUN:
+            self._progress.may_have_run = True
         if self._answer is not None:
             self._answer.close()
         elif not self._opening.done():
             self._opening.cancel()
         elif not isinstance(answer := self._opening.result(), BackendError):
             answer.close()
-        self.server.end_request()
-        if self._is_admitted:
-            self._ports.sides.report_ended(self.server.record, self._request.call.id)
-        if outcome is not AttemptOutcome.NOT_RUN:
-            self._progress.may_have_run = True
 
     def _handle_error(self, error: BackendError) -> AttemptOutcome:
         self._progress.detail = f"{self.server.record.id}: {error.detail}"
