Look again for another server while a server stays silent

Whether another server might take a request over was asked once, when the wait began: with the only other server in backoff or not yet listed at that moment, a hung server held the request to its deadline.

--- a/src/copperrun/routing/failover.py
+++ b/src/copperrun/routing/failover.py
@@ -49,7 +49,8 @@
     Args:
         request: The caller's request.
         timers: Timer service.
-        may_search: Whether another server may be tried now.
+        may_repeat: Whether the request may be sent to another server.
+        may_search: Whether there is such a server now.
         search: Tries another server.
     """
 
@@ -57,11 +58,13 @@
         self,
         request: RoutedRequest,
         timers: Timers,
+        may_repeat: Callable[[], bool],
         may_search: Callable[[], bool],
         search: SuccessorSearch,
     ) -> None:
         self._request = request
         self._timers = timers
+        self._may_repeat = may_repeat
         self._may_search = may_search
         self._search = search
 
@@ -81,7 +84,7 @@
 
     def _silence_limit_ms(self, attempt: Attempt) -> int | None:
         """Return how long to wait before another server is tried; None for ever."""
-        if not self._may_search():
+        if not self._may_repeat():
             return None
         limit_ms = self._longest_silence_ms(attempt)
         if limit_ms is None:
@@ -106,7 +109,7 @@
             while not await self._is_done_within(own, wait_ms):
                 limit_ms = self._silence_limit_ms(attempt)
                 wait_ms = limit_ms or SEARCH_INTERVAL_MS
-                if limit_ms != 0:
+                if limit_ms != 0 or not self._may_search():
                     continue
                 search = asyncio.create_task(self._search())
                 await asyncio.wait({own, search}, return_when=asyncio.FIRST_COMPLETED)
@@ -115,8 +118,8 @@
                 found = await search
                 if found is not None:
                     self._log(attempt, "replaced", found.attempt)
-                    await _release(attempt, own)
                     search = None
+                    await _release(attempt, own)
                     return found
             result = own.result()
             if search is not None:
--- a/src/copperrun/routing/relay.py
+++ b/src/copperrun/routing/relay.py
@@ -217,7 +217,11 @@
         return Failover(
             request,
             self._ports.timers,
-            lambda: self._can_fail_over(request, progress),
+            lambda: self._may_repeat(request, progress),
+            lambda: (
+                self._may_repeat(request, progress)
+                and self._selector.has_untried_server(request, progress)
+            ),
             lambda: self._find_successor(request, progress),
         )
 
@@ -255,12 +259,8 @@
             if progress.sends == sends:
                 self._budget_for(request.pool.name).release()
 
-    def _can_fail_over(self, request: RoutedRequest, progress: Progress) -> bool:
-        return (
-            request.may_retry
-            and progress.sends < request.route.max_attempts
-            and self._selector.has_untried_server(request, progress)
-        )
+    def _may_repeat(self, request: RoutedRequest, progress: Progress) -> bool:
+        return request.may_retry and progress.sends < request.route.max_attempts
 
     def _remaining_ms(self, request: RoutedRequest) -> int:
         return request.deadline_ms - self._timers.now_ms()
