--- a/src/copperrun/routing/failover.py
+++ b/src/copperrun/routing/failover.py
@@ -113,8 +113,11 @@
                     continue
                 search = asyncio.create_task(self._search())
                 await asyncio.wait({own, search}, return_when=asyncio.FIRST_COMPLETED)
-                if own.done() and not _has_failed(own.result()):
-                    break
+                if own.done():
+                    if not _has_failed(own.result()):
+                        break
+                    # The search may take long, and the server be needed.
+                    await _release(attempt, own)
                 found = await search
                 if found is not None:
                     self._log(attempt, "replaced", found.attempt)
--- a/testing/mutants.py
+++ b/testing/mutants.py
@@ -246,7 +246,7 @@
     Mutant(
         "failover",
         "routing/failover.py",
-        "if own.done() and not _has_failed(own.result()):",
+        "if not _has_failed(own.result()):",
         "if False:",
         "test_failover.py::test_a_silent_stream_goes_on_when_its_server_answers_before_"
         "the_other_one",
