Take a retry for a search only when a server has been found

The retry is taken after the selection, so RetryWindow.release is gone; its test is replaced by one that asks the same of searches. Two tests of test_review.py failed before. Its stubs follow the merged has_ended, and the test of close_idle its new place; that one passes since.

--- a/src/copperrun/routing/relay.py
+++ b/src/copperrun/routing/relay.py
@@ -231,33 +231,31 @@
         """Try another server while the present one is silent."""
         if self._refuse_to_send(request, progress):
             return None
-        if not self._may_send_again(request, progress):
+        server = await self._selector.select(request, progress)
+        if isinstance(server, Refusal):
             return None
-        attempt: Attempt | None = None
+        # A retry taken earlier would be missing to others during the wait.
+        if self._refuse_to_send(request, progress) or not self._may_send_again(
+            request, progress
+        ):
+            self._ports.sides.report_ended(server.record, request.call.id)
+            return None
+        attempt = self._begin(request, server, progress, SILENT_SERVER)
         outcome = AttemptOutcome.MAYBE_RAN
-        sends = progress.sends
+        is_kept = False
         try:
-            server = await self._selector.select(request, progress)
-            if isinstance(server, Refusal):
-                return None
-            if self._refuse_to_send(request, progress):
-                self._ports.sides.report_ended(server.record, request.call.id)
-                return None
-            attempt = self._begin(request, server, progress, SILENT_SERVER)
             # It may be silent, too.
             failover = self._open_failover(request, progress)
             attempt, result = await failover.next_piece(attempt)
             if isinstance(result, Piece) or result is AttemptOutcome.DONE:
-                found, attempt = Found(attempt, result), None
-                return found
+                is_kept = True
+                return Found(attempt, result)
             outcome = result
             await attempt.check_crash()
             return None
         finally:
-            if attempt is not None:
+            if not is_kept:
                 attempt.close(outcome)
-            if progress.sends == sends:
-                self._budget_for(request.pool.name).release()
 
     def _may_repeat(self, request: RoutedRequest, progress: Progress) -> bool:
         return request.may_retry and progress.sends < request.route.max_attempts
--- a/src/copperrun/routing/retries.py
+++ b/src/copperrun/routing/retries.py
@@ -81,11 +81,6 @@
         self._retries.append(self._timers.now_ms())
         return True
 
-    def release(self) -> None:
-        """Give back the latest retry, which was not sent."""
-        if self._retries:
-            self._retries.pop()
-
     def _drop_expired(self) -> None:
         oldest = self._timers.now_ms() - self.bounds.window_ms
         for times in (self._requests, self._retries):
--- a/testing/test_review.py
+++ b/testing/test_review.py
@@ -190,14 +190,22 @@
 # The budget.
 
 
-async def test_the_retry_that_is_given_back_is_the_one_that_was_not_sent():
-    timers = ManualTimers()
-    budget = RetryWindow(timers, RetryBounds(0.0, 1.25, 10_000))
-    assert budget.try_acquire()  # not sent; its window ends while it waits
-    await timers.advance(10_001)
-    assert budget.try_acquire()  # sent
-    budget.release()  # of the first
-    assert not budget.try_acquire()
+async def test_a_search_without_a_server_hides_no_retry_that_was_sent():
+    bench = Bench(engine("a", ["m"]), engine("b", ["n"]), engine("c", ["n"]))
+    prefer_a(bench)
+    bench.budget = RetryWindow(bench.timers, RetryBounds(0.0, 1.25, 3_000))
+    stalled = Plan(parts=[*events(1, 2), Part(4_500, b""), *events(3, 4)])
+    cut = Plan(parts=[*events(1, 2), Part(5, CUT)])
+    bench.backends.plans = {
+        "a": [stalled],
+        "b": [cut, Plan(parts=events(3, 4))],
+        "c": [cut, Plan(parts=events(3, 4))],
+    }
+    _, first_task = bench.begin(STREAM, model="m")
+    await bench.timers.advance(4_000)  # its search began over one window ago
+    await bench.handle(STREAM, model="n")  # takes the only retry
+    await run_until(bench.timers, first_task, 20_000)
+    assert not bench.budget.try_acquire()
 
 
 async def test_a_search_that_waits_for_a_model_leaves_the_retries_to_others():
@@ -425,7 +433,7 @@
         self.arrivals: list[str] = []
         self.running = 0
 
-    async def has_ended(self, record, *, timeout_ms: int) -> bool:
+    async def has_ended(self, record, *, health_path: str, timeout_ms: int) -> bool:
         await self.timers.sleep_ms(self.rng.choice([0, 100]))
         return self.rng.random() < 0.2
 
@@ -711,6 +719,6 @@
         protocol.data_received(
             (GET.format("r2") + "\n\n").replace("\n", "\r\n").encode()
         )
-        entry.ingress.close_idle(entry.listener.server)
+        entry.listener.server.close_idle()
         status, _, _, complete = await client.answer()
         assert_that((status, complete), Equals((200, True)))
