Let a leaving entry finish requests that wait to be sent again

What callers saw: at a SIGTERM, after 0.55 of the grace time, a stream that had begun and waited for its next server was cut, and a safe request that a server had lost got a failure with time left; refuse_unsent took every request that waits for a server for an unsent one.

--- a/src/copperrun/routing/relay.py
+++ b/src/copperrun/routing/relay.py
@@ -65,14 +65,17 @@
         self._ports = AttemptPorts(
             servers, backends, sides, timers, quarantine, detector
         )
-        self._unsent: dict[asyncio.Timeout, RoutedRequest] = {}
+        # Requests that wait for a server, with their state, by the scope of their wait.
+        self._waiting: dict[asyncio.Timeout, tuple[RoutedRequest, Progress]] = {}
         self._refuses_unsent = False
         quarantine.subscribe(self._refuse_quarantined)
 
     def refuse_unsent(self) -> None:
         """Refuse all requests not yet sent to a server, and all later ones."""
         self._refuses_unsent = True
-        for scope in self._unsent:
+        for scope, (_, progress) in self._waiting.items():
+            if progress.sends:
+                continue
             scope.reschedule(asyncio.get_running_loop().time())
 
     async def handle(self, request: RoutedRequest, responder: Responder) -> None:
@@ -114,11 +117,11 @@
             if refusal is not None:
                 progress.refusal = refusal
                 return False
-            self._unsent[scope] = request
+            self._waiting[scope] = request, progress
             try:
                 server = await self._selector.select(request, progress)
             finally:
-                del self._unsent[scope]
+                del self._waiting[scope]
             if isinstance(server, Refusal):
                 progress.refusal = server
                 return False
@@ -148,7 +151,7 @@
 
     def _refuse_quarantined(self) -> None:
         """Refuse the waiting requests that are now in quarantine."""
-        for scope, request in self._unsent.items():
+        for scope, (request, _) in self._waiting.items():
             if self._blocked_ms(request):
                 scope.reschedule(asyncio.get_running_loop().time())
 
