End an admission that is granted as its wait ends

When a search for another server was ended in the pass in which its admission arrived, the side kept the request's place until its record ran out (30 s). An admission still on its way is not reported: the side drops a waiting request whose connection closes.

--- a/src/copperrun/routing/selector.py
+++ b/src/copperrun/routing/selector.py
@@ -252,6 +252,10 @@
                 if admission.done():
                     return admission.result()
             return None
+        except asyncio.CancelledError:
+            if admission.done() and isinstance(admission.result(), Granted):
+                self._sides.report_ended(server.record, request.call.id)
+            raise
         finally:
             admission.cancel()
 
