Leave a silent server its request when the search for another one fails

An error of the program in the search ended the request of the sound server, too. It is logged with its trace and counts as a search that found none.

--- a/src/copperrun/routing/failover.py
+++ b/src/copperrun/routing/failover.py
@@ -111,7 +111,7 @@
                 wait_ms = limit_ms or SEARCH_INTERVAL_MS
                 if limit_ms != 0 or not self._may_search():
                     continue
-                search = asyncio.create_task(self._search())
+                search = asyncio.create_task(self._search_or_log())
                 await asyncio.wait({own, search}, return_when=asyncio.FIRST_COMPLETED)
                 if own.done():
                     if not _has_failed(own.result()):
@@ -133,6 +133,14 @@
             if search is not None:
                 _abandon(search)
 
+    async def _search_or_log(self) -> Found | None:
+        """Search; an error of the program costs the search only."""
+        try:
+            return await self._search()
+        except Exception:
+            logger.exception("search for another server failed")
+            return None
+
     async def _is_done_within(
         self, task: asyncio.Task[Piece | AttemptOutcome], limit_ms: int
     ) -> bool:
