Test the end of a late stream before an exit, and add mutants for answers

Cause: with the check for unsent bytes taken out, its test passed, and the test of a raised idle timeout passed with a mechanism taken out. Change: that test; the test of a raised timeout waits until the first check.

--- a/testing/mutants.py
+++ b/testing/mutants.py
@@ -351,6 +351,50 @@
         "and entry.offset > change.base + self.revision % 2",
         "test_matrix.py",
     ),
+    Mutant(
+        "answer: read",
+        "platform/connections.py",
+        "            self._awaits_request\n            and self._head_since_ms is None",
+        "            self._head_since_ms is None",
+        "test_answers.py::test_a_request_that_was_read_but_not_yet_handled_is_answered"
+        "_on_a_leave",
+    ),
+    Mutant(
+        "answer: head",
+        "platform/connections.py",
+        "            and self._head_since_ms is None\n",
+        "",
+        "test_answers.py::test_a_request_is_answered_while_the_entry_leaves",
+    ),
+    Mutant(
+        "answer: socket",
+        "platform/connections.py",
+        "            and not self._has_unread_bytes\n",
+        "",
+        "test_answers.py::test_a_request_in_the_receive_buffer_is_answered_on_a_leave",
+    ),
+    Mutant(
+        "answer: unsent",
+        "platform/connections.py",
+        "            and not self._has_unsent_bytes\n",
+        "",
+        "test_answers.py::test_a_stream_that_ends_late_is_sent_to_its_end_before_the_exit",
+    ),
+    Mutant(
+        "answer: queued",
+        "platform/ingress.py",
+        "and conn.has_queued_requests",
+        "and False",
+        "test_answers.py::test_pipelined_requests_are_all_answered",
+    ),
+    Mutant(
+        "answer: idle",
+        "platform/connections.py",
+        "max(self._idle_timeout_ms, idle_timeout_ms)",
+        "self._idle_timeout_ms or idle_timeout_ms",
+        "test_answers.py::test_a_raised_idle_timeout_applies_to_new_and_open"
+        "_connections",
+    ),
 )
 
 
--- a/testing/test_answers.py
+++ b/testing/test_answers.py
@@ -30,6 +30,7 @@
 from testtools.matchers import MatchesAny
 from testtools.matchers import Not
 
+from copperrun.platform.connections import CHECK_INTERVAL_MS
 from copperrun.platform.connections import CallerServer
 from copperrun.platform.connections import IdleTimeout
 from copperrun.platform.daemon import EntryRole
@@ -391,6 +392,7 @@
         early = await Client.open(entry.port)
         early.send(get("safe"))
         assert_that(await outcome(early), DELIVERED)
+        await TIMERS.sleep_ms(CHECK_INTERVAL_MS + 50)
         await entry.publish(idle_timeout_ms=30_000)
         late = await Client.open(entry.port)
         await TIMERS.sleep_ms(1_500)
@@ -492,6 +494,41 @@
         client.close()
 
 
+async def test_a_stream_that_ends_late_is_sent_to_its_end_before_the_exit(
+    tmp_path: Path,
+) -> None:
+    # Its connection was kept, so it counted as idle with bytes still to be sent.
+    server = PausingServer()
+
+    async def send_late(request, writer) -> bool:
+        writer.write(answer_head(request) + b"id: 1\n\n")
+        await server.released.wait()
+        writer.write(b"id: 2\ndata: " + b"x" * 60_000 + b"\n\n")
+        return False
+
+    server.script = send_late
+    async with running_entry_role(tmp_path, server, **{"grace-s": 3.5}) as entry:
+        client = await slow_client(entry.port)
+        client.send(get("stream"))
+        await until(lambda: server.requests)
+        await client.reader.readuntil(b"id: 1")
+        sending = connection_of(entry.role._runners[1].server, client).transport
+        sock = sending.get_extra_info("socket")
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4_096)
+        entry.leave()
+        await until(lambda: not is_listening(entry))
+        server.released.set()
+        await until(sending.get_write_buffer_size)
+        await TIMERS.sleep_ms(600)
+        assert_that(entry.has_ended, Equals(False))
+        rest = await client.reader.readexactly(60_000)
+        while not rest.endswith(b"\r\n0\r\n\r\n"):
+            data = await client.reader.read(4_096)
+            assert_that(data, Not(Equals(b"")))
+            rest += data
+        client.close()
+
+
 async def slow_client(port: int) -> Client:
     """Return a client whose socket takes little until it is read."""
     sock = socket.socket()
