Give the entries of the answer tests ports that no other socket takes

Cause: in the one whole run of the suite, test_a_side_that_falls_silent_does_not_end_a_request failed as the entry could not bind port 43793, "address already in use". The port had been found free a moment before, but lies in the range from which the system gives ports to other sockets, such as those of the stand-ins that start in between. Change: ports below that range, never the same twice in a row in one process.

--- a/testing/platform_entry.py
+++ b/testing/platform_entry.py
@@ -5,6 +5,7 @@
 import asyncio
 import json
 import os
+import socket
 import subprocess
 import sys
 from collections.abc import AsyncIterator
@@ -12,12 +13,12 @@
 from collections.abc import Sequence
 from contextlib import asynccontextmanager
 from contextlib import suppress
+from itertools import cycle
 from pathlib import Path
 from typing import Any
 
 import aiohttp
 from aiohttp import web
-from cluster import free_ports
 from platform_standins import ReceivedRequest
 from platform_standins import ScriptedServer
 from platform_standins import StoreStandIn
@@ -44,6 +45,8 @@
 TIMERS = SystemTimers()
 WAIT_TIMEOUT_MS = 15_000  # ends the waits of a failing test
 SIDE_HOST = "127.0.0.2"  # all sides use the entry's internal port
+# Each process begins elsewhere, and two entries of one process never share a port.
+_PORTS = cycle(range(10_000 + os.getpid() % 200 * 100, 32_000))
 EVENT = b"id: %d\ndata: x\n\n"
 
 
@@ -182,7 +185,9 @@
     def __init__(self, folder: Path, **changes: Any) -> None:
         self.store = StoreStandIn()
         self.configuration = plain_configuration()
-        self.port, self.ready_port, self.internal_port = free_ports(3)
+        self.port, self.ready_port, self.internal_port = (
+            unused_port() for _ in range(3)
+        )
         self._folder = folder
         self._changes = changes
         self._task: asyncio.Task[None] | None = None
@@ -297,6 +302,18 @@
         return self._task is None or self._task.done()
 
 
+def unused_port() -> int:
+    """Return a port below those that the system gives to other sockets."""
+    while True:
+        port = next(_PORTS)
+        with socket.socket() as sock:
+            try:
+                sock.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+            return port
+
+
 def _start_process(path: Path) -> subprocess.Popen[bytes]:
     command = [sys.executable, "-m", "copperrun.platform", "entry"]
     env = {**os.environ, "COPPERRUN_BOOT": str(path)}
