--- a/testing/mutants.py
+++ b/testing/mutants.py
@@ -380,11 +380,10 @@
     ),
     Mutant(
         "quarantine",
-        "routing/relay.py",
-        "            if outcome is AttemptOutcome.FAILED:\n                # It",
-        "            if False:\n                # It",
-        "test_relay.py::test_an_answer_of_a_server_clears_the_request_whatever_its_"
-        "status",
+        "routing/attempt.py",
+        "            self._request.pool.name, [self._request.fingerprint]\n",
+        "            self._request.pool.name, []\n",
+        "test_relay.py::test_an_answer_of_a_server_clears_the_request_whatever_its_status",
     ),
     Mutant(
         "quarantine",
