Count calls that a side misses together once

What callers saw: three unanswered cancels within one second counted as three missed replies in succession, so that a side that was silent for a moment lost all requests that waited for it. Between two hellos only one missed call counts; hellos count each.

--- a/src/copperrun/routing/sides.py
+++ b/src/copperrun/routing/sides.py
@@ -50,6 +50,7 @@
         self._waiting: set[asyncio.Timeout] = set()
         self._load = Load()
         self._missed = 0
+        self._has_missed_call = False
 
     @property
     def usable(self) -> bool:
@@ -76,6 +77,7 @@
     def apply_status(self, status: SideStatus) -> None:
         """Apply the status with which the side answered a hello."""
         self._missed = 0
+        self._has_missed_call = False
         if self.incarnation not in (None, status.incarnation):
             logger.info("side restarted", instance=self.instance.id)
             self.abort_waits()
@@ -85,7 +87,22 @@
         self._load = status.load
 
     def record_missed_reply(self) -> None:
-        """Count an unanswered call; abort the waits for a side that is unresponsive."""
+        """Count an unanswered call, of several between two hellos only the first.
+
+        Calls that end together tell no more than one does.
+        """
+        if self._has_missed_call:
+            return
+        self._has_missed_call = True
+        self._record_miss()
+
+    def record_missed_hello(self) -> None:
+        """Count an unanswered hello."""
+        self._has_missed_call = False
+        self._record_miss()
+
+    def _record_miss(self) -> None:
+        """Abort the waits for a side that has become unresponsive."""
         self._missed += 1
         if self._missed == MAX_MISSED_REPLIES:
             logger.warning("side unresponsive", instance=self.instance.id)
@@ -154,7 +171,7 @@
         while True:
             status = await self._sides.hello(side.address)
             if isinstance(status, SideError):
-                side.record_missed_reply()
+                side.record_missed_hello()
             elif status.instance == side.instance.id:
                 side.apply_status(status)
             await self._timers.sleep_ms(HELLO_INTERVAL_MS)
