Do not check a server that sends garbage for its end

Since requests are blamed as a whole, each lost answer of a plain server led to a health check, also when the server had just sent bytes that are no answer: it runs. The new test failed before (two requests at the server).

--- a/src/copperrun/platform/backends.py
+++ b/src/copperrun/platform/backends.py
@@ -111,11 +111,13 @@
         except aiohttp.ConnectionTimeoutError as exc:
             return BackendError(BackendErrorReason.NOT_SENT, _describe(exc))
         except (aiohttp.ClientError, OSError, TimeoutError) as exc:
-            return BackendError(BackendErrorReason.LOST, _describe(exc))
+            is_garbled = isinstance(exc, aiohttp.ClientResponseError)
+            return BackendError(BackendErrorReason.LOST, _describe(exc), is_garbled)
         if response.headers.get(http_headers.REQUEST_ID, call.id) != call.id:
             # A late answer to an earlier request on the same connection.
             response.close()
-            return BackendError(BackendErrorReason.LOST, "answer of another request")
+            detail = "answer of another request"
+            return BackendError(BackendErrorReason.LOST, detail, is_garbled=True)
         return BackendAnswer(response)
 
     async def has_ended(
--- a/src/copperrun/ports/backends.py
+++ b/src/copperrun/ports/backends.py
@@ -66,10 +66,12 @@
         reason: ``NOT_SENT`` when the server received nothing, ``LOST`` when the
             request may have run.
         detail: One line for the operator's log.
+        is_garbled: Whether the server sent bytes that are no answer, so it runs.
     """
 
     reason: BackendErrorReason
     detail: str
+    is_garbled: bool = False
 
 
 class Execution(Enum):
--- a/src/copperrun/routing/attempt.py
+++ b/src/copperrun/routing/attempt.py
@@ -166,7 +166,7 @@
                 self._progress.refusal = no_server()
                 return AttemptOutcome.NOT_RUN
             case BackendErrorReason.LOST:
-                self._is_lost = True
+                self._is_lost = not error.is_garbled
                 self.server.record_answer(failed=True)
                 return AttemptOutcome.MAYBE_RAN
 
--- a/testing/test_platform_http.py
+++ b/testing/test_platform_http.py
@@ -994,6 +994,21 @@
 DELIVERED_OR_LOST = (Equals((200, True)), Equals((502, False)))
 
 
+async def test_a_server_that_sends_garbage_is_not_checked_for_its_end():
+    async def send_garbage(
+        request: ReceivedRequest, writer: asyncio.StreamWriter
+    ) -> bool:
+        writer.write(b"no answer at all\r\n\r\n")
+        return True
+
+    backend = ScriptedServer()
+    backend.script = send_garbage
+    async with running_entry(SAFE, backend) as entry:
+        status, *_ = await send_get(entry)
+        assert_that(status, Equals(502))
+    assert_that([item.id for item in backend.requests], Equals(["r1"]))
+
+
 async def test_bytes_without_end_after_an_answer_are_not_taken():
     endless = EndlessServer(HEAD + b"Content-Length: 2\r\n\r\nok", b"more ")
     async with running_entry(SAFE, endless) as entry:
