--- a/src/copperrun/entry/proxy.py
+++ b/src/copperrun/entry/proxy.py
@@ -33,7 +33,7 @@
 from copperrun.routing.catalog import Catalog
 from copperrun.routing.crashes import CrashLog
 from copperrun.routing.quarantine import MAX_STAGGER_MS
-from copperrun.routing.quarantine import PromptQuarantine
+from copperrun.routing.quarantine import Quarantine
 from copperrun.routing.relay import Relay
 from copperrun.routing.requests import RoutedRequest
 from copperrun.routing.retries import RetryBounds
@@ -119,7 +119,7 @@
         self._urgent_report_tasks: set[asyncio.Task[None]] = set()
         self._urgent_report_ms: dict[str, int] = {}
         self._report_tasks: dict[str, asyncio.Task[None]] = {}
-        self.quarantine = PromptQuarantine(
+        self.quarantine = Quarantine(
             CrashLog(timers), timers, stagger_ms=_stagger_ms(location.instance)
         )
         self._exchange = CrashExchange(self.quarantine.log, relays, timers)
--- a/src/copperrun/membership/archive.py
+++ b/src/copperrun/membership/archive.py
@@ -12,7 +12,7 @@
 from copperrun.ports.topics import TopicError
 from copperrun.ports.topics import TopicStore
 from copperrun.routing.crashes import CrashRecord
-from copperrun.routing.quarantine import PromptQuarantine
+from copperrun.routing.quarantine import Quarantine
 
 RETRY_DELAY_MS = 1_000  # doubles with each failure
 MAX_RETRY_DELAY_MS = 30_000
@@ -26,7 +26,7 @@
 
     def __init__(
         self,
-        quarantine: PromptQuarantine,
+        quarantine: Quarantine,
         store: TopicStore,
         topic: str,
         timers: Timers,
--- a/src/copperrun/routing/attempt.py
+++ b/src/copperrun/routing/attempt.py
@@ -16,7 +16,7 @@
 from copperrun.ports.timers import Timers
 from copperrun.routing.detection import CrashDetector
 from copperrun.routing.events import EventSplitter
-from copperrun.routing.quarantine import PromptQuarantine
+from copperrun.routing.quarantine import Quarantine
 from copperrun.routing.refusals import no_server
 from copperrun.routing.refusals import refused_by_server
 from copperrun.routing.requests import AttemptOutcome
@@ -37,7 +37,7 @@
     backends: Backends
     sides: EngineSides
     timers: Timers
-    quarantine: PromptQuarantine
+    quarantine: Quarantine
     detector: CrashDetector
 
 
--- a/src/copperrun/routing/detection.py
+++ b/src/copperrun/routing/detection.py
@@ -9,7 +9,7 @@
 from copperrun.ports.backends import Backends
 from copperrun.ports.timers import Timers
 from copperrun.routing.catalog import BackendPool
-from copperrun.routing.quarantine import PromptQuarantine
+from copperrun.routing.quarantine import Quarantine
 from copperrun.routing.requests import RoutedRequest
 from copperrun.routing.servers import ServerRecord
 
@@ -20,7 +20,7 @@
     """Checks a server that lost a request before it began the answer."""
 
     def __init__(
-        self, backends: Backends, quarantine: PromptQuarantine, timers: Timers
+        self, backends: Backends, quarantine: Quarantine, timers: Timers
     ) -> None:
         self._backends = backends
         self._quarantine = quarantine
--- a/src/copperrun/routing/quarantine.py
+++ b/src/copperrun/routing/quarantine.py
@@ -126,7 +126,7 @@
         return self._items.get((pool, part))
 
 
-class PromptQuarantine:
+class Quarantine:
     """Decides which requests and prompt parts may not be sent to servers.
 
     Args:
--- a/src/copperrun/routing/relay.py
+++ b/src/copperrun/routing/relay.py
@@ -21,7 +21,7 @@
 from copperrun.routing.detection import CrashDetector
 from copperrun.routing.failover import Failover
 from copperrun.routing.failover import Found
-from copperrun.routing.quarantine import PromptQuarantine
+from copperrun.routing.quarantine import Quarantine
 from copperrun.routing.refusals import deadline_expired
 from copperrun.routing.refusals import leaving
 from copperrun.routing.refusals import quarantined
@@ -50,7 +50,7 @@
         demand: DemandMeter,
         timers: Timers,
         metrics: Metrics,
-        quarantine: PromptQuarantine,
+        quarantine: Quarantine,
         *,
         distance_to: Callable[[str], Distance],
         budget_for: Callable[[str], RetryWindow],
--- a/testing/test_archive.py
+++ b/testing/test_archive.py
@@ -16,7 +16,7 @@
 from copperrun.routing.fingerprints import FINGERPRINT_PREFIX
 from copperrun.routing.quarantine import MIN_CRASHES
 from copperrun.routing.quarantine import QUARANTINE_MS
-from copperrun.routing.quarantine import PromptQuarantine
+from copperrun.routing.quarantine import Quarantine
 
 TOPIC = "crashes"
 REQUEST, OTHER = f"{FINGERPRINT_PREFIX}1", f"{FINGERPRINT_PREFIX}2"
@@ -27,7 +27,7 @@
 
     def __init__(self, store: MemoryTopicStore, timers: ManualTimers) -> None:
         self.timers = timers
-        self.quarantine = PromptQuarantine(CrashLog(timers), timers)
+        self.quarantine = Quarantine(CrashLog(timers), timers)
         archive = CrashArchive(self.quarantine, store, TOPIC, timers)
         self.task = asyncio.create_task(archive.run())
 
--- a/testing/test_exchange.py
+++ b/testing/test_exchange.py
@@ -22,7 +22,7 @@
 from copperrun.routing.crashes import CrashLog
 from copperrun.routing.fingerprints import FINGERPRINT_PREFIX
 from copperrun.routing.quarantine import MIN_CRASHES
-from copperrun.routing.quarantine import PromptQuarantine
+from copperrun.routing.quarantine import Quarantine
 
 STABILITY_WINDOW_MS = 4_000
 # What the platform allows after five crashes and that window.
@@ -36,7 +36,7 @@
     """The quarantine of one entry and its exchange with the sides."""
 
     def __init__(self, relays: CrashRelays, timers: ManualTimers) -> None:
-        self.quarantine = PromptQuarantine(CrashLog(timers), timers)
+        self.quarantine = Quarantine(CrashLog(timers), timers)
         self.exchange = CrashExchange(self.quarantine.log, relays, timers)
 
     def is_blocked(self, *parts: str) -> bool:
--- a/testing/test_platform_http.py
+++ b/testing/test_platform_http.py
@@ -56,7 +56,7 @@
 from copperrun.routing.catalog import Route
 from copperrun.routing.crashes import CrashLog
 from copperrun.routing.crashes import CrashRecord
-from copperrun.routing.quarantine import PromptQuarantine
+from copperrun.routing.quarantine import Quarantine
 from copperrun.routing.relay import Relay
 from copperrun.routing.requests import RoutedRequest
 from copperrun.routing.retries import RetryBounds
@@ -91,7 +91,7 @@
             server(item.id, address=item.address) for item in self.backends
         )
         budget = RetryWindow(self.timers, RetryBounds(1, 100, 10_000))
-        self.quarantine = PromptQuarantine(CrashLog(self.timers), self.timers)
+        self.quarantine = Quarantine(CrashLog(self.timers), self.timers)
         self.relay = Relay(
             self.servers,
             HttpBackends(session),
--- a/testing/test_quarantine.py
+++ b/testing/test_quarantine.py
@@ -23,7 +23,7 @@
 from copperrun.routing.quarantine import QUARANTINE_MS
 from copperrun.routing.quarantine import SAME_EVENT_MS
 from copperrun.routing.quarantine import TURN_MS
-from copperrun.routing.quarantine import PromptQuarantine
+from copperrun.routing.quarantine import Quarantine
 
 BAD = ("first", "bad")
 
@@ -34,7 +34,7 @@
     def __init__(self, *, stagger_ms: int = 0) -> None:
         self.timers = ManualTimers()
         self.log = CrashLog(self.timers)
-        self.quarantine = PromptQuarantine(self.log, self.timers, stagger_ms=stagger_ms)
+        self.quarantine = Quarantine(self.log, self.timers, stagger_ms=stagger_ms)
         self.crash_count = 0
 
     async def crash(self, *prompts: tuple[str, ...], after_ms: int = 1_000) -> None:
--- a/testing/test_relay.py
+++ b/testing/test_relay.py
@@ -44,7 +44,7 @@
 from copperrun.routing.crashes import CrashLog
 from copperrun.routing.fingerprints import fingerprint
 from copperrun.routing.quarantine import MIN_CRASHES
-from copperrun.routing.quarantine import PromptQuarantine
+from copperrun.routing.quarantine import Quarantine
 from copperrun.routing.relay import Relay
 from copperrun.routing.requests import RoutedRequest
 from copperrun.routing.retries import RetryBounds
@@ -228,7 +228,7 @@
         self.sides = EngineSides(self.timers)
         self.demand = DemandMeter()
         self.budget = RetryWindow(self.timers, RetryBounds(1.0, 100, 10_000))
-        self.quarantine = PromptQuarantine(CrashLog(self.timers), self.timers)
+        self.quarantine = Quarantine(CrashLog(self.timers), self.timers)
         self.relay = Relay(
             self.servers,
             self.backends,
