--- a/idl/copperrun.thrift
+++ b/idl/copperrun.thrift
@@ -118,7 +118,11 @@
   7: required i32 backlog_ms,
   8: required double use,
   9: required string server_id,
-  10: required set<string> active
+  10: required set<string> active,
+  11: optional i32 free_tokens,
+  12: optional double step_ms,
+  13: optional double work_ms,
+  14: optional map<i32, i32> wait_ms
 }
 
 // What a side tells the sides of the pool's other engines.
@@ -127,6 +131,12 @@
   2: required PeerEngine engine
 }
 
+// A part of a prompt that requests of one model may share.
+struct PromptPart {
+  1: required string id,
+  2: required i32 tokens
+}
+
 // Asks a side to let one request into its engine.
 struct Admit {
   1: required string request,
@@ -136,7 +146,14 @@
   5: required i32 tokens,
   6: required i32 gap_ms,
   7: required i32 target_ms,
-  8: required i32 remaining_ms
+  8: required i32 remaining_ms,
+  9: optional string account,
+  10: optional i32 output_tokens,
+  11: optional i32 expected_output,
+  12: optional i32 likely_output,
+  13: optional i32 alternatives,
+  14: optional bool continues,
+  15: optional list<PromptPart> parts
 }
 
 enum Admission {
@@ -155,7 +172,8 @@
 // Admitted requests whose first event has come, and those that have ended.
 struct Progress {
   1: required list<string> started,
-  2: required list<string> ended
+  2: required list<string> ended,
+  3: optional map<string, i32> generated
 }
 
 // Newest records of one keyed topic, for a process that starts without the store.
@@ -213,3 +231,46 @@
   1: required string start,
   2: required list<StreamOrigin> origins
 }
+
+// Units of one client account that an entry asks for.
+struct CreditRequest {
+  1: required string account,
+  2: required double rate_per_s,
+  3: required double burst,
+  4: required i64 needed,
+  5: required i64 ahead
+}
+
+// Asks the keeper of a group of accounts for units; version is that of the
+// configuration that names the limits.
+struct CreditQuery {
+  1: required i32 group,
+  2: required i64 version,
+  3: required list<CreditRequest> requests
+}
+
+struct CreditGrant {
+  1: required string account,
+  2: required i64 units,
+  3: required i32 retry_after_ms,
+  4: required i64 used
+}
+
+// Without grants the process does not keep the group; keeper names one that may.
+struct CreditReply {
+  1: optional list<CreditGrant> grants,
+  2: optional string keeper
+}
+
+// Tells the former keeper of a group that another one has claimed it at a position of
+// the store.
+struct TenureQuery {
+  1: required i32 group,
+  2: required i32 era,
+  3: required i64 offset
+}
+
+// What is left of each account; the process grants nothing of the group any more.
+struct TenureReply {
+  1: required map<string, double> levels
+}
--- a/src/copperrun/adapters/admission.py
+++ b/src/copperrun/adapters/admission.py
@@ -25,6 +25,7 @@
 from copperrun.ports.admission import NotHeld
 from copperrun.ports.admission import Overloaded
 from copperrun.ports.admission import PeerEngine
+from copperrun.ports.admission import PromptPart
 from copperrun.ports.sides import SideError
 from copperrun.ports.sides import SideErrorReason
 from copperrun.ports.timers import Timers
@@ -92,13 +93,17 @@
             reply.use,
             reply.server_id,
             frozenset(reply.active),
+            reply.free_tokens,
+            reply.step_ms or 0.0,
+            reply.work_ms or 0.0,
+            reply.wait_ms or {},
         )
 
     async def admit(
         self, server: ServerRecord, admission_request: AdmissionRequest
     ) -> Admission | SideError:
         """Wait until the engine can take a request, with its adapter loaded."""
-        message = ttypes.Admit(**admission_request._asdict())
+        message = _encode_admission(admission_request)
         body = await self._post(
             server, ADMIT_PATH, message, admission_request.remaining_ms
         )
@@ -229,6 +234,10 @@
             use=report.utilization,
             server_id=report.server_id,
             active=set(report.active),
+            free_tokens=report.free_tokens,
+            step_ms=report.step_ms or None,
+            work_ms=report.work_ms or None,
+            wait_ms=dict(report.wait_ms) or None,
         )
         return web.Response(body=wire.encode(reply))
 
@@ -236,7 +245,7 @@
         message = wire.decode(ttypes.Admit, await request.read())
         if isinstance(message, wire.WireError):
             return web.Response(status=400, text=message.detail)
-        admission = await self._admission.admit(AdmissionRequest(**vars(message)))
+        admission = await self._admission.admit(_decode_admission(message))
         match admission:
             case Granted(born_ms, server_id):
                 reply = ttypes.AdmitResult(
@@ -263,6 +272,47 @@
         return web.Response()
 
 
+def _encode_admission(req: AdmissionRequest) -> ttypes.Admit:
+    """Encode a request; fields without a value are left out."""
+    return ttypes.Admit(
+        request=req.request,
+        model=req.model,
+        adapter=req.adapter,
+        priority=req.priority,
+        tokens=req.tokens,
+        gap_ms=req.gap_ms,
+        target_ms=req.target_ms,
+        remaining_ms=req.remaining_ms,
+        account=req.account or None,
+        output_tokens=req.output_tokens or None,
+        expected_output=req.expected_output or None,
+        likely_output=req.likely_output or None,
+        alternatives=req.alternatives or None,
+        continues=req.continues or None,
+        parts=[ttypes.PromptPart(*part) for part in req.parts] or None,
+    )
+
+
+def _decode_admission(message: ttypes.Admit) -> AdmissionRequest:
+    return AdmissionRequest(
+        message.request,
+        message.model,
+        message.adapter,
+        message.priority,
+        message.tokens,
+        message.gap_ms,
+        message.target_ms,
+        message.remaining_ms,
+        message.account or "",
+        message.output_tokens or 0,
+        message.expected_output or 0,
+        message.likely_output or 0,
+        message.alternatives or 0,
+        bool(message.continues),
+        tuple(PromptPart(part.id, part.tokens) for part in message.parts or ()),
+    )
+
+
 def _encode_peer(peer: PeerEngine) -> ttypes.PeerEngine:
     return ttypes.PeerEngine(
         held=set(peer.held),
--- a/src/copperrun/gen/ttypes.py
+++ b/src/copperrun/gen/ttypes.py
@@ -1448,11 +1448,15 @@
      - use
      - server_id
      - active
+     - free_tokens
+     - step_ms
+     - work_ms
+     - wait_ms
 
     """
 
 
-    def __init__(self, born_ms=None, held=None, running=None, queued=None, loading=None, entries=None, backlog_ms=None, use=None, server_id=None, active=None,):
+    def __init__(self, born_ms=None, held=None, running=None, queued=None, loading=None, entries=None, backlog_ms=None, use=None, server_id=None, active=None, free_tokens=None, step_ms=None, work_ms=None, wait_ms=None,):
         self.born_ms = born_ms
         self.held = held
         self.running = running
@@ -1463,6 +1467,10 @@
         self.use = use
         self.server_id = server_id
         self.active = active
+        self.free_tokens = free_tokens
+        self.step_ms = step_ms
+        self.work_ms = work_ms
+        self.wait_ms = wait_ms
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1545,6 +1553,32 @@
                     iprot.readSetEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 11:
+                if ftype == TType.I32:
+                    self.free_tokens = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 12:
+                if ftype == TType.DOUBLE:
+                    self.step_ms = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 13:
+                if ftype == TType.DOUBLE:
+                    self.work_ms = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 14:
+                if ftype == TType.MAP:
+                    self.wait_ms = {}
+                    (_ktype100, _vtype101, _size99) = iprot.readMapBegin()
+                    for _i103 in range(_size99):
+                        _key104 = iprot.readI32()
+                        _val105 = iprot.readI32()
+                        self.wait_ms[_key104] = _val105
+                    iprot.readMapEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1562,11 +1596,11 @@
         if self.held is not None:
             oprot.writeFieldBegin('held', TType.MAP, 2)
             oprot.writeMapBegin(TType.STRING, TType.SET, len(self.held))
-            for kiter99, viter100 in self.held.items():
-                oprot.writeString(kiter99.encode('utf-8') if sys.version_info[0] == 2 else kiter99)
-                oprot.writeSetBegin(TType.STRING, len(viter100))
-                for iter101 in viter100:
-                    oprot.writeString(iter101.encode('utf-8') if sys.version_info[0] == 2 else iter101)
+            for kiter106, viter107 in self.held.items():
+                oprot.writeString(kiter106.encode('utf-8') if sys.version_info[0] == 2 else kiter106)
+                oprot.writeSetBegin(TType.STRING, len(viter107))
+                for iter108 in viter107:
+                    oprot.writeString(iter108.encode('utf-8') if sys.version_info[0] == 2 else iter108)
                 oprot.writeSetEnd()
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
@@ -1581,9 +1615,9 @@
         if self.loading is not None:
             oprot.writeFieldBegin('loading', TType.MAP, 5)
             oprot.writeMapBegin(TType.STRING, TType.I32, len(self.loading))
-            for kiter102, viter103 in self.loading.items():
-                oprot.writeString(kiter102.encode('utf-8') if sys.version_info[0] == 2 else kiter102)
-                oprot.writeI32(viter103)
+            for kiter109, viter110 in self.loading.items():
+                oprot.writeString(kiter109.encode('utf-8') if sys.version_info[0] == 2 else kiter109)
+                oprot.writeI32(viter110)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         if self.entries is not None:
@@ -1605,10 +1639,30 @@
         if self.active is not None:
             oprot.writeFieldBegin('active', TType.SET, 10)
             oprot.writeSetBegin(TType.STRING, len(self.active))
-            for iter104 in self.active:
-                oprot.writeString(iter104.encode('utf-8') if sys.version_info[0] == 2 else iter104)
+            for iter111 in self.active:
+                oprot.writeString(iter111.encode('utf-8') if sys.version_info[0] == 2 else iter111)
             oprot.writeSetEnd()
             oprot.writeFieldEnd()
+        if self.free_tokens is not None:
+            oprot.writeFieldBegin('free_tokens', TType.I32, 11)
+            oprot.writeI32(self.free_tokens)
+            oprot.writeFieldEnd()
+        if self.step_ms is not None:
+            oprot.writeFieldBegin('step_ms', TType.DOUBLE, 12)
+            oprot.writeDouble(self.step_ms)
+            oprot.writeFieldEnd()
+        if self.work_ms is not None:
+            oprot.writeFieldBegin('work_ms', TType.DOUBLE, 13)
+            oprot.writeDouble(self.work_ms)
+            oprot.writeFieldEnd()
+        if self.wait_ms is not None:
+            oprot.writeFieldBegin('wait_ms', TType.MAP, 14)
+            oprot.writeMapBegin(TType.I32, TType.I32, len(self.wait_ms))
+            for kiter112, viter113 in self.wait_ms.items():
+                oprot.writeI32(kiter112)
+                oprot.writeI32(viter113)
+            oprot.writeMapEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1720,6 +1774,78 @@
         return not (self == other)
 
 
+class PromptPart(object):
+    """
+    Attributes:
+     - id
+     - tokens
+
+    """
+
+
+    def __init__(self, id=None, tokens=None,):
+        self.id = id
+        self.tokens = tokens
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I32:
+                    self.tokens = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('PromptPart')
+        if self.id is not None:
+            oprot.writeFieldBegin('id', TType.STRING, 1)
+            oprot.writeString(self.id.encode('utf-8') if sys.version_info[0] == 2 else self.id)
+            oprot.writeFieldEnd()
+        if self.tokens is not None:
+            oprot.writeFieldBegin('tokens', TType.I32, 2)
+            oprot.writeI32(self.tokens)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.id is None:
+            raise TProtocolException(message='Required field id is unset!')
+        if self.tokens is None:
+            raise TProtocolException(message='Required field tokens is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class Admit(object):
     """
     Attributes:
@@ -1731,11 +1857,18 @@
      - gap_ms
      - target_ms
      - remaining_ms
+     - account
+     - output_tokens
+     - expected_output
+     - likely_output
+     - alternatives
+     - continues
+     - parts
 
     """
 
 
-    def __init__(self, request=None, model=None, adapter=None, priority=None, tokens=None, gap_ms=None, target_ms=None, remaining_ms=None,):
+    def __init__(self, request=None, model=None, adapter=None, priority=None, tokens=None, gap_ms=None, target_ms=None, remaining_ms=None, account=None, output_tokens=None, expected_output=None, likely_output=None, alternatives=None, continues=None, parts=None,):
         self.request = request
         self.model = model
         self.adapter = adapter
@@ -1744,6 +1877,13 @@
         self.gap_ms = gap_ms
         self.target_ms = target_ms
         self.remaining_ms = remaining_ms
+        self.account = account
+        self.output_tokens = output_tokens
+        self.expected_output = expected_output
+        self.likely_output = likely_output
+        self.alternatives = alternatives
+        self.continues = continues
+        self.parts = parts
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1794,6 +1934,47 @@
                     self.remaining_ms = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.STRING:
+                    self.account = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 10:
+                if ftype == TType.I32:
+                    self.output_tokens = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 11:
+                if ftype == TType.I32:
+                    self.expected_output = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 12:
+                if ftype == TType.I32:
+                    self.likely_output = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 13:
+                if ftype == TType.I32:
+                    self.alternatives = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 14:
+                if ftype == TType.BOOL:
+                    self.continues = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 15:
+                if ftype == TType.LIST:
+                    self.parts = []
+                    (_etype117, _size114) = iprot.readListBegin()
+                    for _i118 in range(_size114):
+                        _elem119 = PromptPart()
+                        _elem119.read(iprot)
+                        self.parts.append(_elem119)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1836,6 +2017,37 @@
             oprot.writeFieldBegin('remaining_ms', TType.I32, 8)
             oprot.writeI32(self.remaining_ms)
             oprot.writeFieldEnd()
+        if self.account is not None:
+            oprot.writeFieldBegin('account', TType.STRING, 9)
+            oprot.writeString(self.account.encode('utf-8') if sys.version_info[0] == 2 else self.account)
+            oprot.writeFieldEnd()
+        if self.output_tokens is not None:
+            oprot.writeFieldBegin('output_tokens', TType.I32, 10)
+            oprot.writeI32(self.output_tokens)
+            oprot.writeFieldEnd()
+        if self.expected_output is not None:
+            oprot.writeFieldBegin('expected_output', TType.I32, 11)
+            oprot.writeI32(self.expected_output)
+            oprot.writeFieldEnd()
+        if self.likely_output is not None:
+            oprot.writeFieldBegin('likely_output', TType.I32, 12)
+            oprot.writeI32(self.likely_output)
+            oprot.writeFieldEnd()
+        if self.alternatives is not None:
+            oprot.writeFieldBegin('alternatives', TType.I32, 13)
+            oprot.writeI32(self.alternatives)
+            oprot.writeFieldEnd()
+        if self.continues is not None:
+            oprot.writeFieldBegin('continues', TType.BOOL, 14)
+            oprot.writeBool(self.continues)
+            oprot.writeFieldEnd()
+        if self.parts is not None:
+            oprot.writeFieldBegin('parts', TType.LIST, 15)
+            oprot.writeListBegin(TType.STRUCT, len(self.parts))
+            for iter120 in self.parts:
+                iter120.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1969,13 +2181,15 @@
     Attributes:
      - started
      - ended
+     - generated
 
     """
 
 
-    def __init__(self, started=None, ended=None,):
+    def __init__(self, started=None, ended=None, generated=None,):
         self.started = started
         self.ended = ended
+        self.generated = generated
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1989,23 +2203,34 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.started = []
-                    (_etype108, _size105) = iprot.readListBegin()
-                    for _i109 in range(_size105):
-                        _elem110 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.started.append(_elem110)
+                    (_etype124, _size121) = iprot.readListBegin()
+                    for _i125 in range(_size121):
+                        _elem126 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.started.append(_elem126)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.ended = []
-                    (_etype114, _size111) = iprot.readListBegin()
-                    for _i115 in range(_size111):
-                        _elem116 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.ended.append(_elem116)
+                    (_etype130, _size127) = iprot.readListBegin()
+                    for _i131 in range(_size127):
+                        _elem132 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.ended.append(_elem132)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.MAP:
+                    self.generated = {}
+                    (_ktype134, _vtype135, _size133) = iprot.readMapBegin()
+                    for _i137 in range(_size133):
+                        _key138 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val139 = iprot.readI32()
+                        self.generated[_key138] = _val139
+                    iprot.readMapEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2019,17 +2244,25 @@
         if self.started is not None:
             oprot.writeFieldBegin('started', TType.LIST, 1)
             oprot.writeListBegin(TType.STRING, len(self.started))
-            for iter117 in self.started:
-                oprot.writeString(iter117.encode('utf-8') if sys.version_info[0] == 2 else iter117)
+            for iter140 in self.started:
+                oprot.writeString(iter140.encode('utf-8') if sys.version_info[0] == 2 else iter140)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.ended is not None:
             oprot.writeFieldBegin('ended', TType.LIST, 2)
             oprot.writeListBegin(TType.STRING, len(self.ended))
-            for iter118 in self.ended:
-                oprot.writeString(iter118.encode('utf-8') if sys.version_info[0] == 2 else iter118)
+            for iter141 in self.ended:
+                oprot.writeString(iter141.encode('utf-8') if sys.version_info[0] == 2 else iter141)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.generated is not None:
+            oprot.writeFieldBegin('generated', TType.MAP, 3)
+            oprot.writeMapBegin(TType.STRING, TType.I32, len(self.generated))
+            for kiter142, viter143 in self.generated.items():
+                oprot.writeString(kiter142.encode('utf-8') if sys.version_info[0] == 2 else kiter142)
+                oprot.writeI32(viter143)
+            oprot.writeMapEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2079,11 +2312,11 @@
             if fid == 1:
                 if ftype == TType.MAP:
                     self.items = {}
-                    (_ktype120, _vtype121, _size119) = iprot.readMapBegin()
-                    for _i123 in range(_size119):
-                        _key124 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        _val125 = iprot.readBinary()
-                        self.items[_key124] = _val125
+                    (_ktype145, _vtype146, _size144) = iprot.readMapBegin()
+                    for _i148 in range(_size144):
+                        _key149 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val150 = iprot.readBinary()
+                        self.items[_key149] = _val150
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
@@ -2110,9 +2343,9 @@
         if self.items is not None:
             oprot.writeFieldBegin('items', TType.MAP, 1)
             oprot.writeMapBegin(TType.STRING, TType.STRING, len(self.items))
-            for kiter126, viter127 in self.items.items():
-                oprot.writeString(kiter126.encode('utf-8') if sys.version_info[0] == 2 else kiter126)
-                oprot.writeBinary(viter127)
+            for kiter151, viter152 in self.items.items():
+                oprot.writeString(kiter151.encode('utf-8') if sys.version_info[0] == 2 else kiter151)
+                oprot.writeBinary(viter152)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         if self.end is not None:
@@ -2168,12 +2401,12 @@
             if fid == 1:
                 if ftype == TType.MAP:
                     self.topics = {}
-                    (_ktype129, _vtype130, _size128) = iprot.readMapBegin()
-                    for _i132 in range(_size128):
-                        _key133 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        _val134 = TopicView()
-                        _val134.read(iprot)
-                        self.topics[_key133] = _val134
+                    (_ktype154, _vtype155, _size153) = iprot.readMapBegin()
+                    for _i157 in range(_size153):
+                        _key158 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val159 = TopicView()
+                        _val159.read(iprot)
+                        self.topics[_key158] = _val159
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
@@ -2190,9 +2423,9 @@
         if self.topics is not None:
             oprot.writeFieldBegin('topics', TType.MAP, 1)
             oprot.writeMapBegin(TType.STRING, TType.STRUCT, len(self.topics))
-            for kiter135, viter136 in self.topics.items():
-                oprot.writeString(kiter135.encode('utf-8') if sys.version_info[0] == 2 else kiter135)
-                viter136.write(oprot)
+            for kiter160, viter161 in self.topics.items():
+                oprot.writeString(kiter160.encode('utf-8') if sys.version_info[0] == 2 else kiter160)
+                viter161.write(oprot)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2261,20 +2494,20 @@
             elif fid == 4:
                 if ftype == TType.SET:
                     self.parts = set()
-                    (_etype140, _size137) = iprot.readSetBegin()
-                    for _i141 in range(_size137):
-                        _elem142 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.parts.add(_elem142)
+                    (_etype165, _size162) = iprot.readSetBegin()
+                    for _i166 in range(_size162):
+                        _elem167 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.parts.add(_elem167)
                     iprot.readSetEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 5:
                 if ftype == TType.SET:
                     self.cleared = set()
-                    (_etype146, _size143) = iprot.readSetBegin()
-                    for _i147 in range(_size143):
-                        _elem148 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.cleared.add(_elem148)
+                    (_etype171, _size168) = iprot.readSetBegin()
+                    for _i172 in range(_size168):
+                        _elem173 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.cleared.add(_elem173)
                     iprot.readSetEnd()
                 else:
                     iprot.skip(ftype)
@@ -2303,15 +2536,15 @@
         if self.parts is not None:
             oprot.writeFieldBegin('parts', TType.SET, 4)
             oprot.writeSetBegin(TType.STRING, len(self.parts))
-            for iter149 in self.parts:
-                oprot.writeString(iter149.encode('utf-8') if sys.version_info[0] == 2 else iter149)
+            for iter174 in self.parts:
+                oprot.writeString(iter174.encode('utf-8') if sys.version_info[0] == 2 else iter174)
             oprot.writeSetEnd()
             oprot.writeFieldEnd()
         if self.cleared is not None:
             oprot.writeFieldBegin('cleared', TType.SET, 5)
             oprot.writeSetBegin(TType.STRING, len(self.cleared))
-            for iter150 in self.cleared:
-                oprot.writeString(iter150.encode('utf-8') if sys.version_info[0] == 2 else iter150)
+            for iter175 in self.cleared:
+                oprot.writeString(iter175.encode('utf-8') if sys.version_info[0] == 2 else iter175)
             oprot.writeSetEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2381,11 +2614,11 @@
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.crashes = []
-                    (_etype154, _size151) = iprot.readListBegin()
-                    for _i155 in range(_size151):
-                        _elem156 = Crash()
-                        _elem156.read(iprot)
-                        self.crashes.append(_elem156)
+                    (_etype179, _size176) = iprot.readListBegin()
+                    for _i180 in range(_size176):
+                        _elem181 = Crash()
+                        _elem181.read(iprot)
+                        self.crashes.append(_elem181)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2415,8 +2648,8 @@
         if self.crashes is not None:
             oprot.writeFieldBegin('crashes', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.crashes))
-            for iter157 in self.crashes:
-                iter157.write(oprot)
+            for iter182 in self.crashes:
+                iter182.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.hold_ms is not None:
@@ -2486,11 +2719,11 @@
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.crashes = []
-                    (_etype161, _size158) = iprot.readListBegin()
-                    for _i162 in range(_size158):
-                        _elem163 = Crash()
-                        _elem163.read(iprot)
-                        self.crashes.append(_elem163)
+                    (_etype186, _size183) = iprot.readListBegin()
+                    for _i187 in range(_size183):
+                        _elem188 = Crash()
+                        _elem188.read(iprot)
+                        self.crashes.append(_elem188)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2515,8 +2748,8 @@
         if self.crashes is not None:
             oprot.writeFieldBegin('crashes', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.crashes))
-            for iter164 in self.crashes:
-                iter164.write(oprot)
+            for iter189 in self.crashes:
+                iter189.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2679,21 +2912,21 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.origins = []
-                    (_etype168, _size165) = iprot.readListBegin()
-                    for _i169 in range(_size165):
-                        _elem170 = StreamOrigin()
-                        _elem170.read(iprot)
-                        self.origins.append(_elem170)
+                    (_etype193, _size190) = iprot.readListBegin()
+                    for _i194 in range(_size190):
+                        _elem195 = StreamOrigin()
+                        _elem195.read(iprot)
+                        self.origins.append(_elem195)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.wanted = []
-                    (_etype174, _size171) = iprot.readListBegin()
-                    for _i175 in range(_size171):
-                        _elem176 = iprot.readBinary()
-                        self.wanted.append(_elem176)
+                    (_etype199, _size196) = iprot.readListBegin()
+                    for _i200 in range(_size196):
+                        _elem201 = iprot.readBinary()
+                        self.wanted.append(_elem201)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2710,15 +2943,15 @@
         if self.origins is not None:
             oprot.writeFieldBegin('origins', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.origins))
-            for iter177 in self.origins:
-                iter177.write(oprot)
+            for iter202 in self.origins:
+                iter202.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.wanted is not None:
             oprot.writeFieldBegin('wanted', TType.LIST, 2)
             oprot.writeListBegin(TType.STRING, len(self.wanted))
-            for iter178 in self.wanted:
-                oprot.writeBinary(iter178)
+            for iter203 in self.wanted:
+                oprot.writeBinary(iter203)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2773,11 +3006,11 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.origins = []
-                    (_etype182, _size179) = iprot.readListBegin()
-                    for _i183 in range(_size179):
-                        _elem184 = StreamOrigin()
-                        _elem184.read(iprot)
-                        self.origins.append(_elem184)
+                    (_etype207, _size204) = iprot.readListBegin()
+                    for _i208 in range(_size204):
+                        _elem209 = StreamOrigin()
+                        _elem209.read(iprot)
+                        self.origins.append(_elem209)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2798,8 +3031,8 @@
         if self.origins is not None:
             oprot.writeFieldBegin('origins', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.origins))
-            for iter185 in self.origins:
-                iter185.write(oprot)
+            for iter210 in self.origins:
+                iter210.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2822,133 +3055,677 @@
 
     def __ne__(self, other):
         return not (self == other)
-all_structs.append(AttemptId)
-AttemptId.thrift_spec = (
-    None,  # 0
-    (1, TType.STRING, 'request', 'UTF8', None, ),  # 1
-    (2, TType.I32, 'attempt', None, None, ),  # 2
-    (3, TType.I64, 'incarnation', None, None, ),  # 3
-)
-all_structs.append(Attempt)
-Attempt.thrift_spec = (
-    None,  # 0
-    (1, TType.STRUCT, 'id', [AttemptId, None], None, ),  # 1
-    (2, TType.STRING, 'deployment', 'UTF8', None, ),  # 2
-    (3, TType.STRING, 'adapter', 'UTF8', None, ),  # 3
-    (4, TType.STRING, 'tenant', 'UTF8', None, ),  # 4
-    (5, TType.STRING, 'caller', 'UTF8', None, ),  # 5
-    (6, TType.STRING, 'service_class', 'UTF8', None, ),  # 6
-    (7, TType.I64, 'revision', None, None, ),  # 7
-    (8, TType.I64, 'remaining_ms', None, None, ),  # 8
-    (9, TType.BOOL, 'stream', None, None, ),  # 9
-    (10, TType.STRING, 'method', 'UTF8', None, ),  # 10
-    (11, TType.STRING, 'path', 'UTF8', None, ),  # 11
-    (12, TType.STRING, 'content_type', 'UTF8', None, ),  # 12
-    (13, TType.STRING, 'idempotency_key', 'UTF8', None, ),  # 13
-    (14, TType.STRING, 'body', 'BINARY', None, ),  # 14
-    (15, TType.I32, 'resume_chunks', None, None, ),  # 15
-    (16, TType.STRING, 'resume_text', 'UTF8', None, ),  # 16
-    (17, TType.STRING, 'resume_weights', 'UTF8', None, ),  # 17
-)
-all_structs.append(Load)
-Load.thrift_spec = (
-    None,  # 0
-    (1, TType.I32, 'queued', None, None, ),  # 1
-    (2, TType.I32, 'running', None, None, ),  # 2
-    (3, TType.I64, 'queue_ms', None, None, ),  # 3
-)
-all_structs.append(Answer)
-Answer.thrift_spec = (
-    None,  # 0
-    (1, TType.STRUCT, 'id', [AttemptId, None], None, ),  # 1
-    (2, TType.I32, 'status', None, None, ),  # 2
-    (3, TType.STRING, 'content_type', 'UTF8', None, ),  # 3
-    (4, TType.STRING, 'body', 'BINARY', None, ),  # 4
-    (5, TType.I64, 'checksum', None, None, ),  # 5
-    (6, TType.BOOL, 'recorded', None, None, ),  # 6
-    (7, TType.STRUCT, 'load', [Load, None], None, ),  # 7
-)
-all_structs.append(Refusal)
-Refusal.thrift_spec = (
-    None,  # 0
-    (1, TType.STRUCT, 'id', [AttemptId, None], None, ),  # 1
-    (2, TType.STRING, 'reason', 'UTF8', None, ),  # 2
-    (3, TType.I32, 'ran', None, None, ),  # 3
-    (4, TType.STRING, 'detail', 'UTF8', None, ),  # 4
-    (5, TType.I64, 'retry_after_ms', None, None, ),  # 5
-    (6, TType.STRING, 'redirect', 'UTF8', None, ),  # 6
-    (7, TType.STRUCT, 'load', [Load, None], None, ),  # 7
-)
-all_structs.append(Cancel)
-Cancel.thrift_spec = (
-    None,  # 0
-    (1, TType.STRUCT, 'id', [AttemptId, None], None, ),  # 1
-)
-all_structs.append(CancelResult)
-CancelResult.thrift_spec = (
-    None,  # 0
-    (1, TType.STRUCT, 'id', [AttemptId, None], None, ),  # 1
-    (2, TType.BOOL, 'started', None, None, ),  # 2
-)
-all_structs.append(Pin)
-Pin.thrift_spec = (
-    None,  # 0
-    (1, TType.STRING, 'object', 'UTF8', None, ),  # 1
-)
-all_structs.append(PinResult)
-PinResult.thrift_spec = (
-    None,  # 0
-    (1, TType.BOOL, 'granted', None, None, ),  # 1
-)
-all_structs.append(Hello)
-Hello.thrift_spec = (
-    None,  # 0
-    (1, TType.STRING, 'instance', 'UTF8', None, ),  # 1
-    (2, TType.I64, 'incarnation', None, None, ),  # 2
-    (3, TType.STRING, 'state', 'UTF8', None, ),  # 3
-    (4, TType.I64, 'revision', None, None, ),  # 4
-    (5, TType.STRUCT, 'load', [Load, None], None, ),  # 5
-    (6, TType.LIST, 'resident', (TType.STRING, 'UTF8', False), None, ),  # 6
-)
-all_structs.append(PeerEngine)
-PeerEngine.thrift_spec = (
-    None,  # 0
-    (1, TType.SET, 'held', (TType.STRING, 'UTF8', False), None, ),  # 1
-    (2, TType.SET, 'loading', (TType.STRING, 'UTF8', False), None, ),  # 2
-    (3, TType.DOUBLE, 'use', None, None, ),  # 3
-    (4, TType.SET, 'active', (TType.STRING, 'UTF8', False), None, ),  # 4
-)
-all_structs.append(Demand)
-Demand.thrift_spec = (
-    None,  # 0
-    (1, TType.STRING, 'entry', 'UTF8', None, ),  # 1
-    (2, TType.MAP, 'arrivals', (TType.STRING, 'UTF8', TType.DOUBLE, None, False), None, ),  # 2
-    (3, TType.MAP, 'waiting', (TType.STRING, 'UTF8', TType.I32, None, False), None, ),  # 3
-    (4, TType.MAP, 'engines', (TType.STRING, 'UTF8', TType.STRUCT, [PeerEngine, None], False), None, ),  # 4
-    (5, TType.I32, 'hold_ms', None, None, ),  # 5
-    (6, TType.MAP, 'queued', (TType.STRING, 'UTF8', TType.I32, None, False), None, ),  # 6
-    (7, TType.MAP, 'continuing', (TType.STRING, 'UTF8', TType.I32, None, False), None, ),  # 7
-)
-all_structs.append(EngineReport)
-EngineReport.thrift_spec = (
-    None,  # 0
-    (1, TType.I64, 'born_ms', None, None, ),  # 1
-    (2, TType.MAP, 'held', (TType.STRING, 'UTF8', TType.SET, (TType.STRING, 'UTF8', False), False), None, ),  # 2
-    (3, TType.I32, 'running', None, None, ),  # 3
-    (4, TType.I32, 'queued', None, None, ),  # 4
-    (5, TType.MAP, 'loading', (TType.STRING, 'UTF8', TType.I32, None, False), None, ),  # 5
-    (6, TType.I32, 'entries', None, None, ),  # 6
-    (7, TType.I32, 'backlog_ms', None, None, ),  # 7
-    (8, TType.DOUBLE, 'use', None, None, ),  # 8
-    (9, TType.STRING, 'server_id', 'UTF8', None, ),  # 9
-    (10, TType.SET, 'active', (TType.STRING, 'UTF8', False), None, ),  # 10
-)
-all_structs.append(PeerChange)
+
+
+class CreditRequest(object):
+    """
+    Attributes:
+     - account
+     - rate_per_s
+     - burst
+     - needed
+     - ahead
+
+    """
+
+
+    def __init__(self, account=None, rate_per_s=None, burst=None, needed=None, ahead=None,):
+        self.account = account
+        self.rate_per_s = rate_per_s
+        self.burst = burst
+        self.needed = needed
+        self.ahead = ahead
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.account = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.DOUBLE:
+                    self.rate_per_s = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.DOUBLE:
+                    self.burst = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I64:
+                    self.needed = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I64:
+                    self.ahead = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('CreditRequest')
+        if self.account is not None:
+            oprot.writeFieldBegin('account', TType.STRING, 1)
+            oprot.writeString(self.account.encode('utf-8') if sys.version_info[0] == 2 else self.account)
+            oprot.writeFieldEnd()
+        if self.rate_per_s is not None:
+            oprot.writeFieldBegin('rate_per_s', TType.DOUBLE, 2)
+            oprot.writeDouble(self.rate_per_s)
+            oprot.writeFieldEnd()
+        if self.burst is not None:
+            oprot.writeFieldBegin('burst', TType.DOUBLE, 3)
+            oprot.writeDouble(self.burst)
+            oprot.writeFieldEnd()
+        if self.needed is not None:
+            oprot.writeFieldBegin('needed', TType.I64, 4)
+            oprot.writeI64(self.needed)
+            oprot.writeFieldEnd()
+        if self.ahead is not None:
+            oprot.writeFieldBegin('ahead', TType.I64, 5)
+            oprot.writeI64(self.ahead)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.account is None:
+            raise TProtocolException(message='Required field account is unset!')
+        if self.rate_per_s is None:
+            raise TProtocolException(message='Required field rate_per_s is unset!')
+        if self.burst is None:
+            raise TProtocolException(message='Required field burst is unset!')
+        if self.needed is None:
+            raise TProtocolException(message='Required field needed is unset!')
+        if self.ahead is None:
+            raise TProtocolException(message='Required field ahead is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class CreditQuery(object):
+    """
+    Attributes:
+     - group
+     - version
+     - requests
+
+    """
+
+
+    def __init__(self, group=None, version=None, requests=None,):
+        self.group = group
+        self.version = version
+        self.requests = requests
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I32:
+                    self.group = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.version = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.LIST:
+                    self.requests = []
+                    (_etype214, _size211) = iprot.readListBegin()
+                    for _i215 in range(_size211):
+                        _elem216 = CreditRequest()
+                        _elem216.read(iprot)
+                        self.requests.append(_elem216)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('CreditQuery')
+        if self.group is not None:
+            oprot.writeFieldBegin('group', TType.I32, 1)
+            oprot.writeI32(self.group)
+            oprot.writeFieldEnd()
+        if self.version is not None:
+            oprot.writeFieldBegin('version', TType.I64, 2)
+            oprot.writeI64(self.version)
+            oprot.writeFieldEnd()
+        if self.requests is not None:
+            oprot.writeFieldBegin('requests', TType.LIST, 3)
+            oprot.writeListBegin(TType.STRUCT, len(self.requests))
+            for iter217 in self.requests:
+                iter217.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.group is None:
+            raise TProtocolException(message='Required field group is unset!')
+        if self.version is None:
+            raise TProtocolException(message='Required field version is unset!')
+        if self.requests is None:
+            raise TProtocolException(message='Required field requests is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class CreditGrant(object):
+    """
+    Attributes:
+     - account
+     - units
+     - retry_after_ms
+     - used
+
+    """
+
+
+    def __init__(self, account=None, units=None, retry_after_ms=None, used=None,):
+        self.account = account
+        self.units = units
+        self.retry_after_ms = retry_after_ms
+        self.used = used
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.account = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.units = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.retry_after_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I64:
+                    self.used = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('CreditGrant')
+        if self.account is not None:
+            oprot.writeFieldBegin('account', TType.STRING, 1)
+            oprot.writeString(self.account.encode('utf-8') if sys.version_info[0] == 2 else self.account)
+            oprot.writeFieldEnd()
+        if self.units is not None:
+            oprot.writeFieldBegin('units', TType.I64, 2)
+            oprot.writeI64(self.units)
+            oprot.writeFieldEnd()
+        if self.retry_after_ms is not None:
+            oprot.writeFieldBegin('retry_after_ms', TType.I32, 3)
+            oprot.writeI32(self.retry_after_ms)
+            oprot.writeFieldEnd()
+        if self.used is not None:
+            oprot.writeFieldBegin('used', TType.I64, 4)
+            oprot.writeI64(self.used)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.account is None:
+            raise TProtocolException(message='Required field account is unset!')
+        if self.units is None:
+            raise TProtocolException(message='Required field units is unset!')
+        if self.retry_after_ms is None:
+            raise TProtocolException(message='Required field retry_after_ms is unset!')
+        if self.used is None:
+            raise TProtocolException(message='Required field used is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class CreditReply(object):
+    """
+    Attributes:
+     - grants
+     - keeper
+
+    """
+
+
+    def __init__(self, grants=None, keeper=None,):
+        self.grants = grants
+        self.keeper = keeper
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.LIST:
+                    self.grants = []
+                    (_etype221, _size218) = iprot.readListBegin()
+                    for _i222 in range(_size218):
+                        _elem223 = CreditGrant()
+                        _elem223.read(iprot)
+                        self.grants.append(_elem223)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.keeper = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('CreditReply')
+        if self.grants is not None:
+            oprot.writeFieldBegin('grants', TType.LIST, 1)
+            oprot.writeListBegin(TType.STRUCT, len(self.grants))
+            for iter224 in self.grants:
+                iter224.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.keeper is not None:
+            oprot.writeFieldBegin('keeper', TType.STRING, 2)
+            oprot.writeString(self.keeper.encode('utf-8') if sys.version_info[0] == 2 else self.keeper)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class TenureQuery(object):
+    """
+    Attributes:
+     - group
+     - era
+     - offset
+
+    """
+
+
+    def __init__(self, group=None, era=None, offset=None,):
+        self.group = group
+        self.era = era
+        self.offset = offset
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I32:
+                    self.group = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I32:
+                    self.era = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.offset = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('TenureQuery')
+        if self.group is not None:
+            oprot.writeFieldBegin('group', TType.I32, 1)
+            oprot.writeI32(self.group)
+            oprot.writeFieldEnd()
+        if self.era is not None:
+            oprot.writeFieldBegin('era', TType.I32, 2)
+            oprot.writeI32(self.era)
+            oprot.writeFieldEnd()
+        if self.offset is not None:
+            oprot.writeFieldBegin('offset', TType.I64, 3)
+            oprot.writeI64(self.offset)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.group is None:
+            raise TProtocolException(message='Required field group is unset!')
+        if self.era is None:
+            raise TProtocolException(message='Required field era is unset!')
+        if self.offset is None:
+            raise TProtocolException(message='Required field offset is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class TenureReply(object):
+    """
+    Attributes:
+     - levels
+
+    """
+
+
+    def __init__(self, levels=None,):
+        self.levels = levels
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.MAP:
+                    self.levels = {}
+                    (_ktype226, _vtype227, _size225) = iprot.readMapBegin()
+                    for _i229 in range(_size225):
+                        _key230 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val231 = iprot.readDouble()
+                        self.levels[_key230] = _val231
+                    iprot.readMapEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('TenureReply')
+        if self.levels is not None:
+            oprot.writeFieldBegin('levels', TType.MAP, 1)
+            oprot.writeMapBegin(TType.STRING, TType.DOUBLE, len(self.levels))
+            for kiter232, viter233 in self.levels.items():
+                oprot.writeString(kiter232.encode('utf-8') if sys.version_info[0] == 2 else kiter232)
+                oprot.writeDouble(viter233)
+            oprot.writeMapEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.levels is None:
+            raise TProtocolException(message='Required field levels is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+all_structs.append(AttemptId)
+AttemptId.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'request', 'UTF8', None, ),  # 1
+    (2, TType.I32, 'attempt', None, None, ),  # 2
+    (3, TType.I64, 'incarnation', None, None, ),  # 3
+)
+all_structs.append(Attempt)
+Attempt.thrift_spec = (
+    None,  # 0
+    (1, TType.STRUCT, 'id', [AttemptId, None], None, ),  # 1
+    (2, TType.STRING, 'deployment', 'UTF8', None, ),  # 2
+    (3, TType.STRING, 'adapter', 'UTF8', None, ),  # 3
+    (4, TType.STRING, 'tenant', 'UTF8', None, ),  # 4
+    (5, TType.STRING, 'caller', 'UTF8', None, ),  # 5
+    (6, TType.STRING, 'service_class', 'UTF8', None, ),  # 6
+    (7, TType.I64, 'revision', None, None, ),  # 7
+    (8, TType.I64, 'remaining_ms', None, None, ),  # 8
+    (9, TType.BOOL, 'stream', None, None, ),  # 9
+    (10, TType.STRING, 'method', 'UTF8', None, ),  # 10
+    (11, TType.STRING, 'path', 'UTF8', None, ),  # 11
+    (12, TType.STRING, 'content_type', 'UTF8', None, ),  # 12
+    (13, TType.STRING, 'idempotency_key', 'UTF8', None, ),  # 13
+    (14, TType.STRING, 'body', 'BINARY', None, ),  # 14
+    (15, TType.I32, 'resume_chunks', None, None, ),  # 15
+    (16, TType.STRING, 'resume_text', 'UTF8', None, ),  # 16
+    (17, TType.STRING, 'resume_weights', 'UTF8', None, ),  # 17
+)
+all_structs.append(Load)
+Load.thrift_spec = (
+    None,  # 0
+    (1, TType.I32, 'queued', None, None, ),  # 1
+    (2, TType.I32, 'running', None, None, ),  # 2
+    (3, TType.I64, 'queue_ms', None, None, ),  # 3
+)
+all_structs.append(Answer)
+Answer.thrift_spec = (
+    None,  # 0
+    (1, TType.STRUCT, 'id', [AttemptId, None], None, ),  # 1
+    (2, TType.I32, 'status', None, None, ),  # 2
+    (3, TType.STRING, 'content_type', 'UTF8', None, ),  # 3
+    (4, TType.STRING, 'body', 'BINARY', None, ),  # 4
+    (5, TType.I64, 'checksum', None, None, ),  # 5
+    (6, TType.BOOL, 'recorded', None, None, ),  # 6
+    (7, TType.STRUCT, 'load', [Load, None], None, ),  # 7
+)
+all_structs.append(Refusal)
+Refusal.thrift_spec = (
+    None,  # 0
+    (1, TType.STRUCT, 'id', [AttemptId, None], None, ),  # 1
+    (2, TType.STRING, 'reason', 'UTF8', None, ),  # 2
+    (3, TType.I32, 'ran', None, None, ),  # 3
+    (4, TType.STRING, 'detail', 'UTF8', None, ),  # 4
+    (5, TType.I64, 'retry_after_ms', None, None, ),  # 5
+    (6, TType.STRING, 'redirect', 'UTF8', None, ),  # 6
+    (7, TType.STRUCT, 'load', [Load, None], None, ),  # 7
+)
+all_structs.append(Cancel)
+Cancel.thrift_spec = (
+    None,  # 0
+    (1, TType.STRUCT, 'id', [AttemptId, None], None, ),  # 1
+)
+all_structs.append(CancelResult)
+CancelResult.thrift_spec = (
+    None,  # 0
+    (1, TType.STRUCT, 'id', [AttemptId, None], None, ),  # 1
+    (2, TType.BOOL, 'started', None, None, ),  # 2
+)
+all_structs.append(Pin)
+Pin.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'object', 'UTF8', None, ),  # 1
+)
+all_structs.append(PinResult)
+PinResult.thrift_spec = (
+    None,  # 0
+    (1, TType.BOOL, 'granted', None, None, ),  # 1
+)
+all_structs.append(Hello)
+Hello.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'instance', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'incarnation', None, None, ),  # 2
+    (3, TType.STRING, 'state', 'UTF8', None, ),  # 3
+    (4, TType.I64, 'revision', None, None, ),  # 4
+    (5, TType.STRUCT, 'load', [Load, None], None, ),  # 5
+    (6, TType.LIST, 'resident', (TType.STRING, 'UTF8', False), None, ),  # 6
+)
+all_structs.append(PeerEngine)
+PeerEngine.thrift_spec = (
+    None,  # 0
+    (1, TType.SET, 'held', (TType.STRING, 'UTF8', False), None, ),  # 1
+    (2, TType.SET, 'loading', (TType.STRING, 'UTF8', False), None, ),  # 2
+    (3, TType.DOUBLE, 'use', None, None, ),  # 3
+    (4, TType.SET, 'active', (TType.STRING, 'UTF8', False), None, ),  # 4
+)
+all_structs.append(Demand)
+Demand.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'entry', 'UTF8', None, ),  # 1
+    (2, TType.MAP, 'arrivals', (TType.STRING, 'UTF8', TType.DOUBLE, None, False), None, ),  # 2
+    (3, TType.MAP, 'waiting', (TType.STRING, 'UTF8', TType.I32, None, False), None, ),  # 3
+    (4, TType.MAP, 'engines', (TType.STRING, 'UTF8', TType.STRUCT, [PeerEngine, None], False), None, ),  # 4
+    (5, TType.I32, 'hold_ms', None, None, ),  # 5
+    (6, TType.MAP, 'queued', (TType.STRING, 'UTF8', TType.I32, None, False), None, ),  # 6
+    (7, TType.MAP, 'continuing', (TType.STRING, 'UTF8', TType.I32, None, False), None, ),  # 7
+)
+all_structs.append(EngineReport)
+EngineReport.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'born_ms', None, None, ),  # 1
+    (2, TType.MAP, 'held', (TType.STRING, 'UTF8', TType.SET, (TType.STRING, 'UTF8', False), False), None, ),  # 2
+    (3, TType.I32, 'running', None, None, ),  # 3
+    (4, TType.I32, 'queued', None, None, ),  # 4
+    (5, TType.MAP, 'loading', (TType.STRING, 'UTF8', TType.I32, None, False), None, ),  # 5
+    (6, TType.I32, 'entries', None, None, ),  # 6
+    (7, TType.I32, 'backlog_ms', None, None, ),  # 7
+    (8, TType.DOUBLE, 'use', None, None, ),  # 8
+    (9, TType.STRING, 'server_id', 'UTF8', None, ),  # 9
+    (10, TType.SET, 'active', (TType.STRING, 'UTF8', False), None, ),  # 10
+    (11, TType.I32, 'free_tokens', None, None, ),  # 11
+    (12, TType.DOUBLE, 'step_ms', None, None, ),  # 12
+    (13, TType.DOUBLE, 'work_ms', None, None, ),  # 13
+    (14, TType.MAP, 'wait_ms', (TType.I32, None, TType.I32, None, False), None, ),  # 14
+)
+all_structs.append(PeerChange)
 PeerChange.thrift_spec = (
     None,  # 0
     (1, TType.STRING, 'address', 'UTF8', None, ),  # 1
     (2, TType.STRUCT, 'engine', [PeerEngine, None], None, ),  # 2
 )
+all_structs.append(PromptPart)
+PromptPart.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'id', 'UTF8', None, ),  # 1
+    (2, TType.I32, 'tokens', None, None, ),  # 2
+)
 all_structs.append(Admit)
 Admit.thrift_spec = (
     None,  # 0
@@ -2960,6 +3737,13 @@
     (6, TType.I32, 'gap_ms', None, None, ),  # 6
     (7, TType.I32, 'target_ms', None, None, ),  # 7
     (8, TType.I32, 'remaining_ms', None, None, ),  # 8
+    (9, TType.STRING, 'account', 'UTF8', None, ),  # 9
+    (10, TType.I32, 'output_tokens', None, None, ),  # 10
+    (11, TType.I32, 'expected_output', None, None, ),  # 11
+    (12, TType.I32, 'likely_output', None, None, ),  # 12
+    (13, TType.I32, 'alternatives', None, None, ),  # 13
+    (14, TType.BOOL, 'continues', None, None, ),  # 14
+    (15, TType.LIST, 'parts', (TType.STRUCT, [PromptPart, None], False), None, ),  # 15
 )
 all_structs.append(AdmitResult)
 AdmitResult.thrift_spec = (
@@ -2974,6 +3758,7 @@
     None,  # 0
     (1, TType.LIST, 'started', (TType.STRING, 'UTF8', False), None, ),  # 1
     (2, TType.LIST, 'ended', (TType.STRING, 'UTF8', False), None, ),  # 2
+    (3, TType.MAP, 'generated', (TType.STRING, 'UTF8', TType.I32, None, False), None, ),  # 3
 )
 all_structs.append(TopicView)
 TopicView.thrift_spec = (
@@ -3032,5 +3817,47 @@
     (1, TType.STRING, 'start', 'UTF8', None, ),  # 1
     (2, TType.LIST, 'origins', (TType.STRUCT, [StreamOrigin, None], False), None, ),  # 2
 )
+all_structs.append(CreditRequest)
+CreditRequest.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'account', 'UTF8', None, ),  # 1
+    (2, TType.DOUBLE, 'rate_per_s', None, None, ),  # 2
+    (3, TType.DOUBLE, 'burst', None, None, ),  # 3
+    (4, TType.I64, 'needed', None, None, ),  # 4
+    (5, TType.I64, 'ahead', None, None, ),  # 5
+)
+all_structs.append(CreditQuery)
+CreditQuery.thrift_spec = (
+    None,  # 0
+    (1, TType.I32, 'group', None, None, ),  # 1
+    (2, TType.I64, 'version', None, None, ),  # 2
+    (3, TType.LIST, 'requests', (TType.STRUCT, [CreditRequest, None], False), None, ),  # 3
+)
+all_structs.append(CreditGrant)
+CreditGrant.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'account', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'units', None, None, ),  # 2
+    (3, TType.I32, 'retry_after_ms', None, None, ),  # 3
+    (4, TType.I64, 'used', None, None, ),  # 4
+)
+all_structs.append(CreditReply)
+CreditReply.thrift_spec = (
+    None,  # 0
+    (1, TType.LIST, 'grants', (TType.STRUCT, [CreditGrant, None], False), None, ),  # 1
+    (2, TType.STRING, 'keeper', 'UTF8', None, ),  # 2
+)
+all_structs.append(TenureQuery)
+TenureQuery.thrift_spec = (
+    None,  # 0
+    (1, TType.I32, 'group', None, None, ),  # 1
+    (2, TType.I32, 'era', None, None, ),  # 2
+    (3, TType.I64, 'offset', None, None, ),  # 3
+)
+all_structs.append(TenureReply)
+TenureReply.thrift_spec = (
+    None,  # 0
+    (1, TType.MAP, 'levels', (TType.STRING, 'UTF8', TType.DOUBLE, None, False), None, ),  # 1
+)
 fix_spec(all_structs)
 del all_structs
--- a/src/copperrun/ports/admission.py
+++ b/src/copperrun/ports/admission.py
@@ -48,6 +48,13 @@
     continuing: Mapping[str, int] = {}
 
 
+class PromptPart(NamedTuple):
+    """A part of a prompt that requests of one model may share."""
+
+    id: str
+    tokens: int
+
+
 class AdmissionRequest(NamedTuple):
     """Request for admission to an engine.
 
@@ -60,6 +67,13 @@
         gap_ms: Longest allowed pause between its events; 0 for no limit.
         target_ms: Time left until its first event is due; negative when past.
         remaining_ms: Time left until its deadline.
+        account: Client account of the caller; empty for none.
+        output_tokens: Most tokens that it may generate; 0 when not stated.
+        expected_output: Tokens that it is expected to generate; 0 when not known.
+        likely_output: Tokens that it will hardly exceed; 0 when not known.
+        alternatives: Other engines that could take it now.
+        continues: Whether it continues a stream, which only few engines may do.
+        parts: Parts of the prompt that it may share with others, in order.
     """
 
     request: str
@@ -70,6 +84,13 @@
     gap_ms: int
     target_ms: int
     remaining_ms: int
+    account: str = ""
+    output_tokens: int = 0
+    expected_output: int = 0
+    likely_output: int = 0
+    alternatives: int = 0
+    continues: bool = False
+    parts: tuple[PromptPart, ...] = ()
 
 
 class Granted(NamedTuple):
--- a/src/copperrun/routing/servers.py
+++ b/src/copperrun/routing/servers.py
@@ -93,6 +93,10 @@
         server_id: Server id of the reported process; empty when the side does not
             know it.
         active: Models with running requests.
+        free_tokens: Tokens of memory that requests to come may use; None when unknown.
+        step_ms: Time of one decode step as it is now; 0 when unknown.
+        work_ms: Work left of all requests at the engine; 0 when unknown.
+        wait_ms: Expected wait of a request that came now, by rank.
     """
 
     born_ms: int
@@ -105,6 +109,10 @@
     utilization: float = 0.0
     server_id: str = ""
     active: frozenset[str] = frozenset()
+    free_tokens: int | None = None
+    step_ms: float = 0.0
+    work_ms: float = 0.0
+    wait_ms: Mapping[int, int] = {}
 
 
 class Server:
