--- a/src/copperrun/platform/store.py
+++ b/src/copperrun/platform/store.py
@@ -27,6 +27,7 @@
 SERVERS_TOPIC = "keyed.servers"  # written by the backend servers
 STATUS_TOPIC = "keyed.status"  # written by copperrun
 CRASHES_TOPIC = "keyed.crashes"  # written by copperrun, created on first use
+ALLOTMENTS_TOPIC = "keyed.allotments"  # likewise
 
 _PAGE_HEADER = struct.Struct(">QQ")  # end offset, first retained offset
 _RECORD_LENGTH = struct.Struct(">I")
@@ -88,14 +89,15 @@
         return TopicPage(records, offset + len(records), _era(reply))
 
     async def put(
-        self, topic: str, key: str, value: bytes
+        self, topic: str, key: str, value: bytes, *, at: int | None = None
     ) -> TopicPosition | TopicError:
-        """Write a record and return its position."""
+        """Write a record and return its position; only if that is ``at``."""
+        condition = "" if at is None else f"&at={at}"
         encoded_key = key.encode()
         content = bytes([len(encoded_key)]) + encoded_key + value
         reply = await self._client.call(
             "POST",
-            f"{self._url}/log-append?topic={topic}&part=0",
+            f"{self._url}/log-append?topic={topic}&part=0{condition}",
             body=_RECORD_LENGTH.pack(len(content)) + content,
             headers={"Content-Type": "application/octet-stream"},
             timeout_ms=CALL_TIMEOUT_MS,
@@ -106,6 +108,8 @@
                 TopicErrorReason.ANSWER_LOST if lost else TopicErrorReason.UNAVAILABLE
             )
             return TopicError(reason, reply.detail)
+        if reply.status == 412:
+            return TopicError(TopicErrorReason.CONFLICT, "log-append: other end")
         answer = reply.json()
         if reply.status != 200 or not isinstance(answer, dict):
             return _unavailable("log-append", reply)
--- a/src/copperrun/ports/allotments.py
+++ b/src/copperrun/ports/allotments.py
@@ -22,7 +22,7 @@
         account: Name of the account.
         rate_per_s: Rate of its allotment, in units a second.
         burst: Most units that may be saved up.
-        needed: Units of requests that wait.
+        needed: Units of each request that waits, in their order.
         ahead: Units of requests that are expected before the next question; granted
             only while there is plenty.
     """
@@ -30,7 +30,7 @@
     account: str
     rate_per_s: float
     burst: float
-    needed: int
+    needed: Sequence[int]
     ahead: int
 
 
@@ -42,9 +42,9 @@
 
     Attributes:
         account: Name of the account.
-        units: Units granted.
-        retry_after_ms: Time until the units that were needed will be there; 0 when
-            they were granted.
+        units: Units granted: those of the first requests that wait, and those ahead.
+        retry_after_ms: Time until there are the units of the first request that was
+            not granted; 0 when all were.
         used: Units that the account lacks of its full burst, for the operator's log.
     """
 
@@ -64,6 +64,16 @@
     keeper: str
 
 
+class EndedTenure(NamedTuple):
+    """A process that grants nothing of a group any more.
+
+    Attributes:
+        levels: Units left of each account; empty when they are not known.
+    """
+
+    levels: Mapping[str, float]
+
+
 class AllotmentKeepers(Protocol):
     """Calls to the processes that keep allotments."""
 
@@ -73,6 +83,7 @@
         group: int,
         version: int,
         requests: Sequence[CreditRequest],
+        silent: str,
         timeout_ms: int,
     ) -> Sequence[CreditGrant] | NotKeeper | SideError:
         """Ask the keeper of a group for units.
@@ -81,22 +92,25 @@
             host: Host of the keeper.
             group: Number of the group.
             version: Version of the configuration that names the limits.
-            requests: At most one for each account.
+            requests: At most one for each account; without any it is only asked
+                whether it is the keeper.
+            silent: Host of a keeper that did not answer; empty when there is none.
             timeout_ms: Time for the reply, in milliseconds.
         """
 
     async def end_tenure(
         self, host: str, group: int, claimed: TopicPosition, timeout_ms: int
-    ) -> Mapping[str, float] | SideError:
+    ) -> EndedTenure | SideError:
         """Tell a former keeper that a group has been claimed by another one.
 
         Args:
             host: Host of the former keeper.
             group: Number of the group.
-            claimed: Position of the later claim.
+            claimed: Position of the later claim, which stands in the log.
             timeout_ms: Time for the reply, in milliseconds.
 
         Returns:
-            Units left of each account, after which it grants none of the group. An
-            ``UNREACHABLE`` error does not show that it has ended.
+            That its tenure has ended, also when the host refuses the connection: the
+            process that made the earlier claim is gone then. Any other failure does
+            not show that it has ended.
         """
--- a/src/copperrun/ports/topics.py
+++ b/src/copperrun/ports/topics.py
@@ -19,6 +19,7 @@
     UNAVAILABLE = "unavailable"
     ANSWER_LOST = "answer_lost"
     TRIMMED = "trimmed"
+    CONFLICT = "conflict"
 
 
 class TopicError(NamedTuple):
@@ -27,7 +28,8 @@
     Attributes:
         reason: ``UNAVAILABLE`` when nothing was done, ``ANSWER_LOST`` when a write
             may have taken effect or may yet do so, ``TRIMMED`` when the requested
-            offset is no longer retained.
+            offset is no longer retained, ``CONFLICT`` when the topic ends elsewhere
+            than a write requires; nothing was written then.
         detail: One line for the operator's log.
     """
 
@@ -104,9 +106,13 @@
         """Read from ``offset``; wait up to ``wait_ms`` for new records."""
 
     async def put(
-        self, topic: str, key: str, value: bytes
+        self, topic: str, key: str, value: bytes, *, at: int | None = None
     ) -> TopicPosition | TopicError:
-        """Write a record and return its position."""
+        """Write a record and return its position.
+
+        With ``at`` it is written only if that is its offset: nobody has written to the
+        topic since the read that ended there.
+        """
 
 
 class TopicPeers(Protocol):
