Send questions about allotments between processes as thrift over HTTP

Cause: entries and keepers of allotments run in different processes.

The HTTP client tells whether a host refused a connection, which shows that the former keeper's process has ended.

--- a/idl/copperrun.thrift
+++ b/idl/copperrun.thrift
@@ -237,7 +237,7 @@
   1: required string account,
   2: required double rate_per_s,
   3: required double burst,
-  4: required i64 needed,
+  4: required list<i64> needed,
   5: required i64 ahead
 }
 
@@ -246,7 +246,8 @@
 struct CreditQuery {
   1: required i32 group,
   2: required i64 version,
-  3: required list<CreditRequest> requests
+  3: required list<CreditRequest> requests,
+  4: optional string silent
 }
 
 struct CreditGrant {
--- a/src/copperrun/adapters/client.py
+++ b/src/copperrun/adapters/client.py
@@ -40,10 +40,12 @@
     Attributes:
         reason: Whether the request may have reached the server.
         detail: One line for the operator's log.
+        is_refused: Whether the host refused the connection: no process listens there.
     """
 
     reason: HttpFailureReason
     detail: str
+    is_refused: bool = False
 
 
 class HttpReply(NamedTuple):
@@ -159,7 +161,9 @@
                 method, _parse_url(url), data=body, headers=self._merge_headers(headers)
             )
         except aiohttp.ClientConnectorError as exc:
-            return HttpFailure(HttpFailureReason.NOT_SENT, f"{method} {url}: {exc}")
+            is_refused = isinstance(exc.os_error, ConnectionRefusedError)
+            detail = f"{method} {url}: {exc}"
+            return HttpFailure(HttpFailureReason.NOT_SENT, detail, is_refused)
         except (aiohttp.ClientError, OSError) as exc:
             return _answer_lost(method, url, exc)
 
--- a/src/copperrun/gen/ttypes.py
+++ b/src/copperrun/gen/ttypes.py
@@ -3101,8 +3101,13 @@
                 else:
                     iprot.skip(ftype)
             elif fid == 4:
-                if ftype == TType.I64:
-                    self.needed = iprot.readI64()
+                if ftype == TType.LIST:
+                    self.needed = []
+                    (_etype214, _size211) = iprot.readListBegin()
+                    for _i215 in range(_size211):
+                        _elem216 = iprot.readI64()
+                        self.needed.append(_elem216)
+                    iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 5:
@@ -3133,8 +3138,11 @@
             oprot.writeDouble(self.burst)
             oprot.writeFieldEnd()
         if self.needed is not None:
-            oprot.writeFieldBegin('needed', TType.I64, 4)
-            oprot.writeI64(self.needed)
+            oprot.writeFieldBegin('needed', TType.LIST, 4)
+            oprot.writeListBegin(TType.I64, len(self.needed))
+            for iter217 in self.needed:
+                oprot.writeI64(iter217)
+            oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.ahead is not None:
             oprot.writeFieldBegin('ahead', TType.I64, 5)
@@ -3174,14 +3182,16 @@
      - group
      - version
      - requests
+     - silent
 
     """
 
 
-    def __init__(self, group=None, version=None, requests=None,):
+    def __init__(self, group=None, version=None, requests=None, silent=None,):
         self.group = group
         self.version = version
         self.requests = requests
+        self.silent = silent
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -3205,14 +3215,19 @@
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.requests = []
-                    (_etype214, _size211) = iprot.readListBegin()
-                    for _i215 in range(_size211):
-                        _elem216 = CreditRequest()
-                        _elem216.read(iprot)
-                        self.requests.append(_elem216)
+                    (_etype221, _size218) = iprot.readListBegin()
+                    for _i222 in range(_size218):
+                        _elem223 = CreditRequest()
+                        _elem223.read(iprot)
+                        self.requests.append(_elem223)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.STRING:
+                    self.silent = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -3234,10 +3249,14 @@
         if self.requests is not None:
             oprot.writeFieldBegin('requests', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.requests))
-            for iter217 in self.requests:
-                iter217.write(oprot)
+            for iter224 in self.requests:
+                iter224.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.silent is not None:
+            oprot.writeFieldBegin('silent', TType.STRING, 4)
+            oprot.writeString(self.silent.encode('utf-8') if sys.version_info[0] == 2 else self.silent)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3385,11 +3404,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.grants = []
-                    (_etype221, _size218) = iprot.readListBegin()
-                    for _i222 in range(_size218):
-                        _elem223 = CreditGrant()
-                        _elem223.read(iprot)
-                        self.grants.append(_elem223)
+                    (_etype228, _size225) = iprot.readListBegin()
+                    for _i229 in range(_size225):
+                        _elem230 = CreditGrant()
+                        _elem230.read(iprot)
+                        self.grants.append(_elem230)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3411,8 +3430,8 @@
         if self.grants is not None:
             oprot.writeFieldBegin('grants', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.grants))
-            for iter224 in self.grants:
-                iter224.write(oprot)
+            for iter231 in self.grants:
+                iter231.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.keeper is not None:
@@ -3545,11 +3564,11 @@
             if fid == 1:
                 if ftype == TType.MAP:
                     self.levels = {}
-                    (_ktype226, _vtype227, _size225) = iprot.readMapBegin()
-                    for _i229 in range(_size225):
-                        _key230 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        _val231 = iprot.readDouble()
-                        self.levels[_key230] = _val231
+                    (_ktype233, _vtype234, _size232) = iprot.readMapBegin()
+                    for _i236 in range(_size232):
+                        _key237 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val238 = iprot.readDouble()
+                        self.levels[_key237] = _val238
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
@@ -3566,9 +3585,9 @@
         if self.levels is not None:
             oprot.writeFieldBegin('levels', TType.MAP, 1)
             oprot.writeMapBegin(TType.STRING, TType.DOUBLE, len(self.levels))
-            for kiter232, viter233 in self.levels.items():
-                oprot.writeString(kiter232.encode('utf-8') if sys.version_info[0] == 2 else kiter232)
-                oprot.writeDouble(viter233)
+            for kiter239, viter240 in self.levels.items():
+                oprot.writeString(kiter239.encode('utf-8') if sys.version_info[0] == 2 else kiter239)
+                oprot.writeDouble(viter240)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -3823,7 +3842,7 @@
     (1, TType.STRING, 'account', 'UTF8', None, ),  # 1
     (2, TType.DOUBLE, 'rate_per_s', None, None, ),  # 2
     (3, TType.DOUBLE, 'burst', None, None, ),  # 3
-    (4, TType.I64, 'needed', None, None, ),  # 4
+    (4, TType.LIST, 'needed', (TType.I64, None, False), None, ),  # 4
     (5, TType.I64, 'ahead', None, None, ),  # 5
 )
 all_structs.append(CreditQuery)
@@ -3832,6 +3851,7 @@
     (1, TType.I32, 'group', None, None, ),  # 1
     (2, TType.I64, 'version', None, None, ),  # 2
     (3, TType.LIST, 'requests', (TType.STRUCT, [CreditRequest, None], False), None, ),  # 3
+    (4, TType.STRING, 'silent', 'UTF8', None, ),  # 4
 )
 all_structs.append(CreditGrant)
 CreditGrant.thrift_spec = (
