Learn of withdrawn keys from peers while the store turns a machine away

Cause: the store may refuse some machines and serve the others. Such an entry kept the keys that it knew until the store answered it again; peers were asked at the start only.

Change: while reads fail and there are client accounts, the seeds and two sides drawn at random are asked each second for a newer catalog; a peer without one answers with an empty message. With strict revocation, keys are refused once the store has not confirmed the catalog for the time that the settings give. Nothing is asked without accounts.

--- a/src/copperrun/adapters/admission.py
+++ b/src/copperrun/adapters/admission.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import random
 from collections.abc import Callable
 from collections.abc import Coroutine
 from collections.abc import Mapping
@@ -40,6 +41,8 @@
 PEER_CHANGE_PATH = "/internal/peer"
 VIEW_PATH = "/internal/view"
 DEMAND_REPLY_MARGIN_MS = 400  # added to hold_ms, for which a side may hold a reply
+NEWER_THAN = "newer-than"  # asks for a catalog of a later version only
+SIDES_ASKED = 2  # beside the seeds, which may be cut off from the store, too
 VIEW_TIMEOUT_MS = 600  # a process that starts waits for the answers
 PROGRESS_BATCH_MS = 5  # events within this time share one message
 NOTIFY_TIMEOUT_MS = 1_000
@@ -336,10 +339,12 @@
 
     Attributes:
         addresses: ``host:port`` of the processes to ask.
+        sides: ``host:port`` of the sides, which may be asked, too.
     """
 
     def __init__(self, client: HttpClient, addresses: Sequence[str]) -> None:
         self.addresses = addresses
+        self.sides: Sequence[str] = ()
         self._client = client
 
     async def fetch_snapshots(self) -> Mapping[str, TopicSnapshot]:
@@ -351,9 +356,25 @@
                     newest[topic] = snapshot
         return newest
 
-    async def _fetch_view(self, address: str) -> Mapping[str, TopicSnapshot]:
+    async def fetch_catalogs(self, version: int) -> Sequence[bytes]:
+        """Return encoded catalogs of a few peers that are newer than ``version``."""
+        sides = random.sample(self.sides, min(SIDES_ASKED, len(self.sides)))
+        query = f"?{NEWER_THAN}={version}"
+        views = await asyncio.gather(
+            *(self._fetch_view(peer, query) for peer in (*self.addresses, *sides))
+        )
+        return [
+            value
+            for view in views
+            for snapshot in view.values()
+            for value in snapshot.items.values()
+        ]
+
+    async def _fetch_view(
+        self, address: str, query: str = ""
+    ) -> Mapping[str, TopicSnapshot]:
         reply = await self._client.call(
-            "GET", f"http://{address}{VIEW_PATH}", timeout_ms=VIEW_TIMEOUT_MS
+            "GET", f"http://{address}{VIEW_PATH}{query}", timeout_ms=VIEW_TIMEOUT_MS
         )
         if isinstance(reply, HttpFailure) or reply.status != 200:
             return {}
--- a/src/copperrun/entry/accounts.py
+++ b/src/copperrun/entry/accounts.py
@@ -41,7 +41,7 @@
     if account is not None:
         return account
     logger.info("unknown key", request=call.id, route=route.name, is_recent=is_recent)
-    return _invalid_key("the key is not valid") if is_recent else _outdated_keys()
+    return _invalid_key("the key is not valid") if is_recent else outdated_keys()
 
 
 def _parse_key(credentials: tuple[str, ...]) -> str | Refusal:
@@ -60,10 +60,11 @@
     return Refusal(RefusalReason.INVALID_KEY, Ran.NO, detail)
 
 
-def _outdated_keys() -> Refusal:
+def outdated_keys() -> Refusal:
+    """Return the refusal while the keys in force may be out of date."""
     return Refusal(
         RefusalReason.NOT_READY,
         Ran.NO,
-        "no such key in this entry's catalog, which may be out of date",
+        "the keys that this entry knows may be out of date; retry",
         OUTDATED_RETRY_AFTER_MS,
     )
--- a/src/copperrun/entry/proxy.py
+++ b/src/copperrun/entry/proxy.py
@@ -12,6 +12,7 @@
 from loguru import logger
 
 from copperrun.entry.accounts import authenticate
+from copperrun.entry.accounts import outdated_keys
 from copperrun.entry.continuations import Continuations
 from copperrun.membership.archive import CrashArchive
 from copperrun.membership.exchange import CrashExchange
@@ -36,8 +37,10 @@
 from copperrun.ports.sides import SideError
 from copperrun.ports.timers import Timers
 from copperrun.ports.topics import TopicStore
+from copperrun.routing.accounts import AccountTable
 from copperrun.routing.accounts import ClientAccount
 from copperrun.routing.catalog import Catalog
+from copperrun.routing.catalog import Route
 from copperrun.routing.crashes import CrashLog
 from copperrun.routing.origins import OriginTable
 from copperrun.routing.origins import StreamOrigin
@@ -117,7 +120,9 @@
         *,
         peer_hosts: Sequence[str] = (),
         is_first_start: bool = False,
+        key_max_age_ms: int = 0,
     ) -> None:
+        self._key_max_age_ms = key_max_age_ms
         self.lifecycle = Lifecycle(location.instance)
         self.servers = ServerTable(timers)
         self._location = location
@@ -214,12 +219,7 @@
             return
         account: ClientAccount | None = None
         if catalog.accounts is not None:
-            caller = authenticate(
-                call,
-                route,
-                catalog.accounts,
-                is_recent=self._view.is_catalog_recent,
-            )
+            caller = self._authenticate(call, route, catalog.accounts)
             if isinstance(caller, Refusal):
                 self._metrics.record_refusal(route.host, route.name, caller)
                 await responder.refuse(caller)
@@ -246,6 +246,22 @@
         request = RoutedRequest(call, route, pool, now, now + limit_ms, origin, account)
         await self._relay.handle(request, responder)
 
+    def _authenticate(
+        self, call: BackendCall, route: Route, accounts: AccountTable
+    ) -> ClientAccount | Refusal | None:
+        """Return the caller's account; None on a route that needs no key."""
+        caller = authenticate(
+            call, route, accounts, is_recent=self._view.is_catalog_recent
+        )
+        if (
+            isinstance(caller, ClientAccount)
+            and self._key_max_age_ms
+            and not self._view.is_catalog_confirmed(self._key_max_age_ms)
+        ):
+            # The key may have been withdrawn.
+            return outdated_keys()
+        return caller
+
     def _refuse_without_route(self, call: BackendCall, catalog: Catalog) -> Refusal:
         """Return the refusal for a request that no route matches."""
         # The route may have been added while the store could not be read.
--- a/src/copperrun/membership/topic.py
+++ b/src/copperrun/membership/topic.py
@@ -101,6 +101,11 @@
         logger.info("topic restored from a peer", topic=self.topic, end=snapshot.end)
         self._replace(snapshot)
 
+    @property
+    def is_failing(self) -> bool:
+        """Whether the latest read failed."""
+        return self._failures > 0
+
     async def confirm(self, timeout_ms: int) -> bool:
         """Return whether the records are those that the store has now.
 
--- a/src/copperrun/membership/view.py
+++ b/src/copperrun/membership/view.py
@@ -108,11 +108,12 @@
     @property
     def is_catalog_recent(self) -> bool:
         """Whether the store has confirmed the catalog within its greatest age."""
+        return self.is_catalog_confirmed(self._catalog_max_age_ms)
+
+    def is_catalog_confirmed(self, max_age_ms: int) -> bool:
+        """Return whether the store has confirmed the catalog within a time."""
         read_ms = self._operator.read_ms
-        return (
-            read_ms is not None
-            and self._timers.now_ms() - read_ms <= self._catalog_max_age_ms
-        )
+        return read_ms is not None and self._timers.now_ms() - read_ms <= max_age_ms
 
     def subscribe(self, listener: ServersListener) -> None:
         """Call ``listener`` with the servers after each change."""
@@ -132,6 +133,15 @@
             self._servers.topic: self._servers.snapshot(),
         }
 
+    def newer_catalog(self, version: int) -> Mapping[str, TopicSnapshot]:
+        """Return the catalog in force alone if it is newer; empty otherwise."""
+        catalog = self.catalog.catalog
+        if catalog is None or catalog.version <= version:
+            return {}
+        items = {self._topics.catalog_key: self.catalog.encoded}
+        operator = self._operator.snapshot()
+        return {self._operator.topic: TopicSnapshot(items, operator.end, operator.era)}
+
     async def wait_until_loaded(self) -> None:
         """Wait until the catalog and the servers have been loaded."""
         await self.catalog.wait_until_loaded()
@@ -176,6 +186,23 @@
         while self._operator.end < 0 or self._servers.end < 0:
             await self._restore_from_peers()
             await self._timers.sleep_ms(PEERS_POLL_INTERVAL_MS)
+        while True:
+            await self._follow_peers()
+            await self.health.wait_failure()
+
+    async def _follow_peers(self) -> None:
+        """Ask peers for a newer catalog until the store answers this process again.
+
+        The store may turn some machines away and serve others. Keys that the operator
+        withdraws meanwhile must not go on here.
+        """
+        while self._operator.is_failing or self._servers.is_failing:
+            catalog = self.catalog.catalog
+            if catalog is None or catalog.accounts is None:
+                return
+            for encoded in await self._peers.fetch_catalogs(catalog.version):
+                self.catalog.update(encoded)
+            await self._timers.sleep_ms(PEERS_POLL_INTERVAL_MS)
 
     async def _restore_from_peers(self) -> None:
         snapshots = await self._peers.fetch_snapshots()
--- a/src/copperrun/platform/daemon.py
+++ b/src/copperrun/platform/daemon.py
@@ -13,6 +13,7 @@
 from loguru import logger
 
 from copperrun.adapters import metrics as metrics_adapter
+from copperrun.adapters.admission import NEWER_THAN
 from copperrun.adapters.admission import VIEW_PATH
 from copperrun.adapters.admission import EngineSideRoutes
 from copperrun.adapters.admission import HttpEngineSides
@@ -115,8 +116,19 @@
             catalog_max_age_ms=self.cfg.apply_ms,
             asks_peers_first=not self.cfg.is_first_start,
         )
+        view.subscribe(self._update_sides)
         return store, view
 
+    def _update_sides(self, servers: list[ServerRecord]) -> None:
+        """Let peers be asked that are beside an engine."""
+        catalog = self.catalog.catalog
+        pools = catalog.pools if catalog is not None else {}
+        self.topic_peers.sides = [
+            self.side_address(server)
+            for server in servers
+            if server.pool in pools and pools[server.pool].engine is not None
+        ]
+
     def build_internal_app(self, view: PlatformView) -> web.Application:
         app = web.Application()
 
@@ -127,7 +139,13 @@
             )
 
         async def handle_view(request: web.Request) -> web.Response:
-            return web.Response(body=encode_view(view.topic_snapshots()))
+            version = request.query.get(NEWER_THAN, "")
+            topics = (
+                view.newer_catalog(int(version))
+                if version.isdecimal()
+                else view.topic_snapshots()
+            )
+            return web.Response(body=encode_view(topics))
 
         app.router.add_get(METRICS_PATH, handle_metrics)
         app.router.add_get(VIEW_PATH, handle_view)
@@ -240,6 +258,7 @@
                 self.metrics,
                 peer_hosts=_peer_hosts(cfg),
                 is_first_start=cfg.is_first_start,
+                key_max_age_ms=cfg.key_max_age_ms,
             )
             ingress = Ingress(process.handle, self._max_body_bytes)
             server = CallerServer(
--- a/src/copperrun/platform/settings.py
+++ b/src/copperrun/platform/settings.py
@@ -50,6 +50,8 @@
         loads: Bound on loads from the weight store.
         is_first_start: Whether the whole system starts for the first time, so that no
             peer knows more than the store.
+        key_max_age_ms: Time since the store confirmed the configuration after which
+            keys are no longer accepted; 0 when the last confirmed ones go on.
     """
 
     place: ProcessLocation
@@ -68,6 +70,7 @@
     retries: RetryBounds
     loads: LoadRateLimit
     is_first_start: bool
+    key_max_age_ms: int = 0
 
 
 class SettingsFile:
@@ -173,9 +176,16 @@
             LOAD_LIMIT_SLACK,
         ),
         fields.get("bootstrap") is True,
+        _key_max_age_ms(bounds),
     )
 
 
+def _key_max_age_ms(bounds: Mapping[str, Any]) -> int:
+    if bounds.get("strict-revocation") is not True:
+        return 0
+    return int(_get(bounds, "revoke-ms", float))
+
+
 def _get(fields: Mapping[str, Any], name: str, kind: type) -> Any:
     value = fields.get(name)
     if kind is float and isinstance(value, int) and not isinstance(value, bool):
--- a/src/copperrun/ports/topics.py
+++ b/src/copperrun/ports/topics.py
@@ -114,3 +114,6 @@
 
     async def fetch_snapshots(self) -> Mapping[str, TopicSnapshot]:
         """Return the newest snapshot of each topic; empty when no peer has one."""
+
+    async def fetch_catalogs(self, version: int) -> Sequence[bytes]:
+        """Return encoded catalogs of a few peers that are newer than ``version``."""
--- a/testing/test_accounts.py
+++ b/testing/test_accounts.py
@@ -6,6 +6,7 @@
 
 import pytest
 from platform_entry import PlatformEntry
+from platform_entry import until
 from platform_standins import ScriptedServer
 from test_platform_http import Client
 from testtools.assertions import assert_that
@@ -25,9 +26,9 @@
 
 
 async def start_entry(
-    folder: Path, server: ScriptedServer, *accounts: dict[str, object]
+    folder: Path, server: ScriptedServer, *accounts: dict[str, object], **bounds: object
 ) -> PlatformEntry:
-    entry = PlatformEntry(folder)
+    entry = PlatformEntry(folder, **bounds)
     if accounts:
         entry.configuration["tenants"] = list(accounts)
     route = dict(entry.configuration["routes"][0])
@@ -132,3 +133,23 @@
     await entry.close()
     await server.close()
     assert_that((before, added, withdrawn), Equals((401, 200, 401)))
+
+
+def strict(*, is_strict: bool) -> dict[str, object]:
+    return {"config-apply-ms": 400, "strict-revocation": is_strict, "revoke-ms": 500}
+
+
+@pytest.mark.parametrize(("is_strict", "status"), [(False, 200), (True, 503)])
+async def test_keys_that_the_store_no_longer_confirms(tmp_path, is_strict, status):
+    server = ScriptedServer()
+    bounds = strict(is_strict=is_strict)
+    entry = await start_entry(tmp_path, server, account(), **bounds)
+    before = await ask(entry, f"Authorization: Token {KEY}")
+    await entry.store.close()
+    view = entry.role._process._view
+    await until(lambda: not view.is_catalog_confirmed(500))
+    after = await ask(entry, f"Authorization: Token {KEY}")
+    unknown = await ask(entry, "Authorization: Token other")
+    await entry.close()
+    await server.close()
+    assert_that((before, after, unknown), Equals((200, status, 503)))
--- a/testing/test_view.py
+++ b/testing/test_view.py
@@ -16,6 +16,7 @@
 from testtools.matchers import LessThan
 
 from copperrun.configuration.catalog import CurrentCatalog
+from copperrun.configuration.catalog import Decoder
 from copperrun.embedded.clock import ManualTimers
 from copperrun.embedded.clock import run_until_idle
 from copperrun.entry.proxy import ProcessLocation
@@ -32,6 +33,7 @@
 from copperrun.ports.topics import TopicPage
 from copperrun.ports.topics import TopicRecord
 from copperrun.ports.topics import TopicSnapshot
+from copperrun.routing.accounts import AccountTable
 from copperrun.routing.catalog import CallerLimits
 from copperrun.routing.catalog import Catalog
 from copperrun.routing.retries import RetryBounds
@@ -118,6 +120,12 @@
     async def fetch_snapshots(self) -> Mapping[str, TopicSnapshot]:
         return self._view.topic_snapshots() if self._view is not None else {}
 
+    async def fetch_catalogs(self, version: int) -> list[bytes]:
+        if self._view is None:
+            return []
+        topics = self._view.newer_catalog(version)
+        return [value for topic in topics.values() for value in topic.items.values()]
+
 
 def _decode_catalog(value: bytes) -> Catalog | str:
     version = int(value)
@@ -127,18 +135,27 @@
     return Catalog(version, routes, {}, CallerLimits())
 
 
+def _decode_catalog_with_accounts(value: bytes) -> Catalog | str:
+    catalog = _decode_catalog(value)
+    assert isinstance(catalog, Catalog)
+    return catalog._replace(accounts=AccountTable([]))
+
+
 def _decode_server(server_id: str, value: bytes) -> ServerRecord | str:
     return server(server_id, leaving=value == b"draining")
 
 
 def _view(
-    store: Store, timers: ManualTimers, peer: PlatformView | None = None
+    store: Store,
+    timers: ManualTimers,
+    peer: PlatformView | None = None,
+    decode: Decoder = _decode_catalog,
 ) -> PlatformView:
     return PlatformView(
         TOPICS,
         store,
         Peers(peer),
-        CurrentCatalog(_decode_catalog),
+        CurrentCatalog(decode),
         Registry(_decode_server, timers),
         timers,
         servers_period_ms=int(ENTRY_SERVERS_POLL_FRACTION * DRAIN_MS),
@@ -349,3 +366,34 @@
     await timers.advance(10_000)
     assert_that(set(_listed(view)), Equals({"s", "new"}))
     task.cancel()
+
+
+async def _versions_while_turned_away(decode: Decoder) -> tuple[int, int]:
+    """Return the versions of a process that the store turns away, and of its peer."""
+    timers = ManualTimers()
+    store, other_store = Store(timers), Store(timers)
+    for each in (store, other_store):
+        each.put("op", "config", b"1")
+        each.put("servers", "s", b"1")
+    peer = _view(other_store, timers, decode=decode)
+    view = _view(store, timers, peer=peer, decode=decode)
+    tasks = [asyncio.create_task(item.run()) for item in (peer, view)]
+    await timers.advance(5_000)
+    store.is_silent = True
+    await timers.advance(1_000)
+    other_store.put("op", "config", b"2")
+    await timers.advance(2 * APPLY_MS)
+    versions = _version(view), _version(peer)
+    for task in tasks:
+        task.cancel()
+    return versions
+
+
+async def test_a_machine_that_the_store_turns_away_learns_of_keys_from_peers():
+    versions = await _versions_while_turned_away(_decode_catalog_with_accounts)
+    assert_that(versions, Equals((2, 2)))
+
+
+async def test_without_accounts_peers_are_not_asked_in_an_outage():
+    versions = await _versions_while_turned_away(_decode_catalog)
+    assert_that(versions, Equals((1, 2)))
