--- a/testing/platform_engine.py
+++ b/testing/platform_engine.py
@@ -6,6 +6,7 @@
 import time
 from collections import Counter
 from collections.abc import Callable
+from collections.abc import Mapping
 from typing import Any
 
 from aiohttp import web
@@ -39,6 +40,9 @@
         # Requests with this body do, too.
         self.crash_body = b""
         self.on_crash: Callable[[], None] = lambda: None
+        self.on_run: Callable[[str, Mapping[str, str]], None] = lambda run, headers: (
+            None
+        )
         self._runner: web.AppRunner | None = None
 
     async def start(self, host: str) -> None:
@@ -137,6 +141,7 @@
             return web.Response(status=421, headers={"Instance-Id": self.id})
         body = await request.read()
         self.runs[request_id] += 1
+        self.on_run(request_id, request.headers)
         if body and body == self.crash_body:
             self.on_crash()
             await TIMERS.sleep_ms(60_000)
--- a/testing/soak.py
+++ b/testing/soak.py
@@ -241,11 +241,19 @@
     def _prepare_backend(self, backend: PlatformEngine) -> None:
         """Set how a backend serves; a hook for other soaks."""
 
+    def _identify(self, request_id: str) -> dict[str, str]:
+        """Return headers that tell who sends a request; a hook for other soaks."""
+        return {}
+
     def _write_registry(self) -> None:
         for backend, pool, address in self._registry.values():
             entry = backend.registry_entry(pool, address, "z")
             self._store.put("keyed.servers", backend.id, entry)
 
+    def _bounds(self) -> dict[str, float]:
+        """Return further bounds for the settings; a hook for other soaks."""
+        return {}
+
     def _write_configuration(self) -> None:
         self._store.put("keyed.op", "config", self._configuration)
 
@@ -277,6 +285,7 @@
                 "budget-window-s": 10,
                 "ceiling-window-s": 5,
                 "ceiling-overage": 1.1,
+                **self._bounds(),
             },
             **extra,
         }
@@ -475,6 +484,7 @@
             headers.update(
                 {"Model": model, "Token-Usage": "100,20", "Prompt-Prefix": parts}
             )
+        headers.update(self._identify(request_id))
         url = f"http://{instance.settings['listen']['front']}{path}"
         timeout = aiohttp.ClientTimeout(total=5.0)
         try:
