Do not use a connection longer than its server announced

Change: the connector closes connections that have been idle for longer than their server announced before it takes one.

--- a/src/copperrun/platform/backends.py
+++ b/src/copperrun/platform/backends.py
@@ -9,6 +9,7 @@
 from multidict import CIMultiDict
 from yarl import URL
 
+from copperrun.adapters.client import ServerConnector
 from copperrun.platform import http_headers
 from copperrun.ports.backends import AnswerHead
 from copperrun.ports.backends import BackendCall
@@ -119,8 +120,16 @@
             response.close()
             detail = "answer of another request"
             return BackendError(BackendErrorReason.LOST, detail, is_garbled=True)
+        self._record_idle_limit(response)
         return BackendAnswer(response)
 
+    def _record_idle_limit(self, response: aiohttp.ClientResponse) -> None:
+        """Record how long the server keeps the connection open after its answer."""
+        seconds = _keep_alive_s(response.headers.get(http_headers.KEEP_ALIVE, ""))
+        connector, url = self._session.connector, response.url
+        if seconds is not None and url.host and isinstance(connector, ServerConnector):
+            connector.record_idle_limit(url.host, url.port, seconds * 1000)
+
     async def has_ended(
         self, server: ServerRecord, *, health_path: str, timeout_ms: int
     ) -> bool:
@@ -204,6 +213,15 @@
     return Execution.RAN
 
 
+def _keep_alive_s(text: str) -> int | None:
+    """Return the idle timeout of a Keep-Alive header in seconds, if it has one."""
+    for item in text.split(","):
+        name, _, value = item.partition("=")
+        if name.strip().lower() == "timeout" and value.strip().isdecimal():
+            return int(value)
+    return None
+
+
 def _retry_after_ms(text: str) -> int:
     try:
         return int(float(text) * 1000)
