--- a/src/copperrun/platform/daemon.py
+++ b/src/copperrun/platform/daemon.py
@@ -12,7 +12,6 @@
 from aiohttp import web
 from loguru import logger
 
-from copperrun.adapters import metrics as metrics_adapter
 from copperrun.adapters.admission import NEWER_THAN
 from copperrun.adapters.admission import VIEW_PATH
 from copperrun.adapters.admission import EngineSideRoutes
@@ -23,7 +22,6 @@
 from copperrun.adapters.client import open_session
 from copperrun.adapters.crashes import CrashRoutes
 from copperrun.adapters.crashes import HttpCrashRelays
-from copperrun.adapters.metrics import PrometheusMetrics
 from copperrun.adapters.origins import HttpOriginKeepers
 from copperrun.adapters.origins import OriginRoutes
 from copperrun.adapters.timers import SystemTimers
@@ -45,6 +43,7 @@
 from copperrun.platform.connections import CallerServer
 from copperrun.platform.engine_control import HttpEngineControl
 from copperrun.platform.ingress import Ingress
+from copperrun.platform.metrics import MetricsOnDemand
 from copperrun.platform.records import decode_catalog
 from copperrun.platform.records import decode_server
 from copperrun.platform.settings import PlatformSettings
@@ -91,7 +90,7 @@
         self.settings_file = settings_file
         self.cfg = settings_file.cfg
         self.timers = SystemTimers()
-        self.metrics = PrometheusMetrics()
+        self.metrics = MetricsOnDemand()
         self.shutdown = Shutdown()
         self.catalog = CurrentCatalog(decode_catalog)
         self._runners: list[web.AppRunner | web.ServerRunner] = []
@@ -133,10 +132,8 @@
         app = web.Application()
 
         async def handle_metrics(request: web.Request) -> web.Response:
-            return web.Response(
-                body=self.metrics.render(),
-                headers={"Content-Type": metrics_adapter.CONTENT_TYPE},
-            )
+            body, content_type = self.metrics.render()
+            return web.Response(body=body, headers={"Content-Type": content_type})
 
         async def handle_view(request: web.Request) -> web.Response:
             version = request.query.get(NEWER_THAN, "")
