Bound what the requests of an engine may hold where that crashes it

Grants followed from prefill alone, while an engine whose requests exceed its memory crashes where the settings list that rule. The side now sums prompts, likely outputs and shared parts once, corrected by the engine's own report, and grants what fits; entries refuse what no engine can hold, prefer engines with room, and keep to their share while a side is silent. Other deployments are served as before: nothing is counted there.

--- a/idl/copperrun.thrift
+++ b/idl/copperrun.thrift
@@ -153,7 +153,8 @@
   12: optional i32 likely_output,
   13: optional i32 alternatives,
   14: optional bool continues,
-  15: optional list<PromptPart> parts
+  15: optional list<PromptPart> parts,
+  20: optional i32 body_bytes
 }
 
 enum Admission {
--- a/src/copperrun/adapters/admission.py
+++ b/src/copperrun/adapters/admission.py
@@ -290,6 +290,7 @@
         alternatives=req.alternatives or None,
         continues=req.continues or None,
         parts=[ttypes.PromptPart(*part) for part in req.parts] or None,
+        body_bytes=req.body_bytes or None,
     )
 
 
@@ -310,6 +311,7 @@
         message.alternatives or 0,
         bool(message.continues),
         tuple(PromptPart(part.id, part.tokens) for part in message.parts or ()),
+        message.body_bytes or 0,
     )
 
 
--- a/src/copperrun/adapters/metrics.py
+++ b/src/copperrun/adapters/metrics.py
@@ -45,6 +45,7 @@
         self._retries = meter.create_counter("copperrun.retries")
         self._moves = meter.create_counter("copperrun.moves")
         self._appends = meter.create_counter("copperrun.log_appends")
+        self._engine_memory = meter.create_gauge("copperrun.engine_memory.share")
         self._attributes: dict[tuple[str, str], dict[str, str]] = {}
         self._answer_attributes: dict[tuple[str, str, bool], dict[str, str]] = {}
 
@@ -100,6 +101,11 @@
         """Record a retry and why the attempt before it ended."""
         self._retries.add(1, {"reason": reason})
 
+    def record_engine_memory(self, used_share: float, committed_share: float) -> None:
+        """Record the share of an engine's memory in use, and with what may be added."""
+        self._engine_memory.set(used_share, {"kind": "used"})
+        self._engine_memory.set(committed_share, {"kind": "committed"})
+
     def record_move(self, operation: str, object_kind: str) -> None:
         """Record a load or unload of a model or adapter."""
         self._moves.add(1, {"kind": operation, "object": object_kind})
--- a/src/copperrun/admission/prefill.py
+++ b/src/copperrun/admission/prefill.py
@@ -14,6 +14,9 @@
 from dataclasses import dataclass
 from typing import NamedTuple
 
+from copperrun.admission.memory import EngineMemory
+from copperrun.admission.memory import MemoryNeed
+
 # Share of the allowed gap for the engine; the rest covers delivery to the caller.
 GAP_BUDGET_FRACTION = 0.9
 DECODE_STEP_MS = 12.0  # one decode step of a half-full batch
@@ -24,6 +27,7 @@
 PREFILL_TIME_WEIGHT = 0.02  # of the newest prompt in the moving average
 UTILIZATION_DECAY_MS = 2_000  # time constant of the exponential average
 MIN_POLL_INTERVAL_MS = 5  # between two checks of the queue
+MEMORY_POLL_INTERVAL_MS = 100  # while memory is full; the engine's report is as old
 WAIT_SAFETY_FACTOR = 1.2  # on the expected wait, before a request is refused for it
 # An engine is slow when a first event takes longer than this multiple of the expected
 # prefill time of its prompt and all prompts that may have been prefilled before it.
@@ -41,6 +45,7 @@
         gap_ms: Longest gap between events that its stream allows; 0 for no limit.
         target_ms: When the first event is due, on the timer service's clock.
         deadline_ms: Deadline of the caller, on the same clock.
+        need: Memory that it needs; None when memory is not counted.
     """
 
     id: str
@@ -50,6 +55,7 @@
     gap_ms: int
     target_ms: int
     deadline_ms: int
+    need: MemoryNeed | None = None
 
 
 @dataclass
@@ -123,18 +129,21 @@
 
     Work is counted as prefill time in ms. Two limits apply to grants: a leaky bucket
     that drains at the engine's prefill rate, and the prefill time of grants without a
-    first event. While there is no grant, any request is granted.
+    first event. While there is no grant, any request is granted. Memory, if counted,
+    bounds all grants.
 
     Attributes:
         tokens_per_event: Tokens in one event of a stream.
         initial_tokens_per_ms: Prefill rate of each model before there are samples.
         mean_prefill_ms: Moving average of the prefill time of a prompt.
+        memory: Memory that the requests hold; None when it is not counted.
     """
 
     def __init__(self) -> None:
         self.tokens_per_event = 1
         self.initial_tokens_per_ms: Mapping[str, float] = {}
         self.mean_prefill_ms = INITIAL_PREFILL_MS
+        self.memory: EngineMemory | None = None
         self._speeds: dict[str, PrefillSpeed] = {}
         self._waiting: dict[str, Ticket] = {}
         self._grants: dict[str, _Grant] = {}
@@ -191,6 +200,8 @@
         """Remove a waiting request, or release its grant."""
         self._waiting.pop(ticket_id, None)
         self._release_grant(ticket_id)
+        if self.memory is not None:
+            self.memory.release(ticket_id)
 
     def issue_grants(self, now_ms: int) -> Iterator[Ticket]:
         """Grant and yield the requests that may be sent to the engine now."""
@@ -199,7 +210,11 @@
         while (ticket := self._most_urgent(now_ms)) is not None:
             if self._grants and not self._fits(ticket):
                 return
+            if not self._has_memory_for(ticket, now_ms):
+                return
             del self._waiting[ticket.id]
+            if self.memory is not None and ticket.need is not None:
+                self.memory.claim(ticket.id, ticket.need, now_ms)
             prefill_ms = self._prefill_ms(ticket)
             tokens_before = sum(grant.ticket.tokens for grant in self._grants.values())
             for grant in self._grants.values():
@@ -219,11 +234,15 @@
         ticket = self._most_urgent(now_ms)
         if ticket is None:
             return GRANT_TTL_MS
+        if not self._has_memory_for(ticket, now_ms):
+            return MEMORY_POLL_INTERVAL_MS
         excess_ms = self._level_ms + self._prefill_ms(ticket) - self._burst_ms(ticket)
         return max(int(excess_ms), MIN_POLL_INTERVAL_MS)
 
     def record_first_event(self, ticket_id: str, now_ms: int) -> None:
         """Release the grant of a request after its first event and update the speed."""
+        if self.memory is not None:
+            self.memory.record_begun(ticket_id)
         grant = self._release_grant(ticket_id)
         if grant is None:
             return
@@ -245,6 +264,11 @@
             default=None,
         )
 
+    def _has_memory_for(self, ticket: Ticket, now_ms: int) -> bool:
+        if self.memory is None or ticket.need is None:
+            return True
+        return self.memory.fits(ticket.need, now_ms)
+
     def _prefill_ms(self, ticket: Ticket) -> float:
         return ticket.tokens / self.speed(ticket.model).tokens_per_ms
 
--- a/src/copperrun/entry/proxy.py
+++ b/src/copperrun/entry/proxy.py
@@ -11,6 +11,7 @@
 import xxhash
 from loguru import logger
 
+from copperrun.admission.memory import MemoryShare
 from copperrun.entry.accounts import authenticate
 from copperrun.entry.continuations import Continuations
 from copperrun.membership.archive import CrashArchive
@@ -117,6 +118,7 @@
         *,
         peer_hosts: Sequence[str] = (),
         is_first_start: bool = False,
+        engines_crash_when_full: bool = False,
     ) -> None:
         self.lifecycle = Lifecycle(location.instance)
         self.servers = ServerTable(timers)
@@ -133,6 +135,9 @@
         )
         self._budgets: dict[str, RetryWindow] = {}
         self._entry_count = INITIAL_ENTRY_COUNT
+        self._memory_share: MemoryShare | None = None
+        if engines_crash_when_full:
+            self._memory_share = MemoryShare(INITIAL_ENTRY_COUNT)
         self._demand = DemandMeter()
         self._demand.subscribe(self._report_urgently)
         self._urgent_report_tasks: set[asyncio.Task[None]] = set()
@@ -154,6 +159,7 @@
             distance_to=location.distance_to,
             budget_for=self._budget_for,
             record_origin=self._origins.record,
+            memory_share=self._memory_share,
         )
 
     @property
@@ -376,6 +382,10 @@
         server.apply_report(report)
         if report.entries:
             self._entry_count = report.entries
+            if self._memory_share is not None:
+                # A side that has just started has heard of few.
+                share = self._memory_share
+                share.entries = max(share.entries, report.entries)
             for budget in self._budgets.values():
                 budget.entries = report.entries
         self.servers.notify_change()
--- a/src/copperrun/gen/ttypes.py
+++ b/src/copperrun/gen/ttypes.py
@@ -1864,11 +1864,12 @@
      - alternatives
      - continues
      - parts
+     - body_bytes
 
     """
 
 
-    def __init__(self, request=None, model=None, adapter=None, priority=None, tokens=None, gap_ms=None, target_ms=None, remaining_ms=None, account=None, output_tokens=None, expected_output=None, likely_output=None, alternatives=None, continues=None, parts=None,):
+    def __init__(self, request=None, model=None, adapter=None, priority=None, tokens=None, gap_ms=None, target_ms=None, remaining_ms=None, account=None, output_tokens=None, expected_output=None, likely_output=None, alternatives=None, continues=None, parts=None, body_bytes=None,):
         self.request = request
         self.model = model
         self.adapter = adapter
@@ -1884,6 +1885,7 @@
         self.alternatives = alternatives
         self.continues = continues
         self.parts = parts
+        self.body_bytes = body_bytes
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1975,6 +1977,11 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 20:
+                if ftype == TType.I32:
+                    self.body_bytes = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2048,6 +2055,10 @@
                 iter120.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.body_bytes is not None:
+            oprot.writeFieldBegin('body_bytes', TType.I32, 20)
+            oprot.writeI32(self.body_bytes)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3744,6 +3755,11 @@
     (13, TType.I32, 'alternatives', None, None, ),  # 13
     (14, TType.BOOL, 'continues', None, None, ),  # 14
     (15, TType.LIST, 'parts', (TType.STRUCT, [PromptPart, None], False), None, ),  # 15
+    None,  # 16
+    None,  # 17
+    None,  # 18
+    None,  # 19
+    (20, TType.I32, 'body_bytes', None, None, ),  # 20
 )
 all_structs.append(AdmitResult)
 AdmitResult.thrift_spec = (
--- a/src/copperrun/platform/daemon.py
+++ b/src/copperrun/platform/daemon.py
@@ -26,6 +26,7 @@
 from copperrun.adapters.origins import HttpOriginKeepers
 from copperrun.adapters.origins import OriginRoutes
 from copperrun.adapters.timers import SystemTimers
+from copperrun.admission.memory import EngineMemory
 from copperrun.configuration.catalog import CurrentCatalog
 from copperrun.entry.proxy import ProxyProcess
 from copperrun.membership.registry import Registry
@@ -240,6 +241,7 @@
                 self.metrics,
                 peer_hosts=_peer_hosts(cfg),
                 is_first_start=cfg.is_first_start,
+                engines_crash_when_full=cfg.engines_crash_when_full,
             )
             ingress = Ingress(process.handle, self._max_body_bytes)
             server = CallerServer(
@@ -332,7 +334,12 @@
                 self.timers,
                 self.metrics,
             )
-            admission = AdmissionController(placement, self.timers)
+            memory = EngineMemory() if cfg.engines_crash_when_full else None
+            admission = AdmissionController(
+                placement, self.timers, memory=memory, metrics=self.metrics
+            )
+            if memory is not None:
+                view.subscribe(lambda _: self._bound_queue(memory))
             process = PlacementProcess(
                 cfg.place.instance,
                 cfg.engine_address,
@@ -365,6 +372,12 @@
         super().apply_settings(cfg)
         self._load_limiter.limit = cfg.loads
 
+    def _bound_queue(self, memory: EngineMemory) -> None:
+        """Let no more bytes wait at the engine than one request may have."""
+        catalog = self.catalog.catalog
+        if catalog is not None:
+            memory.queue_bytes = catalog.limits.body_bytes
+
 
 def _peer_seeds(cfg: PlatformSettings) -> list[str]:
     own = f"{cfg.host}:{cfg.control_port}"
--- a/src/copperrun/platform/engine_control.py
+++ b/src/copperrun/platform/engine_control.py
@@ -10,6 +10,8 @@
 from copperrun.adapters.client import HttpClient
 from copperrun.adapters.client import HttpFailure
 from copperrun.adapters.client import HttpFailureReason
+from copperrun.admission.memory import EngineRun
+from copperrun.admission.memory import MemoryReport
 from copperrun.placement.adapter_slots import AdapterKey
 from copperrun.platform import http_headers
 from copperrun.platform.records import decode_cached_models
@@ -94,6 +96,22 @@
         int(fields["queued"]),
         in_host,
         on_disk,
+        _decode_memory(fields),
+    )
+
+
+def _decode_memory(fields: Any) -> MemoryReport | None:
+    if "kv-used" not in fields:
+        return None
+    runs = fields.get("runs")
+    return MemoryReport(
+        int(fields.get("kv-total") or 0),
+        int(fields["kv-used"]),
+        int(fields.get("held") or 0),
+        # Each is its id, the tokens in memory, the events made and the priority.
+        None
+        if runs is None
+        else tuple(EngineRun(str(run[0]), int(run[1]), int(run[2])) for run in runs),
     )
 
 
--- a/src/copperrun/platform/http_headers.py
+++ b/src/copperrun/platform/http_headers.py
@@ -11,6 +11,7 @@
 MODEL = "Model"  # MODEL or MODEL/ADAPTER
 TOKEN_USAGE = "Token-Usage"  # PROMPT,MAX_OUTPUT
 PROMPT_PARTS = "Prompt-Prefix"  # ID:TOKENS for each part, separated by commas
+OUTPUT_HINT = "Length-Hint"  # the caller's estimate of the output tokens
 LAST_EVENT_ID = "Last-Event-Id"
 AUTHORIZATION = "Authorization"  # Token KEY
 ACCOUNT = "Tenant"  # name of the client account, for servers
--- a/src/copperrun/platform/ingress.py
+++ b/src/copperrun/platform/ingress.py
@@ -31,6 +31,8 @@
 }
 _PART_ID = re.compile(r"[0-9A-Fa-f]{1,64}")
 MAX_RESUMED_ID_CHARACTERS = 256
+MAX_COUNT = 2**31 - 1
+MAX_DIGITS = 20
 MAX_PARTS = 64  # of one prompt; the header is bounded in bytes only
 
 _FAILURE_STATUS = 502
@@ -193,6 +195,7 @@
     timeout = headers.get(http_headers.TIMEOUT)
     if timeout is not None and not timeout.isdecimal():
         return _bad_request(f"{http_headers.TIMEOUT} is not a whole number")
+    parts = headers.get(http_headers.PROMPT_PARTS, "")
     model, _, adapter = headers.get(http_headers.MODEL, "").partition("/")
     return BackendCall(
         request_id,
@@ -210,19 +213,26 @@
         adapter,
         *_token_counts(headers.get(http_headers.TOKEN_USAGE, "")),
         headers.get(http_headers.LAST_EVENT_ID, ""),
-        _shared_parts(headers.get(http_headers.PROMPT_PARTS, "")),
+        _shared_parts(parts),
         _resumed_id(headers.getall(http_headers.RESUMES, [])),
         tuple(headers.getall(http_headers.AUTHORIZATION, [])),
+        part_tokens=_part_tokens(parts),
+        output_hint=_decimal(headers.get(http_headers.OUTPUT_HINT, "")),
     )
 
 
 def _token_counts(text: str) -> tuple[int, int]:
     """Decode the prompt tokens and the maximum output tokens; 0 when not given."""
     prompt, _, output = text.partition(",")
-    return (
-        int(prompt) if prompt.strip().isdecimal() else 0,
-        int(output) if output.strip().isdecimal() else 0,
-    )
+    return _decimal(prompt), _decimal(output)
+
+
+def _decimal(text: str) -> int:
+    """Decode a whole number that fits the messages between processes; 0 for others."""
+    text = text.strip()
+    if not text.isdecimal():
+        return 0
+    return min(int(text), MAX_COUNT) if len(text) < MAX_DIGITS else MAX_COUNT
 
 
 def _shared_parts(text: str) -> tuple[str, ...]:
@@ -230,8 +240,21 @@
 
     The ids go to other processes, so what is no hexadecimal number is left out.
     """
-    ids = [item.partition(":")[0].strip() for item in text.split(",")]
-    return tuple(filter(_PART_ID.fullmatch, ids[:-1][:MAX_PARTS]))
+    return tuple(name for name, _ in _sized_parts(text))
+
+
+def _part_tokens(text: str) -> tuple[int, ...]:
+    """Decode the tokens of the parts that ``_shared_parts`` returns."""
+    return tuple(_decimal(tokens) for _, tokens in _sized_parts(text))
+
+
+def _sized_parts(text: str) -> list[tuple[str, str]]:
+    pairs = [item.partition(":") for item in text.split(",")[:-1][:MAX_PARTS]]
+    return [
+        (name.strip(), tokens)
+        for name, _, tokens in pairs
+        if _PART_ID.fullmatch(name.strip())
+    ]
 
 
 def _resumed_id(values: Sequence[str]) -> str:
--- a/src/copperrun/platform/settings.py
+++ b/src/copperrun/platform/settings.py
@@ -16,6 +16,8 @@
 from copperrun.routing.retries import RetryBounds
 
 SETTINGS_PATH_VARIABLE = "COPPERRUN_BOOT"
+_RULES = "contracts"  # names of the platform's rules in force
+_FULL_ENGINES_CRASH = "pressure"
 LOAD_LIMIT_SLACK = 3  # loads allowed per window in addition to the rate
 
 
@@ -50,6 +52,8 @@
         loads: Bound on loads from the weight store.
         is_first_start: Whether the whole system starts for the first time, so that no
             peer knows more than the store.
+        engines_crash_when_full: Whether an engine crashes once its requests need more
+            than its memory.
     """
 
     place: ProcessLocation
@@ -68,6 +72,7 @@
     retries: RetryBounds
     loads: LoadRateLimit
     is_first_start: bool
+    engines_crash_when_full: bool = False
 
 
 class SettingsFile:
@@ -173,6 +178,7 @@
             LOAD_LIMIT_SLACK,
         ),
         fields.get("bootstrap") is True,
+        _FULL_ENGINES_CRASH in _get({_RULES: fields.get(_RULES) or []}, _RULES, list),
     )
 
 
--- a/src/copperrun/ports/admission.py
+++ b/src/copperrun/ports/admission.py
@@ -74,6 +74,7 @@
         alternatives: Other engines that could take it now.
         continues: Whether it continues a stream, which only few engines may do.
         parts: Parts of the prompt that it may share with others, in order.
+        body_bytes: Size of its body.
     """
 
     request: str
@@ -91,6 +92,7 @@
     alternatives: int = 0
     continues: bool = False
     parts: tuple[PromptPart, ...] = ()
+    body_bytes: int = 0
 
 
 class Granted(NamedTuple):
--- a/src/copperrun/ports/backends.py
+++ b/src/copperrun/ports/backends.py
@@ -36,6 +36,8 @@
         account: Client account to name to the server in place of the caller's
             credentials; empty for none, and None when there are no accounts, so that
             all headers are forwarded.
+        part_tokens: Tokens of each part in ``prompt_parts``; 0 when not stated.
+        output_hint: Tokens that the caller expects to be generated; 0 for no estimate.
     """
 
     id: str
@@ -54,12 +56,19 @@
     resumes: str = ""
     credentials: tuple[str, ...] = ()
     account: str | None = None
+    part_tokens: tuple[int, ...] = ()
+    output_hint: int = 0
 
     @property
     def continues_stream(self) -> bool:
         """Whether the caller has events of the stream already."""
         return bool(self.resume_after)
 
+    @property
+    def memory_tokens(self) -> int:
+        """Tokens that it may need at an engine, if it shares none."""
+        return self.prompt_tokens + self.output_tokens
+
     @property
     def path(self) -> str:
         """Path without the query."""
--- a/src/copperrun/ports/engine_control.py
+++ b/src/copperrun/ports/engine_control.py
@@ -7,6 +7,7 @@
 from typing import NamedTuple
 from typing import Protocol
 
+from copperrun.admission.memory import MemoryReport
 from copperrun.placement.adapter_slots import AdapterKey
 from copperrun.ports.engine import OrderKind
 
@@ -24,6 +25,7 @@
         queued: Requests waiting.
         in_host: Models whose weights are in its host memory.
         on_disk: Models whose weights are on its disk.
+        memory: Its own count of its memory; None when it states none.
     """
 
     born_ms: int
@@ -35,6 +37,7 @@
     queued: int
     in_host: frozenset[str]
     on_disk: frozenset[str]
+    memory: MemoryReport | None = None
 
 
 class EngineOrder(NamedTuple):
--- a/src/copperrun/ports/metrics.py
+++ b/src/copperrun/ports/metrics.py
@@ -37,6 +37,14 @@
     def record_retry(self, reason: str) -> None:
         """Record a retry and why the attempt before it ended."""
 
+    def record_engine_memory(self, used_share: float, committed_share: float) -> None:
+        """Record the share of an engine's memory in use, and with what may be added.
+
+        Args:
+            used_share: Held by its requests now.
+            committed_share: Held and what its requests may grow to.
+        """
+
     def record_move(self, operation: str, object_kind: str) -> None:
         """Record a load or unload of a model or adapter."""
 
--- a/src/copperrun/routing/attempt.py
+++ b/src/copperrun/routing/attempt.py
@@ -99,7 +99,7 @@
         progress.sends += 1
         progress.sent_ms = now
         progress.load = server.load
-        server.begin_request()
+        server.begin_request(request.call.memory_tokens)
         self._opening = asyncio.create_task(
             ports.backends.open(
                 self.record,
@@ -163,7 +163,7 @@
         if self._is_closed:
             return
         self._is_closed = True
-        self.server.end_request()
+        self.server.end_request(self._request.call.memory_tokens)
         if self._is_admitted:
             self._ports.sides.report_ended(self.server.record, self._request.call.id)
         if outcome is not AttemptOutcome.NOT_RUN:
--- a/src/copperrun/routing/refusals.py
+++ b/src/copperrun/routing/refusals.py
@@ -43,6 +43,16 @@
     )
 
 
+def larger_than_engine(request: RoutedRequest, capacity: int) -> Refusal:
+    """Return the refusal for a request that no engine of the pool can hold."""
+    return Refusal(
+        RefusalReason.BODY_TOO_LARGE,
+        Ran.NO,
+        f"the prompt and its output may take {request.call.memory_tokens} tokens, an"
+        f" engine holds {capacity}; shorten the prompt or lower the maximum output",
+    )
+
+
 def not_loaded(request: RoutedRequest, retry_after_ms: int) -> Refusal:
     """Return the refusal for a model or adapter that is not loaded."""
     name = "/".join(filter(None, (request.call.model, request.call.adapter)))
--- a/src/copperrun/routing/relay.py
+++ b/src/copperrun/routing/relay.py
@@ -7,6 +7,7 @@
 
 from loguru import logger
 
+from copperrun.admission.memory import MemoryShare
 from copperrun.model import Ran
 from copperrun.model import Refusal
 from copperrun.placement.demand import DemandMeter
@@ -58,9 +59,16 @@
         distance_to: Callable[[str], Distance],
         budget_for: Callable[[str], RetryWindow],
         record_origin: Callable[[str, StreamOrigin], None],
+        memory_share: MemoryShare | None = None,
     ) -> None:
         self._selector = ServerSelector(
-            servers, sides, demand, timers, distance_to, self._confirm_start
+            servers,
+            sides,
+            demand,
+            timers,
+            distance_to,
+            self._confirm_start,
+            memory_share,
         )
         self._confirmations: set[asyncio.Task[None]] = set()
         self._demand = demand
--- a/src/copperrun/routing/scoring.py
+++ b/src/copperrun/routing/scoring.py
@@ -15,6 +15,8 @@
 RUNNING_REQUEST_MS = 4.0  # by which each running request delays another one
 # When the side beside an engine does not answer, their machine may have frozen.
 UNRESPONSIVE_SIDE_MS = 3_000.0
+# Until streams have ended whose memory the request needs.
+MEMORY_WAIT_MS = 500.0
 ENGINE_FAILURE_MS = 2_000.0  # at a failure rate of 1
 
 
@@ -44,6 +46,7 @@
         adapter_rank: 0 if the request needs no adapter or the server holds it;
             otherwise the position in the rendezvous order for the adapter, from 1.
         is_side_unresponsive: Whether its side has stopped answering.
+        is_full: Whether the request does not fit into its memory now.
     """
 
     load: int
@@ -53,6 +56,7 @@
     failure_rate: float
     adapter_rank: int = 0
     is_side_unresponsive: bool = False
+    is_full: bool = False
 
 
 def choose_engine(candidates: Sequence[Candidate]) -> int:
@@ -79,6 +83,8 @@
     )
     if candidate.adapter_rank:
         cost += ADAPTER_LOAD_MS * candidate.adapter_rank
+    if candidate.is_full:
+        cost += MEMORY_WAIT_MS
     if candidate.is_side_unresponsive:
         cost += UNRESPONSIVE_SIDE_MS
     return cost + ENGINE_FAILURE_MS * candidate.failure_rate
--- a/src/copperrun/routing/selector.py
+++ b/src/copperrun/routing/selector.py
@@ -10,6 +10,8 @@
 
 import xxhash
 
+from copperrun.admission.memory import MemoryShare
+from copperrun.admission.memory import can_ever_fit
 from copperrun.admission.waiting import Refuse
 from copperrun.admission.waiting import Wait
 from copperrun.admission.waiting import decide_wait
@@ -22,10 +24,13 @@
 from copperrun.ports.admission import Granted
 from copperrun.ports.admission import NotHeld
 from copperrun.ports.admission import Overloaded
+from copperrun.ports.admission import PromptPart
+from copperrun.ports.backends import BackendCall
 from copperrun.ports.sides import SideError
 from copperrun.ports.sides import SideErrorReason
 from copperrun.ports.timers import Timers
 from copperrun.routing.refusals import QUEUE_FULL_RETRY_AFTER_MS
+from copperrun.routing.refusals import larger_than_engine
 from copperrun.routing.refusals import no_server
 from copperrun.routing.refusals import not_loaded
 from copperrun.routing.refusals import overloaded
@@ -53,6 +58,7 @@
         timers: Timers,
         distance_to: Callable[[str], Distance],
         confirm_start: Callable[[ServerRecord], Awaitable[bool]],
+        memory_share: MemoryShare | None = None,
     ) -> None:
         self._servers = servers
         self._sides = sides
@@ -60,6 +66,7 @@
         self._timers = timers
         self._distance_to = distance_to
         self._confirm_start = confirm_start
+        self._memory_share = memory_share
 
     async def select(
         self, request: RoutedRequest, progress: Progress
@@ -131,6 +138,12 @@
         assert request.pool.engine is not None
         if model not in request.pool.engine.models:
             return unknown_model(request)
+        if self._memory_share is not None and not can_ever_fit(
+            request.call.prompt_tokens,
+            request.call.output_tokens,
+            request.pool.engine.cache_tokens,
+        ):
+            return larger_than_engine(request, request.pool.engine.cache_tokens)
         holder = self._choose_holder(request, progress)
         if holder is not None:
             return holder
@@ -188,7 +201,10 @@
                 if adapter not in server.held[model]:
                     ranks[server.record.id] = rank
         candidates = [
-            self._candidate(server)._replace(adapter_rank=ranks[server.record.id])
+            self._candidate(server)._replace(
+                adapter_rank=ranks[server.record.id],
+                is_full=_is_full(server, request.call),
+            )
             for server in holders
         ]
         return holders[choose_engine(candidates)]
@@ -230,6 +246,12 @@
             target_ms=target_ms,
             remaining_ms=request.first_event_deadline_ms - now,
         )
+        if self._memory_share is not None:
+            admission_request = admission_request._replace(
+                output_tokens=call.output_tokens,
+                parts=tuple(map(PromptPart, call.prompt_parts, call.part_tokens)),
+                body_bytes=len(call.body or b""),
+            )
         server.begin_request()
         progress.admission = "waiting"
         progress.admitted_start_ms = 0
@@ -259,6 +281,9 @@
                         self._sides.report_ended(server.record, call.id)
                 return None if is_used else self._no_server(request, progress)
             case SideError():
+                if not self._fits_own_share(request, server):
+                    progress.tried.add(server.record.id)
+                    return overloaded(QUEUE_FULL_RETRY_AFTER_MS)
                 if self._is_allowed(server, progress) and await self._is_start_sure(
                     server, progress
                 ):
@@ -273,6 +298,18 @@
                 progress.tried.add(server.record.id)
                 return overloaded(retry_after_ms)
 
+    def _fits_own_share(self, request: RoutedRequest, server: Server) -> bool:
+        """Return whether a request fits this entry's share of an engine's memory.
+
+        It counts while no side sums what all entries send.
+        """
+        engine = request.pool.engine
+        if self._memory_share is None or engine is None:
+            return True
+        return self._memory_share.fits(
+            server.inflight_tokens, request.call.memory_tokens, engine.cache_tokens
+        )
+
     async def _is_start_sure(self, server: Server, progress: Progress) -> bool:
         """Return whether the listed start of an engine runs, if that matters.
 
@@ -365,6 +402,11 @@
     return SideError(SideErrorReason.UNREACHABLE, "the side does not answer")
 
 
+def _is_full(server: Server, call: BackendCall) -> bool:
+    free_tokens = server.free_tokens
+    return free_tokens is not None and call.memory_tokens > free_tokens
+
+
 def _adapter_hash(server: Server, model: str, adapter: str) -> int:
     key = f"{server.record.address}/{model}/{adapter}"
     return int(xxhash.xxh64_intdigest(key.encode()))
--- a/src/copperrun/routing/servers.py
+++ b/src/copperrun/routing/servers.py
@@ -124,6 +124,7 @@
         self.loading: Mapping[str, int] = {}
         self.is_side_unresponsive = False
         self.inflight = 0
+        self.inflight_tokens = 0
         self.reported_load = 0
         self.backlog_ms = 0
         self.utilization = 0.0
@@ -131,6 +132,8 @@
         self._timers = timers
         self._reported_ms = -REPORT_TTL_MS
         self._sent_since_report = 0
+        self._tokens_since_report = 0
+        self._reported_free_tokens: int | None = None
         self._failure_rate = 0.0
         self._failure_rate_ms = 0
         self._backoff_until_ms = 0
@@ -188,14 +191,24 @@
             return int(self.inflight * DEFAULT_PROMPT_MS)
         return int(self.backlog_ms + self._sent_since_report * DEFAULT_PROMPT_MS)
 
-    def begin_request(self) -> None:
-        """Count a request as in flight."""
+    @property
+    def free_tokens(self) -> int | None:
+        """Memory for requests to come; None unless its side has just reported it."""
+        if self._reported_free_tokens is None or not self.has_fresh_report:
+            return None
+        return max(self._reported_free_tokens - self._tokens_since_report, 0)
+
+    def begin_request(self, tokens: int = 0) -> None:
+        """Count a request as in flight, with the memory that it needs in tokens."""
         self.inflight += 1
+        self.inflight_tokens += tokens
         self._sent_since_report += 1
+        self._tokens_since_report += tokens
 
-    def end_request(self) -> None:
+    def end_request(self, tokens: int = 0) -> None:
         """Count a request as ended."""
         self.inflight -= 1
+        self.inflight_tokens -= tokens
 
     def record_answer(self, *, failed: bool) -> None:
         """Update the moving failure rate with the outcome of one request."""
@@ -239,8 +252,10 @@
         self.backlog_ms = report.backlog_ms
         self.utilization = report.utilization
         self.active = report.active
+        self._reported_free_tokens = report.free_tokens
         self._reported_ms = self._timers.now_ms()
         self._sent_since_report = 0
+        self._tokens_since_report = 0
 
     def record_start(self, born_ms: int, server_id: str) -> None:
         """Record a start of the server that its side has seen."""
--- a/src/copperrun/side/admission.py
+++ b/src/copperrun/side/admission.py
@@ -8,6 +8,8 @@
 
 from loguru import logger
 
+from copperrun.admission.memory import EngineMemory
+from copperrun.admission.memory import need_of
 from copperrun.admission.prefill import DEFAULT_TOKENS_PER_MS
 from copperrun.admission.prefill import PrefillQueue
 from copperrun.admission.prefill import Ticket
@@ -18,6 +20,8 @@
 from copperrun.ports.admission import Granted
 from copperrun.ports.admission import NotHeld
 from copperrun.ports.admission import Overloaded
+from copperrun.ports.engine_control import EngineStatus
+from copperrun.ports.metrics import Metrics
 from copperrun.ports.timers import Timers
 from copperrun.routing.catalog import EngineSpec
 from copperrun.routing.servers import ServerReport
@@ -32,12 +36,30 @@
 
 
 class AdmissionController:
-    """Admits requests to one engine; each waiting request has its own task."""
+    """Admits requests to one engine; each waiting request has its own task.
 
-    def __init__(self, placement: PlacementController, timers: Timers) -> None:
+    Args:
+        placement: Knows the engine's status and models.
+        timers: Timer service.
+        memory: Bounds what the engine's requests hold; None where a full engine only
+            makes them wait.
+        metrics: Told of the memory; None without ``memory``.
+    """
+
+    def __init__(
+        self,
+        placement: PlacementController,
+        timers: Timers,
+        *,
+        memory: EngineMemory | None = None,
+        metrics: Metrics | None = None,
+    ) -> None:
         self._placement = placement
         self._timers = timers
         self._queue = PrefillQueue()
+        self._memory = self._queue.memory = memory
+        self._metrics = metrics
+        self._status: EngineStatus | None = None
         self._waiters: dict[str, asyncio.Future[None]] = {}
         self._spec: EngineSpec | None = None
         self._ticket_count = 0
@@ -136,14 +158,43 @@
         return report._replace(
             queued=report.queued + self._queue.waiting_count,
             backlog_ms=self._queue.backlog_ms(),
+            free_tokens=self._free_tokens(),
         )
 
+    def _free_tokens(self) -> int | None:
+        """Return the memory for requests to come; None when it is not counted."""
+        memory = self._memory
+        if memory is None:
+            return None
+        now_ms = self._timers.now_ms()
+        self._update_memory()
+        if self._metrics is not None:
+            self._metrics.record_engine_memory(
+                memory.used_share(), memory.committed_share(now_ms)
+            )
+        return memory.free_tokens(now_ms)
+
+    def _update_memory(self) -> None:
+        """Apply the engine's latest count of its memory."""
+        status, previous = self._placement.status, self._status
+        if self._memory is None or status is None or status is previous:
+            return
+        self._status = status
+        if previous is not None and previous.born_ms != status.born_ms:
+            self._memory.forget()
+        if status.memory is not None:
+            self._memory.apply_report(status.memory)
+
     def _update_active_models(self) -> None:
         """Update the models that have admitted requests.
 
         Requests of an entry that died are removed after ``USE_TTL_MS``.
         """
         oldest = self._timers.now_ms() - USE_TTL_MS
+        if self._memory is not None:
+            for admitted in self._admitted.values():
+                if admitted.admitted_ms <= oldest:
+                    self._memory.release(admitted.ticket_id)
         self._admitted = {
             request: admitted
             for request, admitted in self._admitted.items()
@@ -164,6 +215,7 @@
             req.gap_ms,
             now_ms + req.target_ms,
             now_ms + req.remaining_ms,
+            need=need_of(req) if self._memory is not None else None,
         )
 
     def _apply_spec(self) -> None:
@@ -172,6 +224,9 @@
             return
         self._spec = spec
         self._queue.tokens_per_event = spec.tokens_per_event
+        if self._memory is not None:
+            self._memory.capacity = spec.cache_tokens
+            self._memory.tokens_per_event = spec.tokens_per_event
         largest = max((model.size_mb for model in spec.models.values()), default=1.0)
         self._queue.initial_tokens_per_ms = {
             name: DEFAULT_TOKENS_PER_MS * largest / max(model.size_mb, 1.0)
@@ -207,6 +262,7 @@
         return granted
 
     def _issue_grants(self) -> None:
+        self._update_memory()
         for ticket in self._queue.issue_grants(self._timers.now_ms()):
             fut = self._waiters.get(ticket.id)
             if fut is not None and not fut.done():
--- a/testing/mutants.py
+++ b/testing/mutants.py
@@ -36,6 +36,13 @@
 
 
 MUTANTS = (
+    Mutant(
+        "engine memory",
+        "admission/memory.py",
+        "return self._committed(now_ms) + self._added_tokens(need) <= self.capacity",
+        "return True",
+        "test_memory.py::test_a_grant_waits_until_the_request_fits_the_memory",
+    ),
     Mutant(
         "fall-back",
         "membership/claims.py",
--- a/testing/test_platform_http.py
+++ b/testing/test_platform_http.py
@@ -43,9 +43,12 @@
 from copperrun.placement.demand import DemandMeter
 from copperrun.platform.backends import HttpBackends
 from copperrun.platform.connections import CallerServer
+from copperrun.platform.ingress import MAX_COUNT
 from copperrun.platform.ingress import MAX_PARTS
 from copperrun.platform.ingress import Ingress
+from copperrun.platform.ingress import _part_tokens
 from copperrun.platform.ingress import _shared_parts
+from copperrun.platform.ingress import _token_counts
 from copperrun.ports.backends import BackendCall
 from copperrun.ports.crashes import CrashNews
 from copperrun.ports.crashes import LogPosition
@@ -250,6 +253,13 @@
     assert_that(_shared_parts("a:1," * 9_000 + "b:1"), HasLength(MAX_PARTS))
 
 
+async def test_the_sizes_of_prompts_and_outputs_are_decoded():
+    assert_that(_part_tokens("a1:800, b2:410,c3:250"), Equals((800, 410)))
+    assert_that(_part_tokens("a1:800,x y:1,b2:-4,c3"), Equals((800, 0)))
+    assert_that(_token_counts("1460, 80"), Equals((1_460, 80)))
+    assert_that(_token_counts("9" * 5_000 + ",x"), Equals((MAX_COUNT, 0)))
+
+
 async def test_headers_that_only_the_system_sets_are_dropped():
     backend = ScriptedServer()
     async with running_entry(SAFE, backend) as entry:
--- a/testing/test_platform_records.py
+++ b/testing/test_platform_records.py
@@ -15,7 +15,10 @@
 from testtools.matchers import Equals
 from testtools.matchers import IsInstance
 
+from copperrun.admission.memory import EngineRun
+from copperrun.admission.memory import MemoryReport
 from copperrun.platform import http_headers
+from copperrun.platform.engine_control import _decode_status
 from copperrun.platform.records import decode_catalog
 from copperrun.platform.records import decode_server
 from copperrun.platform.settings import SETTINGS_PATH_VARIABLE
@@ -277,6 +280,38 @@
     assert_that(error.detail.count("\n"), Equals(0))
 
 
+def test_engines_that_crash_when_full_are_known_from_the_rules(tmp_path: Path) -> None:
+    for rules, crash in (
+        ({}, False),
+        ({"contracts": None}, False),
+        ({"contracts": ["base", "engine"]}, False),
+        ({"contracts": ["base", "pressure"]}, True),
+    ):
+        cfg = load_settings(write_settings(tmp_path, settings(**rules)))
+        assert isinstance(cfg, PlatformSettings)
+        assert_that(cfg.engines_crash_when_full, Equals(crash))
+    bad = load_settings(write_settings(tmp_path, settings(contracts="pressure")))
+    assert isinstance(bad, SettingsError)
+    assert_that(bad.detail, Contains("contracts"))
+
+
+def test_an_engines_count_of_its_memory_is_decoded():
+    report = {
+        "models": [],
+        "busy": False,
+        "sequence": 0,
+        "running": 1,
+        "queued": 0,
+    }
+    assert_that(_decode_status(report).memory, Equals(None))
+    report |= {"kv-used": 1_600, "kv-total": 9_000, "pinned": 100, "held": 50}
+    assert_that(_decode_status(report).memory, Equals(MemoryReport(9_000, 1_600, 50)))
+    report["runs"] = [["id-1", 1_550, 30, 5]]
+    memory = _decode_status(report).memory
+    assert memory is not None
+    assert_that(memory.runs, Equals((EngineRun("id-1", 1_550, 30),)))
+
+
 def test_missing_or_malformed_settings_files_give_one_line(tmp_path: Path) -> None:
     path = tmp_path / "local.yaml"
     path.write_text("a: [")
