--- a/src/copperrun/platform/settings.py
+++ b/src/copperrun/platform/settings.py
@@ -16,6 +16,8 @@
 from copperrun.routing.retries import RetryBounds
 
 SETTINGS_PATH_VARIABLE = "COPPERRUN_BOOT"
+_RULES = "contracts"  # names of the platform's rules in force
+_FULL_ENGINES_CRASH = "pressure"
 LOAD_LIMIT_SLACK = 3  # loads allowed per window in addition to the rate
 
 
@@ -52,6 +54,8 @@
             peer knows more than the store.
         key_max_age_ms: Time since the store confirmed the configuration after which
             keys are no longer accepted; 0 when the last confirmed ones go on.
+        engines_crash_when_full: Whether an engine crashes once its requests need more
+            than its memory.
     """
 
     place: ProcessLocation
@@ -71,6 +75,7 @@
     loads: LoadRateLimit
     is_first_start: bool
     key_max_age_ms: int = 0
+    engines_crash_when_full: bool = False
 
 
 class SettingsFile:
@@ -177,6 +182,7 @@
         ),
         fields.get("bootstrap") is True,
         _key_max_age_ms(bounds),
+        _FULL_ENGINES_CRASH in _get({_RULES: fields.get(_RULES) or []}, _RULES, list),
     )
 
 
