Hold the requests of client accounts to their allotments on the platform's path

Cause: nothing read the limits of accounts on the users' platform.

Change: an entry asks for the units of a request once it is authenticated and has a pool, and gives them back when no server may have run it. Sides keep allotments, entries of the seeds where there are no engines. A side claims the groups that entries will ask it for before the first request. A Token-Usage that is not two whole numbers, or too large, counts as plain. Accounts without allotments cause no message and no store call.

--- a/src/copperrun/admission/credits.py
+++ b/src/copperrun/admission/credits.py
@@ -7,17 +7,21 @@
 from __future__ import annotations
 
 import asyncio
-import heapq
 from collections import deque
 from collections.abc import Iterable
 from collections.abc import Sequence
 from typing import NamedTuple
 
-import xxhash
 from loguru import logger
 
+from copperrun.admission.groups import group_of
+from copperrun.admission.groups import keeper_order
 from copperrun.admission.stock import Credit
 from copperrun.admission.stock import CreditStock
+from copperrun.admission.uses import AccountUse
+from copperrun.admission.uses import QuotaBounds
+from copperrun.admission.uses import no_keeper
+from copperrun.admission.uses import too_large
 from copperrun.model import Ran
 from copperrun.model import Refusal
 from copperrun.model import RefusalReason
@@ -27,11 +31,7 @@
 from copperrun.ports.allotments import NotKeeper
 from copperrun.ports.sides import SideError
 from copperrun.ports.timers import Timers
-from copperrun.routing.accounts import Allotment
-from copperrun.routing.accounts import ClientAccount
 
-GROUPS = 16  # each has one keeper; bounds the claims in the store
-CANDIDATES = 4  # hosts that may become the keeper of a group, one after the other
 CALL_TIMEOUT_MS = 250  # several round trips between regions
 MAX_NEEDED = 64  # requests of one account in one question
 MAX_CALLS = 3  # for one question: a redirect and a second try
@@ -42,48 +42,6 @@
 MAX_SPREAD_MS = 1_000  # between the retries of callers refused at one time
 
 
-class AccountUse(NamedTuple):
-    """A request that needs units.
-
-    Attributes:
-        account: Its client account.
-        allotment: Limit of the account.
-        version: Version of the configuration that names it.
-        cost: Units that the request needs.
-        request_id: Id for the operator's log.
-    """
-
-    account: ClientAccount
-    allotment: Allotment
-    version: int
-    cost: int
-    request_id: str
-
-
-class QuotaBounds(NamedTuple):
-    """How closely limits hold.
-
-    Attributes:
-        overage: Part of a limit that may be passed in a window.
-        window_ms: Time over which use is summed.
-    """
-
-    overage: float = 0.1
-    window_ms: int = 8_000
-
-    @property
-    def lapse_ms(self) -> int:
-        """Time from a question until what it granted lapses.
-
-        What is used in a window was granted in it or at most this long before.
-        """
-        return int(self.overage * self.window_ms)
-
-    def largest_cost(self, allotment: Allotment) -> float:
-        """Return the units that one request may need: those of a whole window."""
-        return allotment.burst + allotment.rate_per_s * self.window_ms / 1_000
-
-
 class _Waiter(NamedTuple):
     use: AccountUse
     fut: asyncio.Future[Credit | Refusal]
@@ -132,7 +90,7 @@
         """
         now = self._timers.now_ms()
         if use.cost > self._bounds.largest_cost(use.allotment):
-            return _too_large(use)
+            return too_large(use)
         account = self._find_account(use)
         channel = self._channel(group_of(use.account.name))
         credit = account.take(use, now)
@@ -427,50 +385,3 @@
             if now - at_ms < SILENT_TTL_MS
         }
         self._silent_ms[host] = now
-
-
-def group_of(account: str) -> int:
-    """Return the group of an account."""
-    return xxhash.xxh64_intdigest(account.encode()) % GROUPS
-
-
-def keeper_order(hosts: Iterable[str], group: int) -> list[str]:
-    """Return the hosts that may keep a group, the one to be asked first in front.
-
-    Each host's place depends on the host and the group alone, so that a change of
-    another host seldom changes the first one.
-    """
-    return heapq.nsmallest(
-        CANDIDATES,
-        hosts,
-        lambda host: xxhash.xxh64_intdigest(f"{group}/{host}".encode()),
-    )
-
-
-def _too_large(use: AccountUse) -> Refusal:
-    logger.info(
-        "request larger than the allotment",
-        request=use.request_id,
-        account=use.account.name,
-        cost=use.cost,
-        rate_per_s=use.allotment.rate_per_s,
-        burst=use.allotment.burst,
-    )
-    detail = (
-        f"the request needs {use.cost} {use.allotment.unit.value}, more than client "
-        f"account {use.account.name!r} may ever use at once"
-    )
-    return Refusal(RefusalReason.RATE_LIMITED, Ran.NO, detail)
-
-
-def no_keeper(use: AccountUse) -> Refusal:
-    """Return the refusal while no keeper of an account's allotment answers."""
-    logger.info(
-        "no keeper of the allotment", request=use.request_id, account=use.account.name
-    )
-    return Refusal(
-        RefusalReason.NOT_READY,
-        Ran.NO,
-        f"the allotment of client account {use.account.name!r} can't be read now",
-        NO_KEEPER_PAUSE_MS,
-    )
--- a/src/copperrun/entry/proxy.py
+++ b/src/copperrun/entry/proxy.py
@@ -14,6 +14,7 @@
 from copperrun.admission.memory import MemoryShare
 from copperrun.entry.accounts import authenticate
 from copperrun.entry.accounts import outdated_keys
+from copperrun.entry.allotments import AllotmentGate
 from copperrun.entry.continuations import Continuations
 from copperrun.membership.archive import CrashArchive
 from copperrun.membership.exchange import CrashExchange
@@ -115,6 +116,7 @@
         keepers: OriginKeepers,
         store: TopicStore,
         crashes_topic: str,
+        gate: AllotmentGate,
         retry_bounds: RetryBounds,
         timers: Timers,
         metrics: Metrics,
@@ -124,6 +126,7 @@
         key_max_age_ms: int = 0,
         engines_crash_when_full: bool = False,
     ) -> None:
+        self._gate = gate
         self._key_max_age_ms = key_max_age_ms
         self.lifecycle = Lifecycle(location.instance)
         self.servers = ServerTable(timers)
@@ -200,6 +203,7 @@
             refresh.cancel()
             self._exchange.close()
             self._origins.close()
+            self._gate.close()
             for task in self._report_tasks.values():
                 task.cancel()
 
@@ -250,7 +254,14 @@
             await responder.refuse(_not_ready())
             return
         request = RoutedRequest(call, route, pool, now, now + limit_ms, origin, account)
-        await self._relay.handle(request, responder)
+        credit = await self._gate.admit(request, catalog.version)
+        if isinstance(credit, Refusal):
+            self._metrics.record_refusal(route.host, route.name, credit)
+            await responder.refuse(credit)
+            return
+        may_have_run = await self._relay.handle(request, responder)
+        if not may_have_run:
+            self._gate.give_back(credit)
 
     def _authenticate(
         self, call: BackendCall, route: Route, accounts: AccountTable
@@ -299,6 +310,7 @@
             or [Keeper(host, "") for host in self._peer_hosts]
         )
         engines = {server.id for server in records}
+        self._gate.set_engines(records)
         for server_id in self._report_tasks.keys() - engines:
             self._report_tasks.pop(server_id).cancel()
         for server_id in engines - self._report_tasks.keys():
--- a/src/copperrun/membership/tenures.py
+++ b/src/copperrun/membership/tenures.py
@@ -7,12 +7,15 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Iterable
 from collections.abc import Mapping
 from collections.abc import Sequence
 
 from loguru import logger
 
 from copperrun.admission.buckets import Buckets
+from copperrun.admission.groups import group_of
+from copperrun.admission.groups import keeper_order
 from copperrun.membership.claim_log import UNKNOWN
 from copperrun.membership.claim_log import ClaimLog
 from copperrun.membership.claim_log import Incarnation
@@ -84,6 +87,7 @@
         self._takeovers: dict[int, asyncio.Task[None]] = {}
         self._next_try_ms: dict[int, int] = {}
         self._renewal: asyncio.Task[None] | None = None
+        self._duty: tuple[frozenset[int], frozenset[str]] = frozenset(), frozenset()
 
     async def grant(
         self, group: int, version: int, requests: Sequence[CreditRequest], silent: str
@@ -116,10 +120,21 @@
             return EndedTenure({})
         return EndedTenure(tenure.buckets.levels(self._timers.now_ms()))
 
-    def prepare(self, group: int) -> None:
-        """Take a group over before the first question if nobody has claimed it."""
-        if group not in self._tenures:
-            self._start_takeover(group, "")
+    def prepare(self, accounts: Iterable[str], hosts: frozenset[str]) -> None:
+        """Claim groups that entries will ask this process for and nobody has claimed.
+
+        Args:
+            accounts: Names of the accounts that have an allotment.
+            hosts: Hosts whose processes may be keepers.
+        """
+        duty = frozenset(map(group_of, accounts)), hosts
+        if duty == self._duty:
+            return
+        self._duty = duty
+        for group in duty[0]:
+            first = keeper_order(hosts, group)[:1]
+            if first == [self._by.host] and group not in self._tenures:
+                self._start_takeover(group, "")
 
     def close(self) -> None:
         """End all tasks."""
--- a/src/copperrun/platform/daemon.py
+++ b/src/copperrun/platform/daemon.py
@@ -6,6 +6,7 @@
 import secrets
 import signal
 from collections.abc import Coroutine
+from collections.abc import Sequence
 from contextlib import suppress
 from typing import Any
 
@@ -18,6 +19,8 @@
 from copperrun.adapters.admission import HttpEngineSides
 from copperrun.adapters.admission import HttpTopicPeers
 from copperrun.adapters.admission import encode_view
+from copperrun.adapters.allotments import AllotmentRoutes
+from copperrun.adapters.allotments import HttpAllotmentKeepers
 from copperrun.adapters.client import HttpClient
 from copperrun.adapters.client import open_session
 from copperrun.adapters.crashes import CrashRoutes
@@ -25,11 +28,16 @@
 from copperrun.adapters.origins import HttpOriginKeepers
 from copperrun.adapters.origins import OriginRoutes
 from copperrun.adapters.timers import SystemTimers
+from copperrun.admission.credits import Credits
 from copperrun.admission.memory import EngineMemory
 from copperrun.configuration.catalog import CurrentCatalog
+from copperrun.entry.allotments import AllotmentGate
+from copperrun.entry.allotments import engine_hosts
 from copperrun.entry.proxy import ProxyProcess
+from copperrun.membership.claim_log import Incarnation
 from copperrun.membership.registry import Registry
 from copperrun.membership.shutdown import Shutdown
+from copperrun.membership.tenures import TenureKeeper
 from copperrun.membership.view import ENTRY_CATALOG_WAIT_FRACTION
 from copperrun.membership.view import ENTRY_SERVERS_POLL_FRACTION
 from copperrun.membership.view import SIDE_CATALOG_WAIT_FRACTION
@@ -50,12 +58,15 @@
 from copperrun.platform.settings import PlatformSettings
 from copperrun.platform.settings import SettingsError
 from copperrun.platform.settings import SettingsFile
+from copperrun.platform.store import ALLOTMENTS_TOPIC
 from copperrun.platform.store import CATALOG_KEY
 from copperrun.platform.store import CRASHES_TOPIC
 from copperrun.platform.store import OPERATOR_TOPIC
 from copperrun.platform.store import SERVERS_TOPIC
 from copperrun.platform.store import STATUS_TOPIC
 from copperrun.platform.store import HttpTopicStore
+from copperrun.ports.allotments import AllotmentKeepers
+from copperrun.ports.topics import TopicStore
 from copperrun.routing.catalog import CallerLimits
 from copperrun.routing.crashes import CrashLog
 from copperrun.routing.origins import OriginTable
@@ -149,6 +160,12 @@
         app.router.add_get(VIEW_PATH, handle_view)
         return app
 
+    def build_keeper(
+        self, role: str, start: str, store: TopicStore, keepers: AllotmentKeepers
+    ) -> TenureKeeper:
+        by = Incarnation(self.cfg.host, role, start)
+        return TenureKeeper(by, store, ALLOTMENTS_TOPIC, keepers, self.timers)
+
     async def listen(
         self, runner: web.AppRunner | web.ServerRunner, *ports: int
     ) -> list[web.TCPSite]:
@@ -242,6 +259,12 @@
             store, view = self.build_view(
                 client, ENTRY_SERVERS_POLL_FRACTION, ENTRY_CATALOG_WAIT_FRACTION
             )
+            keepers = HttpAllotmentKeepers(client, self.keeper_address)
+            start = secrets.token_hex(8)
+            keeper = self.build_keeper("entry", start, store, keepers)
+            gate = self._gate = AllotmentGate(
+                Credits(keepers, self.timers, cfg.quota), _seed_hosts(cfg)
+            )
             process = self._process = ProxyProcess(
                 cfg.place,
                 view,
@@ -251,6 +274,7 @@
                 HttpOriginKeepers(client, self.keeper_address),
                 store,
                 CRASHES_TOPIC,
+                gate,
                 cfg.retries,
                 self.timers,
                 self.metrics,
@@ -269,7 +293,8 @@
             front = web.ServerRunner(server, shutdown_timeout=0.1)
             app = self.build_internal_app(view)
             app.router.add_get(READINESS_PATH, _readiness_handler(process))
-            OriginRoutes(process.origins, secrets.token_hex(8)).add_to(app)
+            OriginRoutes(process.origins, start).add_to(app)
+            AllotmentRoutes(keeper).add_to(app)
             internal = web.AppRunner(app, access_log=None, shutdown_timeout=0.1)
             self.handle_signals()
             await self.listen(
@@ -282,6 +307,7 @@
             task = await self.run_until_shutdown(process.run())
             await self._drain(process, ingress, server, sites)
             connection_check.cancel()
+            keeper.close()
             await _cancel(task)
             await self.close()
 
@@ -290,6 +316,7 @@
         super().apply_settings(cfg)
         self._process.update_retry_bounds(cfg.retries)
         self._process.update_peers(_peer_hosts(cfg))
+        self._gate.entry_hosts = _seed_hosts(cfg)
 
     async def _drain(
         self,
@@ -372,6 +399,10 @@
             start = secrets.token_hex(8)
             CrashRoutes(CrashLog(self.timers), start, self.timers).add_to(app)
             OriginRoutes(OriginTable(self.timers), start).add_to(app)
+            keepers = HttpAllotmentKeepers(client, self.keeper_address)
+            keeper = self.build_keeper("side", start, store, keepers)
+            AllotmentRoutes(keeper).add_to(app)
+            view.subscribe(lambda servers: self._prepare_keeper(keeper, servers))
             internal = web.AppRunner(
                 app, handler_cancellation=True, access_log=None, shutdown_timeout=0.1
             )
@@ -379,10 +410,31 @@
             await self.listen(internal, cfg.internal_port)
             task = await self.run_until_shutdown(process.run())
             process.lifecycle.leave()
+            keeper.close()
             await _cancel(task)
             await self.close()
             process.lifecycle.finish()
 
+    def _prepare_keeper(
+        self, keeper: TenureKeeper, servers: Sequence[ServerRecord]
+    ) -> None:
+        """Claim allotments before the first request, where there are any."""
+        catalog = self.catalog.catalog
+        if catalog is None or catalog.accounts is None:
+            return
+        accounts = [
+            account.name
+            for account in catalog.accounts.by_name.values()
+            if account.allotment is not None
+        ]
+        engines = [
+            server
+            for server in servers
+            if server.pool in catalog.pools
+            and catalog.pools[server.pool].engine is not None
+        ]
+        keeper.prepare(accounts, engine_hosts(engines))
+
     def apply_settings(self, cfg: PlatformSettings) -> None:
         """Pass changed settings to the components that use them."""
         super().apply_settings(cfg)
@@ -404,6 +456,11 @@
     return [seed.rpartition(":")[0] for seed in _peer_seeds(cfg)]
 
 
+def _seed_hosts(cfg: PlatformSettings) -> list[str]:
+    """Return the hosts of the seeds; the own one without any."""
+    return [seed.rpartition(":")[0] for seed in cfg.seeds] or [cfg.host]
+
+
 def _readiness_handler(process: ProxyProcess) -> Any:
     async def handle_readiness(request: web.Request) -> web.Response:
         return web.Response(status=200 if process.is_ready else 503)
--- a/src/copperrun/platform/ingress.py
+++ b/src/copperrun/platform/ingress.py
@@ -222,8 +222,13 @@
 
 
 def _token_counts(text: str) -> tuple[int, int]:
-    """Decode the prompt tokens and the maximum output tokens; 0 when not given."""
-    prompt, _, output = text.partition(",")
+    """Decode the prompt tokens and the maximum output tokens.
+
+    Both are 0 when they are not given or one of them is no whole number.
+    """
+    prompt, _, output = (part.strip() for part in text.partition(","))
+    if not (prompt.isdecimal() and output.isdecimal()):
+        return 0, 0
     return _decimal(prompt), _decimal(output)
 
 
--- a/src/copperrun/platform/settings.py
+++ b/src/copperrun/platform/settings.py
@@ -11,6 +11,7 @@
 
 import yaml
 
+from copperrun.admission.uses import QuotaBounds
 from copperrun.entry.proxy import ProcessLocation
 from copperrun.placement.loads import LoadRateLimit
 from copperrun.routing.retries import RetryBounds
@@ -56,6 +57,7 @@
             keys are no longer accepted; 0 when the last confirmed ones go on.
         engines_crash_when_full: Whether an engine crashes once its requests need more
             than its memory.
+        quota: How closely limits of client accounts hold.
     """
 
     place: ProcessLocation
@@ -76,6 +78,7 @@
     is_first_start: bool
     key_max_age_ms: int = 0
     engines_crash_when_full: bool = False
+    quota: QuotaBounds = QuotaBounds()
 
 
 class SettingsFile:
@@ -183,6 +186,7 @@
         fields.get("bootstrap") is True,
         _key_max_age_ms(bounds),
         _FULL_ENGINES_CRASH in _get({_RULES: fields.get(_RULES) or []}, _RULES, list),
+        _quota(bounds),
     )
 
 
@@ -192,6 +196,16 @@
     return int(_get(bounds, "revoke-ms", float))
 
 
+def _quota(bounds: Mapping[str, Any]) -> QuotaBounds:
+    quota = QuotaBounds()
+    if "quota-overage" in bounds:
+        quota = quota._replace(overage=_get(bounds, "quota-overage", float))
+    if "quota-window-s" in bounds:
+        window_s = _get(bounds, "quota-window-s", float)
+        quota = quota._replace(window_ms=int(window_s * 1_000))
+    return quota
+
+
 def _get(fields: Mapping[str, Any], name: str, kind: type) -> Any:
     value = fields.get(name)
     if kind is float and isinstance(value, int) and not isinstance(value, bool):
--- a/src/copperrun/routing/accounts.py
+++ b/src/copperrun/routing/accounts.py
@@ -8,6 +8,8 @@
 from enum import Enum
 from typing import NamedTuple
 
+MAX_STATED_TOKENS = 2**31 - 1  # a greater number is none
+
 
 class AllotmentUnit(Enum):
     """What an allotment counts."""
@@ -40,7 +42,8 @@
         """
         if self.unit is AllotmentUnit.REQUESTS:
             return 1
-        return (prompt_tokens + output_tokens) or self.plain_tokens
+        tokens = prompt_tokens + output_tokens
+        return tokens if 0 < tokens < MAX_STATED_TOKENS else self.plain_tokens
 
 
 class ClientAccount(NamedTuple):
--- a/src/copperrun/routing/relay.py
+++ b/src/copperrun/routing/relay.py
@@ -94,8 +94,12 @@
                 continue
             scope.reschedule(asyncio.get_running_loop().time())
 
-    async def handle(self, request: RoutedRequest, responder: Responder) -> None:
-        """Answer or refuse a request before its deadline."""
+    async def handle(self, request: RoutedRequest, responder: Responder) -> bool:
+        """Answer or refuse a request before its deadline.
+
+        Returns:
+            Whether a server may have run it.
+        """
         progress = Progress(request.call.resume_after)
         progress.origin = request.origin
         self._budget_for(request.pool.name).record_request()
@@ -120,6 +124,7 @@
             self._record_metrics(request, progress, outcome)
         if not done:
             await _respond_unanswered(progress, responder)
+        return progress.may_have_run
 
     async def _try_servers(
         self,
--- a/testing/allotment_fleet.py
+++ b/testing/allotment_fleet.py
@@ -13,10 +13,10 @@
 from topic_store import CALL_TIMEOUT_MS
 from topic_store import MemoryTopicStore
 
-from copperrun.admission.credits import AccountUse
 from copperrun.admission.credits import Credits
-from copperrun.admission.credits import QuotaBounds
 from copperrun.admission.stock import Credit
+from copperrun.admission.uses import AccountUse
+from copperrun.admission.uses import QuotaBounds
 from copperrun.embedded.clock import ManualTimers
 from copperrun.membership.claim_log import Incarnation
 from copperrun.membership.tenures import TenureKeeper
--- a/testing/platform_standins.py
+++ b/testing/platform_standins.py
@@ -113,6 +113,9 @@
         (length,) = struct.unpack_from(">I", body)
         content = body[4 : 4 + length]
         key = content[1 : 1 + content[0]].decode()
+        end = len(self.records.get(request.query["topic"], []))
+        if int(request.query.get("at", end)) != end:
+            return web.json_response({"end": end}, status=412)
         offset = self.put(request.query["topic"], key, content[1 + content[0] :])
         return web.json_response({"offset": offset, "end": offset + 1})
 
--- a/testing/test_allotments.py
+++ b/testing/test_allotments.py
@@ -20,8 +20,8 @@
 from topic_store import MemoryTopicStore
 
 from copperrun.admission.buckets import Buckets
-from copperrun.admission.credits import group_of
-from copperrun.admission.credits import keeper_order
+from copperrun.admission.groups import group_of
+from copperrun.admission.groups import keeper_order
 from copperrun.admission.stock import CreditStock
 from copperrun.embedded.clock import ManualTimers
 from copperrun.membership.claim_log import UNKNOWN
--- a/testing/test_proxy.py
+++ b/testing/test_proxy.py
@@ -20,8 +20,11 @@
 from testtools.matchers import LessThan
 from topic_store import MemoryTopicStore
 
+from copperrun.admission.credits import Credits
+from copperrun.admission.uses import QuotaBounds
 from copperrun.embedded.clock import ManualTimers
 from copperrun.embedded.clock import run_until_idle
+from copperrun.entry.allotments import AllotmentGate
 from copperrun.entry.proxy import ProcessLocation
 from copperrun.entry.proxy import ProxyProcess
 from copperrun.ports.admission import DemandReport
@@ -90,6 +93,7 @@
         OriginKeepers(timers),
         MemoryTopicStore(timers),
         "crashes",
+        AllotmentGate(Credits(None, timers, QuotaBounds()), ()),
         RetryBounds(1.0, 1, 1_000),
         timers,
         NullMetrics(),
@@ -125,6 +129,7 @@
         OriginKeepers(timers),
         MemoryTopicStore(timers),
         "crashes",
+        AllotmentGate(Credits(None, timers, QuotaBounds()), ()),
         RetryBounds(1.0, 1, 1_000),
         timers,
         NullMetrics(),
--- a/testing/test_view.py
+++ b/testing/test_view.py
@@ -15,10 +15,13 @@
 from testtools.matchers import Is
 from testtools.matchers import LessThan
 
+from copperrun.admission.credits import Credits
+from copperrun.admission.uses import QuotaBounds
 from copperrun.configuration.catalog import CurrentCatalog
 from copperrun.configuration.catalog import Decoder
 from copperrun.embedded.clock import ManualTimers
 from copperrun.embedded.clock import run_until_idle
+from copperrun.entry.allotments import AllotmentGate
 from copperrun.entry.proxy import ProcessLocation
 from copperrun.entry.proxy import ProxyProcess
 from copperrun.membership.registry import Registry
@@ -262,6 +265,7 @@
         OriginKeepers(timers),
         store,
         "crashes",
+        AllotmentGate(Credits(None, timers, QuotaBounds()), ()),
         RetryBounds(1.0, 1, 1_000),
         timers,
         NullMetrics(),
