Count a request as plain without changing what its token counts decode to

Change: the counts are decoded as before; a call tells whether both were stated as whole numbers, and only then they are the cost of the request.

--- a/src/copperrun/entry/allotments.py
+++ b/src/copperrun/entry/allotments.py
@@ -50,7 +50,9 @@
         if account is None or account.allotment is None:
             return None
         call = request.call
-        cost = account.allotment.cost_of(call.prompt_tokens, call.output_tokens)
+        cost = account.allotment.cost_of(0, 0)
+        if call.states_tokens:
+            cost = account.allotment.cost_of(call.prompt_tokens, call.output_tokens)
         use = AccountUse(account, account.allotment, version, cost, call.id)
         wait_ms = int(WAIT_FRACTION * request.route.target_ms)
         limit_ms = request.deadline_ms - request.started_ms
--- a/src/copperrun/platform/ingress.py
+++ b/src/copperrun/platform/ingress.py
@@ -196,6 +196,7 @@
     if timeout is not None and not timeout.isdecimal():
         return _bad_request(f"{http_headers.TIMEOUT} is not a whole number")
     parts = headers.get(http_headers.PROMPT_PARTS, "")
+    usage = headers.get(http_headers.TOKEN_USAGE, "")
     model, _, adapter = headers.get(http_headers.MODEL, "").partition("/")
     return BackendCall(
         request_id,
@@ -211,27 +212,29 @@
         int(timeout) if timeout is not None else None,
         model,
         adapter,
-        *_token_counts(headers.get(http_headers.TOKEN_USAGE, "")),
+        *_token_counts(usage),
         headers.get(http_headers.LAST_EVENT_ID, ""),
         _shared_parts(parts),
         _resumed_id(headers.getall(http_headers.RESUMES, [])),
         tuple(headers.getall(http_headers.AUTHORIZATION, [])),
         part_tokens=_part_tokens(parts),
         output_hint=_decimal(headers.get(http_headers.OUTPUT_HINT, "")),
+        states_tokens=_states_tokens(usage),
     )
 
 
 def _token_counts(text: str) -> tuple[int, int]:
-    """Decode the prompt tokens and the maximum output tokens.
-
-    Both are 0 when they are not given or one of them is no whole number.
-    """
-    prompt, _, output = (part.strip() for part in text.partition(","))
-    if not (prompt.isdecimal() and output.isdecimal()):
-        return 0, 0
+    """Decode the prompt tokens and the maximum output tokens; 0 when not given."""
+    prompt, _, output = text.partition(",")
     return _decimal(prompt), _decimal(output)
 
 
+def _states_tokens(text: str) -> bool:
+    """Return whether both counts are given as whole numbers."""
+    prompt, _, output = text.partition(",")
+    return prompt.strip().isdecimal() and output.strip().isdecimal()
+
+
 def _decimal(text: str) -> int:
     """Decode a whole number that fits the messages between processes; 0 for others."""
     text = text.strip()
--- a/src/copperrun/ports/backends.py
+++ b/src/copperrun/ports/backends.py
@@ -38,6 +38,7 @@
             all headers are forwarded.
         part_tokens: Tokens of each part in ``prompt_parts``; 0 when not stated.
         output_hint: Tokens that the caller expects to be generated; 0 for no estimate.
+        states_tokens: Whether the caller states both counts of tokens as whole numbers.
     """
 
     id: str
@@ -58,6 +59,7 @@
     account: str | None = None
     part_tokens: tuple[int, ...] = ()
     output_hint: int = 0
+    states_tokens: bool = False
 
     @property
     def continues_stream(self) -> bool:
