--- a/src/copperrun/platform/ingress.py
+++ b/src/copperrun/platform/ingress.py
@@ -196,6 +196,7 @@
     if timeout is not None and not timeout.isdecimal():
         return _bad_request(f"{http_headers.TIMEOUT} is not a whole number")
     parts = headers.get(http_headers.PROMPT_PARTS, "")
+    usage = headers.get(http_headers.TOKEN_USAGE, "")
     model, _, adapter = headers.get(http_headers.MODEL, "").partition("/")
     return BackendCall(
         request_id,
@@ -211,13 +212,14 @@
         int(timeout) if timeout is not None else None,
         model,
         adapter,
-        *_token_counts(headers.get(http_headers.TOKEN_USAGE, "")),
+        *_token_counts(usage),
         headers.get(http_headers.LAST_EVENT_ID, ""),
         _shared_parts(parts),
         _resumed_id(headers.getall(http_headers.RESUMES, [])),
         tuple(headers.getall(http_headers.AUTHORIZATION, [])),
         part_tokens=_part_tokens(parts),
         output_hint=_decimal(headers.get(http_headers.OUTPUT_HINT, "")),
+        states_tokens=_states_tokens(usage),
     )
 
 
@@ -227,6 +229,12 @@
     return _decimal(prompt), _decimal(output)
 
 
+def _states_tokens(text: str) -> bool:
+    """Return whether both counts are given as whole numbers."""
+    prompt, _, output = text.partition(",")
+    return prompt.strip().isdecimal() and output.strip().isdecimal()
+
+
 def _decimal(text: str) -> int:
     """Decode a whole number that fits the messages between processes; 0 for others."""
     text = text.strip()
