Let requests with other places to go give way to streams that have none

Change: an entry tells the side whether a request continues a stream that some engines of the pool may not continue, and how many other engines would begin it in time. In the engine's queue such streams go first within their rank; requests with another place are not counted as ahead of them and are told Overloaded when a stream would begin too late behind them, the least urgent first and no more than needed. New requests leave engines where such streams of the entry wait if another would begin them in time. A pool of one version is served as before.

--- a/src/copperrun/admission/prefill.py
+++ b/src/copperrun/admission/prefill.py
@@ -41,6 +41,8 @@
         gap_ms: Longest gap between events that its stream allows; 0 for no limit.
         target_ms: When the first event is due, on the timer service's clock.
         deadline_ms: Deadline of the caller, on the same clock.
+        alternatives: Other engines that could take it in time.
+        continues: Whether it continues a stream, which only few engines may do.
     """
 
     id: str
@@ -50,6 +52,8 @@
     gap_ms: int
     target_ms: int
     deadline_ms: int
+    alternatives: int = 0
+    continues: bool = False
 
 
 @dataclass
@@ -173,7 +177,9 @@
         ahead_ms = sum(
             self._prefill_ms(other)
             for other in self._waiting.values()
-            if other.id != ticket.id and _urgency(other, now_ms) <= key
+            if other.id != ticket.id
+            and _urgency(other, now_ms) <= key
+            and not _gives_way(other, ticket)
         )
         own_ms = self.speed(ticket.model).delay_ms + self._prefill_ms(ticket)
         return int(self._outstanding_ms + ahead_ms + own_ms)
@@ -187,6 +193,31 @@
         """Add a request to the queue."""
         self._waiting[ticket.id] = ticket
 
+    def yield_places(self, now_ms: int) -> Iterator[Ticket]:
+        """Remove and yield requests that give way to streams that go on only here.
+
+        A stream needs that if it would begin too late behind requests with other
+        places to go; the least urgent of them go first, and no more than it needs.
+        """
+        streams = [item for item in self._waiting.values() if item.continues]
+        for stream in streams:
+            key = _urgency(stream, now_ms)
+            ahead = sorted(
+                (
+                    other
+                    for other in self._waiting.values()
+                    if _urgency(other, now_ms) <= key and _gives_way(other, stream)
+                ),
+                key=lambda item: _urgency(item, now_ms),
+            )
+            ahead_ms = sum(self._prefill_ms(other) for other in ahead)
+            wait_ms = self.expected_wait_ms(stream, now_ms) + ahead_ms
+            while ahead and now_ms + wait_ms * WAIT_SAFETY_FACTOR > stream.target_ms:
+                other = ahead.pop()
+                wait_ms -= self._prefill_ms(other)
+                del self._waiting[other.id]
+                yield other
+
     def remove(self, ticket_id: str) -> None:
         """Remove a waiting request, or release its grant."""
         self._waiting.pop(ticket_id, None)
@@ -291,6 +322,16 @@
         return max(budget_ms / 2, DECODE_STEP_MS)
 
 
-def _urgency(ticket: Ticket, now_ms: int) -> tuple[int, bool, int]:
-    """Sort by priority, then requests that can meet their target, least slack first."""
-    return ticket.priority, ticket.target_ms < now_ms, ticket.target_ms
+def _urgency(ticket: Ticket, now_ms: int) -> tuple[int, bool, bool, int]:
+    """Sort by priority, then streams that go on only here, then by slack.
+
+    Requests that can meet their target go first, the one with the least slack before
+    all others.
+    """
+    is_late = ticket.target_ms < now_ms
+    return ticket.priority, not ticket.continues, is_late, ticket.target_ms
+
+
+def _gives_way(ticket: Ticket, stream: Ticket) -> bool:
+    """Return whether a request goes elsewhere if a stream needs its place."""
+    return stream.continues and not ticket.continues and ticket.alternatives > 0
--- a/src/copperrun/routing/selector.py
+++ b/src/copperrun/routing/selector.py
@@ -25,6 +25,8 @@
 from copperrun.ports.sides import SideError
 from copperrun.ports.sides import SideErrorReason
 from copperrun.ports.timers import Timers
+from copperrun.routing.alternatives import count_alternatives
+from copperrun.routing.alternatives import leave_to_streams
 from copperrun.routing.refusals import QUEUE_FULL_RETRY_AFTER_MS
 from copperrun.routing.refusals import no_server
 from copperrun.routing.refusals import not_loaded
@@ -176,11 +178,11 @@
         self, request: RoutedRequest, progress: Progress
     ) -> Server | None:
         model, adapter = request.call.model, request.call.adapter
-        holders = [
-            s for s in self.untried_servers(request, progress) if model in s.held
-        ]
+        holders = self._holders(request, progress)
         if not holders:
             return None
+        if progress.origin is None:
+            holders = list(leave_to_streams(holders, self._slack_ms(request)))
         ranks = {server.record.id: 0 for server in holders}
         if adapter:
             ordered = sorted(holders, key=lambda s: _adapter_hash(s, model, adapter))
@@ -193,6 +195,25 @@
         ]
         return holders[choose_engine(candidates)]
 
+    def _holders(self, request: RoutedRequest, progress: Progress) -> list[Server]:
+        """Return the untried engines that hold the model of a request."""
+        model = request.call.model
+        return [s for s in self._iter_untried(request, progress) if model in s.held]
+
+    def _slack_ms(self, request: RoutedRequest) -> int:
+        """Return the time left until the first event is due; negative when past."""
+        due_ms = request.started_ms + request.route.target_ms
+        return due_ms - self._timers.now_ms()
+
+    def _is_confined(self, request: RoutedRequest, progress: Progress) -> bool:
+        """Return whether a new request could go to engines that this one may not."""
+        return progress.origin is not None and any(
+            request.call.model in server.held
+            and self._servers.is_usable(server)
+            and not self._may_continue(server, progress)
+            for server in self._servers.in_pool(request.pool.name)
+        )
+
     def _expected_load_ms(
         self, request: RoutedRequest, progress: Progress
     ) -> int | None:
@@ -219,7 +240,9 @@
         """
         call = request.call
         now = self._timers.now_ms()
-        target_ms = request.started_ms + request.route.target_ms - now
+        slack_ms = self._slack_ms(request)
+        holders = self._holders(request, progress)
+        continues = self._is_confined(request, progress)
         admission_request = AdmissionRequest(
             request=call.id,
             model=call.model,
@@ -227,10 +250,13 @@
             priority=request.rank,
             tokens=call.prompt_tokens,
             gap_ms=request.route.target_gap_ms,
-            target_ms=target_ms,
+            target_ms=slack_ms,
             remaining_ms=request.first_event_deadline_ms - now,
+            alternatives=count_alternatives(holders, server, slack_ms),
+            continues=continues,
         )
         server.begin_request()
+        server.waiting_streams += continues
         progress.admission = "waiting"
         progress.admitted_start_ms = 0
         progress.detail = f"waits to be admitted at {server.record.id}"
@@ -241,6 +267,7 @@
                 )
         finally:
             server.end_request()
+            server.waiting_streams -= continues
         progress.admission = type(admission).__name__
         progress.admitted_after_ms = self._timers.now_ms() - now
         match admission:
--- a/src/copperrun/routing/servers.py
+++ b/src/copperrun/routing/servers.py
@@ -124,6 +124,8 @@
         self.loading: Mapping[str, int] = {}
         self.is_side_unresponsive = False
         self.inflight = 0
+        # Of this entry, that wait here and go on only at few engines.
+        self.waiting_streams = 0
         self.reported_load = 0
         self.backlog_ms = 0
         self.utilization = 0.0
--- a/src/copperrun/side/admission.py
+++ b/src/copperrun/side/admission.py
@@ -38,7 +38,8 @@
         self._placement = placement
         self._timers = timers
         self._queue = PrefillQueue()
-        self._waiters: dict[str, asyncio.Future[None]] = {}
+        # True for a grant, False for a request that gives way.
+        self._waiters: dict[str, asyncio.Future[bool]] = {}
         self._spec: EngineSpec | None = None
         self._ticket_count = 0
         self._admitted: dict[str, _AdmittedRequest] = {}
@@ -164,6 +165,8 @@
             req.gap_ms,
             now_ms + req.target_ms,
             now_ms + req.remaining_ms,
+            req.alternatives,
+            req.continues,
         )
 
     def _apply_spec(self) -> None:
@@ -179,8 +182,8 @@
         }
 
     async def _wait_for_grant(self, ticket: Ticket) -> bool:
-        """Return True once granted, False once the deadline cannot be met."""
-        fut: asyncio.Future[None] = asyncio.get_running_loop().create_future()
+        """Return True once granted, False when it gives way or would come too late."""
+        fut: asyncio.Future[bool] = asyncio.get_running_loop().create_future()
         self._waiters[ticket.id] = fut
         self._queue.enqueue(ticket)
         self._issue_grants()
@@ -197,7 +200,7 @@
                         await asyncio.shield(fut)
                 except TimeoutError:
                     self._issue_grants()
-            granted = True
+            granted = fut.result()
         finally:
             self._waiters.pop(ticket.id, None)
             if not granted:
@@ -207,7 +210,13 @@
         return granted
 
     def _issue_grants(self) -> None:
-        for ticket in self._queue.issue_grants(self._timers.now_ms()):
-            fut = self._waiters.get(ticket.id)
-            if fut is not None and not fut.done():
-                fut.set_result(None)
+        now_ms = self._timers.now_ms()
+        for ticket in self._queue.yield_places(now_ms):
+            self._wake(ticket, granted=False)
+        for ticket in self._queue.issue_grants(now_ms):
+            self._wake(ticket, granted=True)
+
+    def _wake(self, ticket: Ticket, *, granted: bool) -> None:
+        fut = self._waiters.get(ticket.id)
+        if fut is not None and not fut.done():
+            fut.set_result(granted)
