--- a/src/copperrun/entry/proxy.py
+++ b/src/copperrun/entry/proxy.py
@@ -11,7 +11,9 @@
 import xxhash
 from loguru import logger
 
+from copperrun.admission.memory import MemoryShare
 from copperrun.entry.accounts import authenticate
+from copperrun.entry.accounts import outdated_keys
 from copperrun.entry.continuations import Continuations
 from copperrun.membership.archive import CrashArchive
 from copperrun.membership.exchange import CrashExchange
@@ -36,8 +38,10 @@
 from copperrun.ports.sides import SideError
 from copperrun.ports.timers import Timers
 from copperrun.ports.topics import TopicStore
+from copperrun.routing.accounts import AccountTable
 from copperrun.routing.accounts import ClientAccount
 from copperrun.routing.catalog import Catalog
+from copperrun.routing.catalog import Route
 from copperrun.routing.crashes import CrashLog
 from copperrun.routing.origins import OriginTable
 from copperrun.routing.origins import StreamOrigin
@@ -117,7 +121,10 @@
         *,
         peer_hosts: Sequence[str] = (),
         is_first_start: bool = False,
+        key_max_age_ms: int = 0,
+        engines_crash_when_full: bool = False,
     ) -> None:
+        self._key_max_age_ms = key_max_age_ms
         self.lifecycle = Lifecycle(location.instance)
         self.servers = ServerTable(timers)
         self._location = location
@@ -133,6 +140,9 @@
         )
         self._budgets: dict[str, RetryWindow] = {}
         self._entry_count = INITIAL_ENTRY_COUNT
+        self._memory_share: MemoryShare | None = None
+        if engines_crash_when_full:
+            self._memory_share = MemoryShare(INITIAL_ENTRY_COUNT)
         self._demand = DemandMeter()
         self._demand.subscribe(self._report_urgently)
         self._urgent_report_tasks: set[asyncio.Task[None]] = set()
@@ -154,6 +164,7 @@
             distance_to=location.distance_to,
             budget_for=self._budget_for,
             record_origin=self._origins.record,
+            memory_share=self._memory_share,
         )
 
     @property
@@ -214,12 +225,7 @@
             return
         account: ClientAccount | None = None
         if catalog.accounts is not None:
-            caller = authenticate(
-                call,
-                route,
-                catalog.accounts,
-                is_recent=self._view.is_catalog_recent,
-            )
+            caller = self._authenticate(call, route, catalog.accounts)
             if isinstance(caller, Refusal):
                 self._metrics.record_refusal(route.host, route.name, caller)
                 await responder.refuse(caller)
@@ -246,6 +252,22 @@
         request = RoutedRequest(call, route, pool, now, now + limit_ms, origin, account)
         await self._relay.handle(request, responder)
 
+    def _authenticate(
+        self, call: BackendCall, route: Route, accounts: AccountTable
+    ) -> ClientAccount | Refusal | None:
+        """Return the caller's account; None on a route that needs no key."""
+        caller = authenticate(
+            call, route, accounts, is_recent=self._view.is_catalog_recent
+        )
+        if (
+            isinstance(caller, ClientAccount)
+            and self._key_max_age_ms
+            and not self._view.is_catalog_confirmed(self._key_max_age_ms)
+        ):
+            # The key may have been withdrawn.
+            return outdated_keys()
+        return caller
+
     def _refuse_without_route(self, call: BackendCall, catalog: Catalog) -> Refusal:
         """Return the refusal for a request that no route matches."""
         # The route may have been added while the store could not be read.
@@ -376,6 +398,10 @@
         server.apply_report(report)
         if report.entries:
             self._entry_count = report.entries
+            if self._memory_share is not None:
+                # A side that has just started has heard of few.
+                share = self._memory_share
+                share.entries = max(share.entries, report.entries)
             for budget in self._budgets.values():
                 budget.entries = report.entries
         self.servers.notify_change()
