--- a/testing/mutants.py
+++ b/testing/mutants.py
@@ -523,6 +523,36 @@
         "test_answers.py::test_a_raised_idle_timeout_applies_to_new_and_open"
         "_connections",
     ),
+    Mutant(
+        "place: order",
+        "admission/prefill.py",
+        "return ticket.priority, not ticket.continues, is_late",
+        "return ticket.priority, False, is_late",
+        "test_yielding.py::test_a_stream_that_goes_on_only_here_is_first_of_its_rank",
+    ),
+    Mutant(
+        "place: wait",
+        "admission/prefill.py",
+        "            and not _gives_way(other, ticket)\n",
+        "",
+        "test_yielding.py::test_requests_with_other_places_do_not_count_as_ahead_of_a_str"
+        "eam",
+    ),
+    Mutant(
+        "place: yield",
+        "admission/prefill.py",
+        "streams = [item for item in self._waiting.values() if item.continues]",
+        "streams: list[Ticket] = []",
+        "test_yielding.py::test_only_as_many_give_way_as_the_stream_needs_and_the_last_on"
+        "es_first",
+    ),
+    Mutant(
+        "place: leave",
+        "routing/selector.py",
+        "holders = list(leave_to_streams(holders, self._slack_ms(request)))",
+        "pass",
+        "test_yielding.py::test_new_requests_leave_engines_where_streams_wait",
+    ),
     Mutant(
         "origin: attempt",
         "routing/selector.py",
