Let client accounts share the engines by turns

Cause: an engine's queue knew ranks only, so that one client account at six times its usual stood before the requests of all others of its rank.

Change: admissions name the client account. Within a rank the account that was served the least prefill time is next; the expected wait, and so what is refused first, follows the same order. An account that is served far less often than all goes before all ranks. The order of tickets moved to admission/tickets.py, the accounts' state is in admission/fairness.py. Without accounts the order is as before. It is worked out once for all requests that look at the queue in one millisecond.

--- a/src/copperrun/admission/prefill.py
+++ b/src/copperrun/admission/prefill.py
@@ -9,13 +9,18 @@
 from __future__ import annotations
 
 import math
+from collections.abc import Iterable
 from collections.abc import Iterator
 from collections.abc import Mapping
 from dataclasses import dataclass
-from typing import NamedTuple
+from itertools import takewhile
 
+from copperrun.admission.fairness import FairShares
+from copperrun.admission.fairness import ServedFractions
 from copperrun.admission.memory import EngineMemory
-from copperrun.admission.memory import MemoryNeed
+from copperrun.admission.tickets import Ticket
+from copperrun.admission.tickets import gives_way
+from copperrun.admission.tickets import order_tickets
 
 # Share of the allowed gap for the engine; the rest covers delivery to the caller.
 GAP_BUDGET_FRACTION = 0.9
@@ -34,34 +39,6 @@
 SLOW_FACTOR = 1.5
 
 
-class Ticket(NamedTuple):
-    """One request that waits for admission to the engine.
-
-    Attributes:
-        id: Identity of the attempt.
-        model: Model that the request needs.
-        priority: Rank, 0 first.
-        tokens: Prompt tokens.
-        gap_ms: Longest gap between events that its stream allows; 0 for no limit.
-        target_ms: When the first event is due, on the timer service's clock.
-        deadline_ms: Deadline of the caller, on the same clock.
-        alternatives: Other engines that could take it in time.
-        continues: Whether it continues a stream, which only few engines may do.
-        need: Memory that it needs; None when memory is not counted.
-    """
-
-    id: str
-    model: str
-    priority: int
-    tokens: int
-    gap_ms: int
-    target_ms: int
-    deadline_ms: int
-    alternatives: int = 0
-    continues: bool = False
-    need: MemoryNeed | None = None
-
-
 @dataclass
 class _Grant:
     """A granted prompt without a first event, and the tokens granted around it.
@@ -150,6 +127,11 @@
         self.memory: EngineMemory | None = None
         self._speeds: dict[str, PrefillSpeed] = {}
         self._waiting: dict[str, Ticket] = {}
+        # Prefill time before each waiting request, and when that was so.
+        self._ahead_ms: dict[str, float] = {}
+        self._ahead_at_ms = -1
+        self._shares = FairShares()
+        self._fractions = ServedFractions()
         self._grants: dict[str, _Grant] = {}
         self._outstanding_ms = 0.0
         self._level_ms = 0.0
@@ -182,14 +164,16 @@
 
     def expected_wait_ms(self, ticket: Ticket, now_ms: int) -> int:
         """Return the expected time until the first event of a request."""
-        key = _urgency(ticket, now_ms)
-        ahead_ms = sum(
-            self._prefill_ms(other)
-            for other in self._waiting.values()
-            if other.id != ticket.id
-            and _urgency(other, now_ms) <= key
-            and not _gives_way(other, ticket)
-        )
+        if ticket.continues:
+            ahead_ms = sum(
+                self._prefill_ms(other)
+                for other in self._before(ticket, now_ms)
+                if not gives_way(other, ticket)
+            )
+        elif ticket.id in self._waiting:
+            ahead_ms = self._waiting_ahead_ms(now_ms)[ticket.id]
+        else:
+            ahead_ms = sum(map(self._prefill_ms, self._before(ticket, now_ms)))
         own_ms = self.speed(ticket.model).delay_ms + self._prefill_ms(ticket)
         return int(self._outstanding_ms + ahead_ms + own_ms)
 
@@ -201,6 +185,12 @@
     def enqueue(self, ticket: Ticket) -> None:
         """Add a request to the queue."""
         self._waiting[ticket.id] = ticket
+        self._ahead_at_ms = -1
+
+    def record_asked(self, ticket: Ticket, now_ms: int) -> None:
+        """Count a request that asks for admission, admitted or not."""
+        if ticket.account:
+            self._fractions.record_asked(ticket.account, now_ms)
 
     def yield_places(self, now_ms: int) -> Iterator[Ticket]:
         """Remove and yield requests that give way to streams that go on only here.
@@ -210,26 +200,21 @@
         """
         streams = [item for item in self._waiting.values() if item.continues]
         for stream in streams:
-            key = _urgency(stream, now_ms)
-            ahead = sorted(
-                (
-                    other
-                    for other in self._waiting.values()
-                    if _urgency(other, now_ms) <= key and _gives_way(other, stream)
-                ),
-                key=lambda item: _urgency(item, now_ms),
-            )
+            before = self._before(stream, now_ms)
+            ahead = [other for other in before if gives_way(other, stream)]
             ahead_ms = sum(self._prefill_ms(other) for other in ahead)
             wait_ms = self.expected_wait_ms(stream, now_ms) + ahead_ms
             while ahead and now_ms + wait_ms * WAIT_SAFETY_FACTOR > stream.target_ms:
                 other = ahead.pop()
                 wait_ms -= self._prefill_ms(other)
-                del self._waiting[other.id]
+                self._remove_waiting(other)
                 yield other
 
     def remove(self, ticket_id: str) -> None:
         """Remove a waiting request, or release its grant."""
-        self._waiting.pop(ticket_id, None)
+        ticket = self._waiting.get(ticket_id)
+        if ticket is not None:
+            self._remove_waiting(ticket)
         self._release_grant(ticket_id)
         if self.memory is not None:
             self.memory.release(ticket_id)
@@ -243,7 +228,8 @@
                 return
             if not self._has_memory_for(ticket, now_ms):
                 return
-            del self._waiting[ticket.id]
+            self._charge(ticket)
+            self._remove_waiting(ticket)
             if self.memory is not None and ticket.need is not None:
                 self.memory.claim(ticket.id, ticket.need, now_ms)
             prefill_ms = self._prefill_ms(ticket)
@@ -289,11 +275,37 @@
             speed.add_sample(tokens, elapsed_ms)
 
     def _most_urgent(self, now_ms: int) -> Ticket | None:
-        return min(
-            self._waiting.values(),
-            key=lambda item: _urgency(item, now_ms),
-            default=None,
-        )
+        return next(self._ordered(self._waiting.values(), now_ms), None)
+
+    def _ordered(self, tickets: Iterable[Ticket], now_ms: int) -> Iterator[Ticket]:
+        starved = self._fractions.starved()
+        return order_tickets(tickets, self._shares, starved, self._prefill_ms, now_ms)
+
+    def _before(self, ticket: Ticket, now_ms: int) -> list[Ticket]:
+        """Return the waiting requests that go before one that may wait, too."""
+        ordered = self._ordered({**self._waiting, ticket.id: ticket}.values(), now_ms)
+        return list(takewhile(lambda other: other.id != ticket.id, ordered))
+
+    def _waiting_ahead_ms(self, now_ms: int) -> Mapping[str, float]:
+        """Return the prefill time before each waiting request."""
+        if self._ahead_at_ms != now_ms:
+            total_ms, self._ahead_ms = 0.0, {}
+            for ticket in self._ordered(self._waiting.values(), now_ms):
+                self._ahead_ms[ticket.id] = total_ms
+                total_ms += self._prefill_ms(ticket)
+            self._ahead_at_ms = now_ms
+        return self._ahead_ms
+
+    def _remove_waiting(self, ticket: Ticket) -> None:
+        del self._waiting[ticket.id]
+        self._ahead_at_ms = -1
+
+    def _charge(self, ticket: Ticket) -> None:
+        """Count a grant for the client account of a waiting request."""
+        waiting = {other.share for other in self._waiting.values()}
+        self._shares.charge(ticket.share, self._prefill_ms(ticket), waiting)
+        if ticket.account:
+            self._fractions.record_served(ticket.account)
 
     def _has_memory_for(self, ticket: Ticket, now_ms: int) -> bool:
         if self.memory is None or ticket.need is None:
@@ -344,18 +356,3 @@
             GAP_BUDGET_FRACTION * ticket.gap_ms - self.tokens_per_event * DECODE_STEP_MS
         )
         return max(budget_ms / 2, DECODE_STEP_MS)
-
-
-def _urgency(ticket: Ticket, now_ms: int) -> tuple[int, bool, bool, int]:
-    """Sort by priority, then streams that go on only here, then by slack.
-
-    Requests that can meet their target go first, the one with the least slack before
-    all others.
-    """
-    is_late = ticket.target_ms < now_ms
-    return ticket.priority, not ticket.continues, is_late, ticket.target_ms
-
-
-def _gives_way(ticket: Ticket, stream: Ticket) -> bool:
-    """Return whether a request goes elsewhere if a stream needs its place."""
-    return stream.continues and not ticket.continues and ticket.alternatives > 0
--- a/src/copperrun/routing/selector.py
+++ b/src/copperrun/routing/selector.py
@@ -268,6 +268,7 @@
             gap_ms=request.route.target_gap_ms,
             target_ms=slack_ms,
             remaining_ms=request.first_event_deadline_ms - now,
+            account=request.account.name if request.account else "",
             alternatives=count_alternatives(holders, server, slack_ms),
             continues=continues,
         )
--- a/src/copperrun/side/admission.py
+++ b/src/copperrun/side/admission.py
@@ -12,7 +12,7 @@
 from copperrun.admission.memory import need_of
 from copperrun.admission.prefill import DEFAULT_TOKENS_PER_MS
 from copperrun.admission.prefill import PrefillQueue
-from copperrun.admission.prefill import Ticket
+from copperrun.admission.tickets import Ticket
 from copperrun.placement.adapter_slots import USE_TTL_MS
 from copperrun.placement.controller import PlacementController
 from copperrun.ports.admission import Admission
@@ -74,6 +74,7 @@
         self._apply_spec()
         arrived_ms = self._timers.now_ms()
         ticket = self._build_ticket(req, arrived_ms)
+        self._queue.record_asked(ticket, arrived_ms)
         if not self._queue.can_meet_deadline(ticket, arrived_ms):
             return Overloaded(self._queue.backlog_ms())
         admission: Admission | None = None
@@ -218,6 +219,7 @@
             now_ms + req.remaining_ms,
             alternatives=req.alternatives,
             continues=req.continues,
+            account=req.account,
             need=need_of(req) if self._memory is not None else None,
         )
 
--- a/testing/mutants.py
+++ b/testing/mutants.py
@@ -523,17 +523,47 @@
         "test_answers.py::test_a_raised_idle_timeout_applies_to_new_and_open"
         "_connections",
     ),
+    Mutant(
+        "fair: turns",
+        "admission/tickets.py",
+        "            lead_ms += prefill_ms(ticket)\n",
+        "",
+        "test_fairness.py::test_the_expected_wait_of_a_newcomer_leaves_out_most_of_a_l"
+        "ong_queue",
+    ),
+    Mutant(
+        "fair: lead",
+        "admission/fairness.py",
+        "starts_ms[share] += prefill_ms",
+        "pass",
+        "test_fairness.py::test_an_account_that_was_served_longer_has_a_lead_while_others"
+        "_wait",
+    ),
+    Mutant(
+        "fair: saved up",
+        "admission/fairness.py",
+        "return max(self._starts_ms.get(share, 0.0), least_ms)",
+        "return self._starts_ms.get(share, 0.0)",
+        "test_fairness.py::test_an_account_saves_nothing_up_while_it_sends_nothing",
+    ),
+    Mutant(
+        "fair: starved",
+        "admission/tickets.py",
+        "STARVED_RANK if ticket.account in starved else ticket.priority",
+        "ticket.priority",
+        "test_fairness.py::test_no_account_is_served_less_than_a_quarter_as_often_as_all",
+    ),
     Mutant(
         "place: order",
-        "admission/prefill.py",
-        "return ticket.priority, not ticket.continues, is_late",
-        "return ticket.priority, False, is_late",
+        "admission/tickets.py",
+        "groups.setdefault((rank, not ticket.continues), [])",
+        "groups.setdefault((rank, False), [])",
         "test_yielding.py::test_a_stream_that_goes_on_only_here_is_first_of_its_rank",
     ),
     Mutant(
         "place: wait",
         "admission/prefill.py",
-        "            and not _gives_way(other, ticket)\n",
+        "                if not gives_way(other, ticket)\n",
         "",
         "test_yielding.py::test_requests_with_other_places_do_not_count_as_ahead_of_a_str"
         "eam",
--- a/testing/test_prefill.py
+++ b/testing/test_prefill.py
@@ -14,7 +14,7 @@
 from copperrun.admission.prefill import GRANT_TTL_MS
 from copperrun.admission.prefill import PrefillQueue
 from copperrun.admission.prefill import PrefillSpeed
-from copperrun.admission.prefill import Ticket
+from copperrun.admission.tickets import Ticket
 
 GAP_MS = 300
 STEP_TOKENS = 4_096  # prompt tokens that an engine prefills in one step
