Bound what an entry holds for callers who read or send slowly

Cause: the task that reads a server waited for the caller, so that a caller who stalled made the entry stop reading and the server cut the answer off; nothing bounded the sum that all answers hold, nor the sum or the age of request bodies that trickle in.

Change: admission/buffers.py grants and refuses bytes and names who gives way; platform/readers.py measures and resets connections. A body that does not fit gets 503, one that takes too long or is among the slowest while room is short 408; both not run. Off where the settings don't state the machine's memory.

--- a/src/copperrun/adapters/metrics.py
+++ b/src/copperrun/adapters/metrics.py
@@ -45,6 +45,9 @@
         self._retries = meter.create_counter("copperrun.retries")
         self._moves = meter.create_counter("copperrun.moves")
         self._appends = meter.create_counter("copperrun.log_appends")
+        self._held = meter.create_gauge("copperrun.held_bytes")
+        self._cut_callers = meter.create_counter("copperrun.cut_callers")
+        self._refused_uploads = meter.create_counter("copperrun.refused_uploads")
         self._attributes: dict[tuple[str, str], dict[str, str]] = {}
         self._answer_attributes: dict[tuple[str, str, bool], dict[str, str]] = {}
 
@@ -108,6 +111,19 @@
         """Record an append to the platform's log."""
         self._appends.add(1, {"stream": stream})
 
+    def record_held(self, answer_bytes: int, upload_bytes: int) -> None:
+        """Record the bytes that are held for callers."""
+        self._held.set(answer_bytes, {"object": "answers"})
+        self._held.set(upload_bytes, {"object": "uploads"})
+
+    def record_cut_caller(self, reason: str) -> None:
+        """Record an answer that was ended because its caller reads too slowly."""
+        self._cut_callers.add(1, {"reason": reason})
+
+    def record_refused_upload(self, reason: str) -> None:
+        """Record a request body that was not taken."""
+        self._refused_uploads.add(1, {"reason": reason})
+
     def record_configuration_lag(self, lag_ms: float) -> None:
         """Record the time from a change's creation until it took effect here."""
         self._lag.record(lag_ms / MS_PER_S)
--- a/src/copperrun/model.py
+++ b/src/copperrun/model.py
@@ -43,6 +43,7 @@
     STREAM_CUT = "stream_cut"
     QUARANTINED = "quarantined"
     STREAM_UNKNOWN = "stream_unknown"
+    MEMORY_FULL = "memory_full"
 
 
 class Refusal(NamedTuple):
--- a/src/copperrun/platform/connections.py
+++ b/src/copperrun/platform/connections.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import fcntl
+import socket
 import struct
 import termios
 from collections.abc import Awaitable
@@ -14,6 +15,8 @@
 from aiohttp.web_protocol import RequestHandler
 from loguru import logger
 
+from copperrun.admission.buffers import Measure
+from copperrun.platform.readers import CallerBuffers
 from copperrun.ports.timers import Timers
 from copperrun.routing.catalog import CallerLimits
 
@@ -24,6 +27,8 @@
     b"HTTP/1.1 408 Request Timeout\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
 )
 
+_RESET_AT_CLOSE = struct.pack("ii", 1, 0)
+
 RequestCallback = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
 
 
@@ -49,10 +54,25 @@
 class CallerConnection(RequestHandler):
     """A connection that knows whether a request has begun on it."""
 
-    __slots__ = ("_head_since_ms", "_idle_since_ms", "_idle_timeout_ms", "_timers")
+    __slots__ = (
+        "_buffers",
+        "_head_since_ms",
+        "_idle_since_ms",
+        "_idle_timeout_ms",
+        "_timers",
+        "_written_bytes",
+    )
 
-    def __init__(self, server: web.Server, timers: Timers, **options: Any) -> None:
+    def __init__(
+        self,
+        server: web.Server,
+        timers: Timers,
+        buffers: CallerBuffers | None = None,
+        **options: Any,
+    ) -> None:
         super().__init__(server, **options)
+        self._buffers = buffers
+        self._written_bytes = 0
         self._timers = timers
         self._head_since_ms: int | None = None
         self._idle_since_ms: int | None = None
@@ -73,6 +93,43 @@
         """Whether further requests were read while one is handled."""
         return bool(self._messages)
 
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Set how much of an answer may wait for its caller."""
+        super().connection_made(transport)
+        if self._buffers is None or self.transport is None:
+            return
+        bound = self._buffers.answer_bound
+        self.transport.set_write_buffer_limits(high=bound, low=bound // 2)
+
+    def begin_write(self, size: int) -> None:
+        """Record that an answer grows; before the bytes are written."""
+        self._written_bytes += size
+
+    def end_write(self) -> None:
+        """Record what the caller has left unread."""
+        if self._buffers is not None and self._has_unsent_bytes:
+            self._buffers.record(self)
+
+    def pause_writing(self) -> None:
+        """Record an answer at its bound, whose writer is about to wait."""
+        super().pause_writing()
+        self.end_write()
+
+    def measure(self) -> Measure:
+        """Return what is held for the caller."""
+        if self.transport is None:
+            return Measure(0, self._written_bytes)
+        held = self.transport.get_write_buffer_size()
+        return Measure(held, self._written_bytes)
+
+    def cut(self) -> None:
+        """Reset the connection, so that a partial answer does not look complete."""
+        if self.transport is None:
+            return
+        sock = self.transport.get_extra_info("socket")
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_AT_CLOSE)
+        self.transport.abort()
+
     def data_received(self, data: bytes) -> None:
         """Pass data to the parser and note the begin of a head."""
         self._idle_since_ms = None
@@ -86,6 +143,8 @@
         """Log requests that were read and will not be answered."""
         if self._messages:
             logger.info("connection closed with unread requests", detail=repr(exc))
+        if self._buffers is not None:
+            self._buffers.forget(self)
         super().connection_lost(exc)
 
     def close_expired(self, idle_timeout_ms: int, head_timeout_ms: int) -> bool:
@@ -145,6 +204,7 @@
         limits: Returns the limits in force; None before the first configuration.
         timers: Timer service.
         lowering_delay_ms: Time in which callers learn of a lower idle timeout.
+        buffers: Bound on what is held for callers; None for none.
     """
 
     def __init__(
@@ -153,11 +213,13 @@
         limits: Callable[[], CallerLimits | None],
         timers: Timers,
         lowering_delay_ms: int,
+        buffers: CallerBuffers | None = None,
     ) -> None:
         super().__init__(handler, handler_cancellation=True)
         self._limits = limits
         self._timers = timers
         self._idle_timeout = IdleTimeout(lowering_delay_ms)
+        self._buffers = buffers
 
     def __call__(self) -> RequestHandler:
         """Return the protocol of a new connection."""
@@ -168,6 +230,7 @@
         return CallerConnection(
             self,
             self._timers,
+            self._buffers,
             loop=asyncio.get_running_loop(),
             access_log=None,
             keepalive_timeout=UNUSED_KEEPALIVE_S,
@@ -199,6 +262,8 @@
         if limits is None:
             return
         idle_timeout_ms = self._current_idle_timeout_ms(limits)
+        if self._buffers is not None:
+            self._buffers.check(idle_timeout_ms)
         closed = sum(
             conn.close_expired(idle_timeout_ms, limits.header_timeout_ms)
             for conn in self.caller_connections
--- a/src/copperrun/platform/daemon.py
+++ b/src/copperrun/platform/daemon.py
@@ -26,6 +26,7 @@
 from copperrun.adapters.origins import HttpOriginKeepers
 from copperrun.adapters.origins import OriginRoutes
 from copperrun.adapters.timers import SystemTimers
+from copperrun.admission.buffers import BufferBounds
 from copperrun.configuration.catalog import CurrentCatalog
 from copperrun.entry.proxy import ProxyProcess
 from copperrun.membership.registry import Registry
@@ -44,6 +45,7 @@
 from copperrun.platform.connections import CallerServer
 from copperrun.platform.engine_control import HttpEngineControl
 from copperrun.platform.ingress import Ingress
+from copperrun.platform.readers import CallerBuffers
 from copperrun.platform.records import decode_catalog
 from copperrun.platform.records import decode_server
 from copperrun.platform.settings import PlatformSettings
@@ -241,12 +243,14 @@
                 peer_hosts=_peer_hosts(cfg),
                 is_first_start=cfg.is_first_start,
             )
-            ingress = Ingress(process.handle, self._max_body_bytes)
+            buffers = self._build_buffers()
+            ingress = Ingress(process.handle, self._max_body_bytes, buffers)
             server = CallerServer(
                 ingress.handle,
                 self._limits,
                 self.timers,
                 lowering_delay_ms=cfg.apply_ms + CALLERS_LEARN_MS,
+                buffers=buffers,
             )
             front = web.ServerRunner(server, shutdown_timeout=0.1)
             app = self.build_internal_app(view)
@@ -304,6 +308,12 @@
             await self.timers.sleep_ms(DRAIN_POLL_INTERVAL_MS)
         process.lifecycle.finish()
 
+    def _build_buffers(self) -> CallerBuffers | None:
+        if not self.cfg.memory_bytes:
+            return None
+        bounds = BufferBounds.from_memory(self.cfg.memory_bytes)
+        return CallerBuffers(bounds, self.timers, self.metrics)
+
     def _limits(self) -> CallerLimits | None:
         catalog = self.catalog.catalog
         return catalog.limits if catalog is not None else None
--- a/src/copperrun/platform/ingress.py
+++ b/src/copperrun/platform/ingress.py
@@ -15,6 +15,8 @@
 from copperrun.model import RefusalReason
 from copperrun.platform import http_headers
 from copperrun.platform.connections import CallerConnection
+from copperrun.platform.readers import CallerBuffers
+from copperrun.platform.readers import Upload
 from copperrun.ports.backends import AnswerHead
 from copperrun.ports.backends import BackendCall
 from copperrun.ports.backends import HeaderList
@@ -26,11 +28,14 @@
     RefusalReason.UNKNOWN_DEPLOYMENT: 404,
     RefusalReason.BAD_REQUEST: 400,
     RefusalReason.BODY_TOO_LARGE: 413,
+    RefusalReason.BODY_TIMEOUT: 408,
     RefusalReason.RATE_LIMITED: 429,
     RefusalReason.INVALID_KEY: 401,
 }
 _PART_ID = re.compile(r"[0-9A-Fa-f]{1,64}")
 MAX_RESUMED_ID_CHARACTERS = 256
+MAX_UPLOAD_MS = 30_000  # for a body whose caller states no time limit
+MEMORY_RETRY_MS = 1_000  # after a body that did not fit
 MAX_PARTS = 64  # of one prompt; the header is bounded in bytes only
 
 _FAILURE_STATUS = 502
@@ -46,8 +51,14 @@
         is_refusing: Whether new requests are refused.
     """
 
-    def __init__(self, handler: CallHandler, max_body_bytes: Callable[[], int]) -> None:
+    def __init__(
+        self,
+        handler: CallHandler,
+        max_body_bytes: Callable[[], int],
+        buffers: CallerBuffers | None = None,
+    ) -> None:
         self._handler = handler
+        self._buffers = buffers
         self._max_body_bytes = max_body_bytes
         self.is_leaving = False
         self.is_refusing = False
@@ -71,7 +82,18 @@
                 Refusal(RefusalReason.LEAVING, Ran.NO, "this entry is leaving", 1)
             )
             return responder.response
-        body = await self._read_body(request)
+        if self._buffers is None or not request.body_exists:
+            return await self._serve(request, responder, None)
+        with self._buffers.upload() as upload:
+            return await self._serve(request, responder, upload)
+
+    async def _serve(
+        self,
+        request: web.BaseRequest,
+        responder: HttpResponder,
+        upload: Upload | None,
+    ) -> web.StreamResponse:
+        body = await self._read_body(request, upload)
         if isinstance(body, Refusal):
             await responder.refuse(body)
             return responder.response
@@ -89,22 +111,65 @@
         conn = request.protocol
         return not (isinstance(conn, CallerConnection) and conn.has_queued_requests)
 
-    async def _read_body(self, request: web.BaseRequest) -> bytes | Refusal | None:
+    async def _read_body(
+        self, request: web.BaseRequest, upload: Upload | None
+    ) -> bytes | Refusal | None:
         if not request.body_exists:
             return None
-        if _awaits_continue(request):
-            await request.writer.write(b"HTTP/1.1 100 Continue\r\n\r\n")
-            request.writer.output_size = 0  # counts the bytes of the final answer
         limit = self._max_body_bytes()
-        parts: list[bytes] = []
-        size = 0
-        async for data in request.content.iter_any():
-            size += len(data)
-            if size > limit:
-                detail = f"the body is larger than {limit} bytes"
-                return Refusal(RefusalReason.BODY_TOO_LARGE, Ran.NO, detail)
-            parts.append(data)
-        return b"".join(parts)
+        if upload is None or self._buffers is None:
+            return await _collect_body(request, limit, None)
+        limit_ms = _upload_limit_ms(request)
+        body: bytes | Refusal
+        try:
+            if not self._buffers.may_begin(min(request.content_length or 0, limit)):
+                body = _memory_full()
+            elif request.content.is_eof():
+                body = await _collect_body(request, limit, upload)
+            else:
+                async with self._buffers.arrival(upload, limit_ms):
+                    body = await _collect_body(request, limit, upload)
+        except TimeoutError:
+            detail = "the body arrived too slowly"
+            body = Refusal(RefusalReason.BODY_TIMEOUT, Ran.NO, detail)
+        if isinstance(body, Refusal):
+            self._buffers.record_refused_upload(body.reason.value)
+        return body
+
+
+async def _collect_body(
+    request: web.BaseRequest, limit: int, upload: Upload | None
+) -> bytes | Refusal:
+    if _awaits_continue(request):
+        await request.writer.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+        request.writer.output_size = 0  # counts the bytes of the final answer
+    parts: list[bytes] = []
+    size = 0
+    async for data in request.content.iter_any():
+        size += len(data)
+        if size > limit:
+            detail = f"the body is larger than {limit} bytes"
+            return Refusal(RefusalReason.BODY_TOO_LARGE, Ran.NO, detail)
+        if upload is not None and not upload.take(len(data)):
+            return _memory_full()
+        parts.append(data)
+    return b"".join(parts)
+
+
+def _upload_limit_ms(request: web.BaseRequest) -> int:
+    """Return the time in which a body has to arrive."""
+    timeout = request.headers.get(http_headers.TIMEOUT, "")
+    limit_ms = int(timeout) if timeout.isdecimal() else 0
+    return limit_ms or MAX_UPLOAD_MS
+
+
+def _memory_full() -> Refusal:
+    return Refusal(
+        RefusalReason.MEMORY_FULL,
+        Ran.NO,
+        "this entry holds as many bytes of bodies as it may",
+        MEMORY_RETRY_MS,
+    )
 
 
 class HttpResponder:
@@ -137,6 +202,15 @@
 
     async def write(self, data: bytes) -> None:
         """Send a chunk of the body."""
+        conn = self._request.protocol
+        if not isinstance(conn, CallerConnection):
+            await self._write(data)
+            return
+        conn.begin_write(len(data))
+        await self._write(data)
+        conn.end_write()
+
+    async def _write(self, data: bytes) -> None:
         if self._pending_head is not None:
             head, length = self._pending_head
             self._pending_head = None
@@ -154,6 +228,9 @@
     async def finish(self) -> None:
         """End a complete body."""
         await self.response.write_eof()
+        conn = self._request.protocol
+        if isinstance(conn, CallerConnection):
+            conn.end_write()
 
     async def refuse(self, refusal: Refusal) -> None:
         """Send a refusal or failure that copperrun itself returns."""
--- a/src/copperrun/platform/settings.py
+++ b/src/copperrun/platform/settings.py
@@ -16,6 +16,7 @@
 from copperrun.routing.retries import RetryBounds
 
 SETTINGS_PATH_VARIABLE = "COPPERRUN_BOOT"
+MB_BYTES = 10**6
 LOAD_LIMIT_SLACK = 3  # loads allowed per window in addition to the rate
 
 
@@ -50,6 +51,7 @@
         loads: Bound on loads from the weight store.
         is_first_start: Whether the whole system starts for the first time, so that no
             peer knows more than the store.
+        memory_bytes: Memory of the machine; 0 when not stated.
     """
 
     place: ProcessLocation
@@ -68,6 +70,7 @@
     retries: RetryBounds
     loads: LoadRateLimit
     is_first_start: bool
+    memory_bytes: int = 0
 
 
 class SettingsFile:
@@ -173,6 +176,7 @@
             LOAD_LIMIT_SLACK,
         ),
         fields.get("bootstrap") is True,
+        _memory_bytes(fields),
     )
 
 
@@ -185,6 +189,13 @@
     return value
 
 
+def _memory_bytes(fields: Mapping[str, Any]) -> int:
+    limits = fields.get("limits")
+    if not isinstance(limits, dict) or limits.get("memory-mb") is None:
+        return 0
+    return int(_get(limits, "memory-mb", float) * MB_BYTES)
+
+
 def _port(listen: Mapping[str, Any], name: str) -> int:
     if name not in listen:
         return 0
--- a/testing/mutants.py
+++ b/testing/mutants.py
@@ -653,6 +653,58 @@
         "test_installation.py::test_a_side_refuses_to_continue_an_answer_of_wei"
         "ghts_that_it_does_not_hold",
     ),
+    Mutant(
+        "readers",
+        "admission/buffers.py",
+        "return self.held_bytes > self.bounds.total * NEAR_FRACTION",
+        "return False",
+        "test_readers.py::test_thousands_of_stalled_readers_cost_a_bounded_sum_and_no_"
+        "neighbour",
+    ),
+    Mutant(
+        "readers",
+        "admission/buffers.py",
+        "if taken > unread.taken:",
+        "if False:",
+        "test_buffers.py::test_a_caller_that_reads_slowly_is_not_taken_for_one_that_"
+        "stalls",
+    ),
+    Mutant(
+        "readers",
+        "platform/connections.py",
+        "self.transport.set_write_buffer_limits(high=bound, low=bound // 2)",
+        "pass",
+        "test_readers.py::test_a_server_is_read_on_while_the_caller_stalls",
+    ),
+    Mutant(
+        "readers",
+        "platform/readers.py",
+        'self._cut(budget.unread_too_long(unread_limit_ms, now_ms), "unread")',
+        "pass",
+        "test_readers.py::test_an_answer_at_its_bound_that_nobody_reads_ends_and_is_"
+        "not_resumed",
+    ),
+    Mutant(
+        "uploads",
+        "platform/readers.py",
+        "async with self.timers.timeout_ms(limit_ms) as scope:",
+        "async with self.timers.timeout_ms(60_000) as scope:",
+        "test_readers.py::test_an_upload_that_trickles_past_its_time_gets_408",
+    ),
+    Mutant(
+        "uploads",
+        "platform/readers.py",
+        "self._end_slow_uploads(size) and self._budget.fits_upload(size)",
+        "False",
+        "test_readers.py::test_thousands_of_trickling_uploads_leave_room_for_others",
+    ),
+    Mutant(
+        "uploads",
+        "platform/readers.py",
+        "self._budget.release_upload(upload.size)\n\n    @asynccontextmanager",
+        "pass\n\n    @asynccontextmanager",
+        "test_readers.py::test_bodies_count_until_their_requests_end",
+    ),
 )
 
 
