--- a/src/copperrun/adapters/metrics.py
+++ b/src/copperrun/adapters/metrics.py
@@ -48,6 +48,7 @@
         self._held = meter.create_gauge("copperrun.held_bytes")
         self._cut_callers = meter.create_counter("copperrun.cut_callers")
         self._refused_uploads = meter.create_counter("copperrun.refused_uploads")
+        self._engine_memory = meter.create_gauge("copperrun.engine_memory.share")
         self._attributes: dict[tuple[str, str], dict[str, str]] = {}
         self._answer_attributes: dict[tuple[str, str, bool], dict[str, str]] = {}
 
@@ -103,6 +104,11 @@
         """Record a retry and why the attempt before it ended."""
         self._retries.add(1, {"reason": reason})
 
+    def record_engine_memory(self, used_share: float, committed_share: float) -> None:
+        """Record the share of an engine's memory in use, and with what may be added."""
+        self._engine_memory.set(used_share, {"kind": "used"})
+        self._engine_memory.set(committed_share, {"kind": "committed"})
+
     def record_move(self, operation: str, object_kind: str) -> None:
         """Record a load or unload of a model or adapter."""
         self._moves.add(1, {"kind": operation, "object": object_kind})
