Merge the bound on what an entry holds for callers who read or send slowly

Unread answers and uploads are bounded for each and as a whole where the settings state the machine's memory; callers who stall pay.

--- a/src/copperrun/platform/daemon.py
+++ b/src/copperrun/platform/daemon.py
@@ -28,6 +28,7 @@
 from copperrun.adapters.origins import HttpOriginKeepers
 from copperrun.adapters.origins import OriginRoutes
 from copperrun.adapters.timers import SystemTimers
+from copperrun.admission.buffers import BufferBounds
 from copperrun.admission.credits import Credits
 from copperrun.admission.memory import EngineMemory
 from copperrun.configuration.catalog import CurrentCatalog
@@ -53,6 +54,7 @@
 from copperrun.platform.engine_control import HttpEngineControl
 from copperrun.platform.ingress import Ingress
 from copperrun.platform.metrics import MetricsOnDemand
+from copperrun.platform.readers import CallerBuffers
 from copperrun.platform.records import decode_catalog
 from copperrun.platform.records import decode_server
 from copperrun.platform.settings import PlatformSettings
@@ -283,12 +285,14 @@
                 key_max_age_ms=cfg.key_max_age_ms,
                 engines_crash_when_full=cfg.engines_crash_when_full,
             )
-            ingress = Ingress(process.handle, self._max_body_bytes)
+            buffers = self._build_buffers()
+            ingress = Ingress(process.handle, self._max_body_bytes, buffers)
             server = CallerServer(
                 ingress.handle,
                 self._limits,
                 self.timers,
                 lowering_delay_ms=cfg.apply_ms + CALLERS_LEARN_MS,
+                buffers=buffers,
             )
             front = web.ServerRunner(server, shutdown_timeout=0.1)
             app = self.build_internal_app(view)
@@ -349,6 +353,12 @@
             await self.timers.sleep_ms(DRAIN_POLL_INTERVAL_MS)
         process.lifecycle.finish()
 
+    def _build_buffers(self) -> CallerBuffers | None:
+        if not self.cfg.memory_bytes:
+            return None
+        bounds = BufferBounds.from_memory(self.cfg.memory_bytes)
+        return CallerBuffers(bounds, self.timers, self.metrics)
+
     def _limits(self) -> CallerLimits | None:
         catalog = self.catalog.catalog
         return catalog.limits if catalog is not None else None
--- a/src/copperrun/platform/settings.py
+++ b/src/copperrun/platform/settings.py
@@ -17,6 +17,7 @@
 from copperrun.routing.retries import RetryBounds
 
 SETTINGS_PATH_VARIABLE = "COPPERRUN_BOOT"
+MB_BYTES = 10**6
 _RULES = "contracts"  # names of the platform's rules in force
 _FULL_ENGINES_CRASH = "pressure"
 LOAD_LIMIT_SLACK = 3  # loads allowed per window in addition to the rate
@@ -58,6 +59,7 @@
         engines_crash_when_full: Whether an engine crashes once its requests need more
             than its memory.
         quota: How closely limits of client accounts hold.
+        memory_bytes: Memory of the machine; 0 when not stated.
     """
 
     place: ProcessLocation
@@ -79,6 +81,7 @@
     key_max_age_ms: int = 0
     engines_crash_when_full: bool = False
     quota: QuotaBounds = QuotaBounds()
+    memory_bytes: int = 0
 
 
 class SettingsFile:
@@ -187,6 +190,7 @@
         _key_max_age_ms(bounds),
         _FULL_ENGINES_CRASH in _get({_RULES: fields.get(_RULES) or []}, _RULES, list),
         _quota(bounds),
+        _memory_bytes(fields),
     )
 
 
@@ -215,6 +219,13 @@
     return value
 
 
+def _memory_bytes(fields: Mapping[str, Any]) -> int:
+    limits = fields.get("limits")
+    if not isinstance(limits, dict) or limits.get("memory-mb") is None:
+        return 0
+    return int(_get(limits, "memory-mb", float) * MB_BYTES)
+
+
 def _port(listen: Mapping[str, Any], name: str) -> int:
     if name not in listen:
         return 0
