Read an engine's status though its count of memory is malformed

A field of the wrong type in that count made the whole status unreadable, so that the side sent no orders. It is now left out alone and logged.

--- a/src/copperrun/platform/engine_control.py
+++ b/src/copperrun/platform/engine_control.py
@@ -25,6 +25,7 @@
 STATUS_TIMEOUT_MS = 500
 ORDER_TIMEOUT_MS = 800  # the engine answers before it executes an order
 
+_MALFORMED = (KeyError, TypeError, ValueError, AttributeError, IndexError)
 _RESULTS_BY_STATUS = {
     200: OrderResult.IN_EFFECT,
     202: OrderResult.ACCEPTED,
@@ -50,7 +51,7 @@
             return None
         try:
             return _decode_status(reply.json())
-        except (KeyError, TypeError, ValueError, AttributeError) as exc:
+        except _MALFORMED as exc:
             logger.warning("engine report ignored: malformed", detail=repr(exc))
             return None
 
@@ -101,8 +102,17 @@
 
 
 def _decode_memory(fields: Any) -> MemoryReport | None:
+    """Decode the engine's count of its memory; without one its models still count."""
     if "kv-used" not in fields:
         return None
+    try:
+        return _decode_counts(fields)
+    except _MALFORMED as exc:
+        logger.warning("engine memory ignored: malformed", detail=repr(exc))
+        return None
+
+
+def _decode_counts(fields: Any) -> MemoryReport:
     runs = fields.get("runs")
     return MemoryReport(
         int(fields.get("kv-total") or 0),
