Learn what requests cost, and choose servers by the work they have left

An engine's cost was its prefill and 4 ms for each running request, alike for two events and 150; a plain server's its count of calls. Entries now learn output tokens by route, model, client account and hint, and times of plain calls, in fading histograms of bounded memory; sides learn the decode step from the engine's list of runs and report the work left. A request counts between half and twice a typical one, so wrong estimates cost at most a stated bound. On where full engines crash; elsewhere nothing is learned, stated or reported.

What callers gain is not measured yet.

--- a/src/copperrun/entry/proxy.py
+++ b/src/copperrun/entry/proxy.py
@@ -30,6 +30,7 @@
 from copperrun.ports.admission import PeerEngine
 from copperrun.ports.backends import BackendCall
 from copperrun.ports.backends import Backends
+from copperrun.ports.costs import Costs
 from copperrun.ports.crashes import CrashRelays
 from copperrun.ports.metrics import Metrics
 from copperrun.ports.origins import Keeper
@@ -43,6 +44,7 @@
 from copperrun.routing.catalog import Catalog
 from copperrun.routing.catalog import Route
 from copperrun.routing.crashes import CrashLog
+from copperrun.routing.estimates import with_estimate
 from copperrun.routing.origins import OriginTable
 from copperrun.routing.origins import StreamOrigin
 from copperrun.routing.quarantine import MAX_STAGGER_MS
@@ -123,6 +125,7 @@
         is_first_start: bool = False,
         key_max_age_ms: int = 0,
         engines_crash_when_full: bool = False,
+        costs: Costs | None = None,
     ) -> None:
         self._key_max_age_ms = key_max_age_ms
         self.lifecycle = Lifecycle(location.instance)
@@ -140,6 +143,7 @@
         )
         self._budgets: dict[str, RetryWindow] = {}
         self._entry_count = INITIAL_ENTRY_COUNT
+        self._costs = costs
         self._memory_share: MemoryShare | None = None
         if engines_crash_when_full:
             self._memory_share = MemoryShare(INITIAL_ENTRY_COUNT)
@@ -165,6 +169,7 @@
             budget_for=self._budget_for,
             record_origin=self._origins.record,
             memory_share=self._memory_share,
+            costs=costs,
         )
 
     @property
@@ -250,6 +255,8 @@
             await responder.refuse(_not_ready())
             return
         request = RoutedRequest(call, route, pool, now, now + limit_ms, origin, account)
+        if self._costs is not None:
+            request = with_estimate(request, self._costs)
         await self._relay.handle(request, responder)
 
     def _authenticate(
--- a/src/copperrun/platform/daemon.py
+++ b/src/copperrun/platform/daemon.py
@@ -58,6 +58,7 @@
 from copperrun.platform.store import STATUS_TOPIC
 from copperrun.platform.store import HttpTopicStore
 from copperrun.routing.catalog import CallerLimits
+from copperrun.routing.costs import LearnedCosts
 from copperrun.routing.crashes import CrashLog
 from copperrun.routing.origins import OriginTable
 from copperrun.routing.servers import ServerRecord
@@ -245,6 +246,8 @@
             store, view = self.build_view(
                 client, ENTRY_SERVERS_POLL_FRACTION, ENTRY_CATALOG_WAIT_FRACTION
             )
+            # How large requests grow decides what an engine may hold there.
+            costs = LearnedCosts() if cfg.engines_crash_when_full else None
             process = self._process = ProxyProcess(
                 cfg.place,
                 view,
@@ -261,6 +264,7 @@
                 is_first_start=cfg.is_first_start,
                 key_max_age_ms=cfg.key_max_age_ms,
                 engines_crash_when_full=cfg.engines_crash_when_full,
+                costs=costs,
             )
             ingress = Ingress(process.handle, self._max_body_bytes)
             server = CallerServer(
--- a/src/copperrun/routing/attempt.py
+++ b/src/copperrun/routing/attempt.py
@@ -49,11 +49,13 @@
         data: The bytes; whole events in a stream.
         length: Length of the whole body in bytes, or None when it is not known.
         event_id: Id of the last event, or an empty string.
+        events: Events of a stream.
     """
 
     data: bytes
     length: int | None = None
     event_id: str = ""
+    events: int = 0
 
 
 class Attempt:
@@ -99,7 +101,9 @@
         progress.sends += 1
         progress.sent_ms = now
         progress.load = server.load
-        server.begin_request(request.call.memory_tokens)
+        progress.server = server
+        self._work_ms = _work_ms(request, server)
+        server.begin_request(request.call.memory_tokens, self._work_ms)
         self._opening = asyncio.create_task(
             ports.backends.open(
                 self.record,
@@ -163,7 +167,7 @@
         if self._is_closed:
             return
         self._is_closed = True
-        self.server.end_request(self._request.call.memory_tokens)
+        self.server.end_request(self._request.call.memory_tokens, self._work_ms)
         if self._is_admitted:
             self._ports.sides.report_ended(self.server.record, self._request.call.id)
         if outcome is not AttemptOutcome.NOT_RUN:
@@ -286,7 +290,7 @@
                 return self._fail("the server has started again")
             self._record_begun()
             data = b"".join(event.data for event in events)
-            return Piece(data, event_id=events[-1].id)
+            return Piece(data, event_id=events[-1].id, events=len(events))
         if self._splitter.has_partial_event:
             self._is_lost = True
             return self._fail("the stream ended within an event")
@@ -327,3 +331,10 @@
         self._progress.detail = detail
         self.server.record_answer(failed=True)
         return AttemptOutcome.MAYBE_RAN
+
+
+def _work_ms(request: RoutedRequest, server: Server) -> float:
+    """Return the expected work of a request at a server; 0 where it is not learned."""
+    if request.output is not None:
+        return request.output.expected * server.work.step_ms
+    return request.call_ms
--- a/src/copperrun/routing/relay.py
+++ b/src/copperrun/routing/relay.py
@@ -13,6 +13,7 @@
 from copperrun.placement.demand import DemandMeter
 from copperrun.ports.admission import EngineSides
 from copperrun.ports.backends import Backends
+from copperrun.ports.costs import Costs
 from copperrun.ports.metrics import Metrics
 from copperrun.ports.responder import Responder
 from copperrun.ports.timers import Timers
@@ -20,6 +21,7 @@
 from copperrun.routing.attempt import AttemptPorts
 from copperrun.routing.attempt import Piece
 from copperrun.routing.detection import CrashDetector
+from copperrun.routing.estimates import record_cost
 from copperrun.routing.failover import Failover
 from copperrun.routing.failover import Found
 from copperrun.routing.origins import StreamOrigin
@@ -60,6 +62,7 @@
         budget_for: Callable[[str], RetryWindow],
         record_origin: Callable[[str, StreamOrigin], None],
         memory_share: MemoryShare | None = None,
+        costs: Costs | None = None,
     ) -> None:
         self._selector = ServerSelector(
             servers,
@@ -74,6 +77,7 @@
         self._demand = demand
         self._timers = timers
         self._metrics = metrics
+        self._costs = costs
         self._budget_for = budget_for
         self._record_origin = record_origin
         self._quarantine = quarantine
@@ -107,6 +111,9 @@
                 done = await self._try_servers(request, progress, responder, scope)
             if done:
                 outcome = "answered"
+                if self._costs is not None:
+                    now_ms = self._timers.now_ms()
+                    record_cost(request, progress, self._costs, now_ms)
             else:
                 outcome = "cut" if progress.response_started else "failed"
         except TimeoutError:
@@ -230,6 +237,7 @@
             await responder.start(attempt.head, piece.length)
         if request.route.streaming:
             progress.record_event_times(self._timers.now_ms())
+            progress.events += piece.events
             progress.record_writer(attempt.record)
             if progress.origin is None:
                 self._bind(request, attempt, progress)
--- a/src/copperrun/routing/requests.py
+++ b/src/copperrun/routing/requests.py
@@ -10,12 +10,15 @@
 from copperrun.model import Refusal
 from copperrun.ports.backends import AnswerHead
 from copperrun.ports.backends import BackendCall
+from copperrun.ports.costs import CostKind
+from copperrun.ports.costs import OutputEstimate
 from copperrun.routing.accounts import ClientAccount
 from copperrun.routing.catalog import BackendPool
 from copperrun.routing.catalog import RetrySafety
 from copperrun.routing.catalog import Route
 from copperrun.routing.fingerprints import fingerprint
 from copperrun.routing.origins import StreamOrigin
+from copperrun.routing.servers import Server
 from copperrun.routing.servers import ServerRecord
 
 ROUTE_RANKS = 10  # within the rank of a client account
@@ -34,6 +37,8 @@
         deadline_ms: Deadline of the complete answer on the same clock.
         origin: What began the stream that it continues; None for a new one.
         account: Client account of the caller; None when it needs none.
+        output: Tokens that it will generate; None where costs are not learned.
+        call_ms: Expected time of a plain request; 0 where costs are not learned.
     """
 
     call: BackendCall
@@ -43,6 +48,8 @@
     deadline_ms: int
     origin: StreamOrigin | None = None
     account: ClientAccount | None = None
+    output: OutputEstimate | None = None
+    call_ms: float = 0.0
 
     @property
     def rank(self) -> int:
@@ -61,6 +68,14 @@
             rank = 3 * self.account.priority + min(rank, 2)
         return min(rank, MAX_ENGINE_RANK)
 
+    @property
+    def cost_kind(self) -> CostKind:
+        """Requests that are expected to cost alike."""
+        what = self.call.model or self.call.method
+        return CostKind(
+            self.route.name, what, self.account.name if self.account else ""
+        )
+
     @cached_property
     def fingerprint(self) -> str:
         """Id that all repeats of the request share."""
@@ -126,6 +141,8 @@
         detail: Latest event of the request, for the log.
         admission: Admission result of the side, for the log; empty when the side was
             not asked.
+        server: Server of the latest attempt.
+        events: Events of its stream that this entry has forwarded.
         admitted_start_ms: Start time of the engine that its side has admitted the
             request to; 0 when it has not.
     """
@@ -146,6 +163,8 @@
         self.admitted_after_ms = 0
         self.admitted_start_ms = 0
         self.sent_ms = 0
+        self.events = 0
+        self.server: Server | None = None
         self.load = 0
         self.first_event_ms = 0
         self.last_event_ms = 0
--- a/src/copperrun/routing/scoring.py
+++ b/src/copperrun/routing/scoring.py
@@ -13,6 +13,8 @@
 # Costs of engines are expected delays in milliseconds.
 ADAPTER_LOAD_MS = 40.0  # to load the adapter; multiplied by the adapter rank
 RUNNING_REQUEST_MS = 4.0  # by which each running request delays another one
+# How much more or less than a typical request one may count by its work.
+MAX_WORK_WEIGHT = 2.0
 # When the side beside an engine does not answer, their machine may have frozen.
 UNRESPONSIVE_SIDE_MS = 3_000.0
 # Until streams have ended whose memory the request needs.
@@ -47,6 +49,8 @@
             otherwise the position in the rendezvous order for the adapter, from 1.
         is_side_unresponsive: Whether its side has stopped answering.
         is_full: Whether the request does not fit into its memory now.
+        work_ms: Expected work left of the requests at the server, for plain servers
+            with this one; None where costs are not learned.
     """
 
     load: int
@@ -57,12 +61,15 @@
     adapter_rank: int = 0
     is_side_unresponsive: bool = False
     is_full: bool = False
+    work_ms: float | None = None
 
 
 def choose_engine(candidates: Sequence[Candidate]) -> int:
     """Return the index of the engine with the lowest expected delay."""
+    loads = _weighted_loads(candidates, own=0)
     return min(
-        range(len(candidates)), key=lambda index: _engine_cost(candidates[index])
+        range(len(candidates)),
+        key=lambda index: _engine_cost(candidates[index], loads[index]),
     )
 
 
@@ -71,14 +78,41 @@
 
     A nearer server is preferred while enough of its slots are free.
     """
-    return min(range(len(candidates)), key=lambda index: _plain_cost(candidates[index]))
+    loads = _weighted_loads(candidates, own=1)
+    return min(
+        range(len(candidates)),
+        key=lambda index: _plain_cost(candidates[index], loads[index]),
+    )
+
 
+def _weighted_loads(candidates: Sequence[Candidate], own: int) -> list[float]:
+    """Return each server's load, with requests weighted by the work they have left.
 
-def _engine_cost(candidate: Candidate) -> float:
+    The weights are relative to the mean over the candidates, and bounded: a choice by
+    estimates however wrong is at most ``MAX_WORK_WEIGHT`` squared times as slow as one
+    by the count of requests.
+
+    Args:
+        candidates: Servers to choose from.
+        own: Requests to add to each load.
+    """
+    counts = [float(candidate.load + own) for candidate in candidates]
+    works = [item.work_ms for item in candidates if item.work_ms is not None]
+    total_ms = sum(works)
+    if len(works) < len(candidates) or not total_ms or not sum(counts):
+        return counts
+    mean_ms = total_ms / sum(counts)
+    return [
+        min(max(work / mean_ms, count / MAX_WORK_WEIGHT), count * MAX_WORK_WEIGHT)
+        for work, count in zip(works, counts, strict=True)
+    ]
+
+
+def _engine_cost(candidate: Candidate, load: float) -> float:
     """Return the expected delay in milliseconds, with penalties."""
     cost = (
         candidate.wait_ms
-        + RUNNING_REQUEST_MS * candidate.load
+        + RUNNING_REQUEST_MS * load
         + _ENGINE_DISTANCE_MS[candidate.distance]
     )
     if candidate.adapter_rank:
@@ -90,8 +124,8 @@
     return cost + ENGINE_FAILURE_MS * candidate.failure_rate
 
 
-def _plain_cost(candidate: Candidate) -> float:
-    slots_used = (candidate.load + 1) / max(candidate.slots, 1)
+def _plain_cost(candidate: Candidate, load: float) -> float:
+    slots_used = load / max(candidate.slots, 1)
     excess = max(slots_used - PLAIN_FREE_SHARE, 0.0) * 2
     cost = (
         _PLAIN_DISTANCE_COST[candidate.distance] + PLAIN_LOAD_COST * slots_used + excess
--- a/src/copperrun/routing/selector.py
+++ b/src/copperrun/routing/selector.py
@@ -80,7 +80,10 @@
             servers = self.untried_servers(request, progress)
             if not servers:
                 return self._no_server(request, progress)
-            candidates = [self._candidate(server) for server in servers]
+            candidates = [
+                self._candidate(server)._replace(work_ms=_call_work_ms(server, request))
+                for server in servers
+            ]
             return servers[choose_plain_server(candidates)]
         while True:
             holder = await self._wait_for_holder(request, progress)
@@ -204,6 +207,7 @@
             self._candidate(server)._replace(
                 adapter_rank=ranks[server.record.id],
                 is_full=_is_full(server, request.call),
+                work_ms=_left_ms(server, request),
             )
             for server in holders
         ]
@@ -235,23 +239,7 @@
         """
         call = request.call
         now = self._timers.now_ms()
-        target_ms = request.started_ms + request.route.target_ms - now
-        admission_request = AdmissionRequest(
-            request=call.id,
-            model=call.model,
-            adapter=call.adapter,
-            priority=request.rank,
-            tokens=call.prompt_tokens,
-            gap_ms=request.route.target_gap_ms,
-            target_ms=target_ms,
-            remaining_ms=request.first_event_deadline_ms - now,
-        )
-        if self._memory_share is not None:
-            admission_request = admission_request._replace(
-                output_tokens=call.output_tokens,
-                parts=tuple(map(PromptPart, call.prompt_parts, call.part_tokens)),
-                body_bytes=len(call.body or b""),
-            )
+        admission_request = self._admission_request(request, now)
         server.begin_request()
         progress.admission = "waiting"
         progress.admitted_start_ms = 0
@@ -298,6 +286,34 @@
                 progress.tried.add(server.record.id)
                 return overloaded(retry_after_ms)
 
+    def _admission_request(
+        self, request: RoutedRequest, now_ms: int
+    ) -> AdmissionRequest:
+        call = request.call
+        req = AdmissionRequest(
+            request=call.id,
+            model=call.model,
+            adapter=call.adapter,
+            priority=request.rank,
+            tokens=call.prompt_tokens,
+            gap_ms=request.route.target_gap_ms,
+            target_ms=request.started_ms + request.route.target_ms - now_ms,
+            remaining_ms=request.first_event_deadline_ms - now_ms,
+        )
+        if self._memory_share is not None:
+            req = req._replace(
+                output_tokens=call.output_tokens,
+                parts=tuple(map(PromptPart, call.prompt_parts, call.part_tokens)),
+                body_bytes=len(call.body or b""),
+            )
+        if request.output is not None:
+            req = req._replace(
+                output_tokens=call.output_tokens,
+                expected_output=request.output.expected,
+                likely_output=request.output.likely,
+            )
+        return req
+
     def _fits_own_share(self, request: RoutedRequest, server: Server) -> bool:
         """Return whether a request fits this entry's share of an engine's memory.
 
@@ -307,7 +323,7 @@
         if self._memory_share is None or engine is None:
             return True
         return self._memory_share.fits(
-            server.inflight_tokens, request.call.memory_tokens, engine.cache_tokens
+            server.work.own_tokens, request.call.memory_tokens, engine.cache_tokens
         )
 
     async def _is_start_sure(self, server: Server, progress: Progress) -> bool:
@@ -403,8 +419,24 @@
 
 
 def _is_full(server: Server, call: BackendCall) -> bool:
-    free_tokens = server.free_tokens
-    return free_tokens is not None and call.memory_tokens > free_tokens
+    free_tokens = server.work.free_tokens
+    if free_tokens is None or not server.has_fresh_report:
+        return False
+    return call.memory_tokens > free_tokens
+
+
+def _left_ms(server: Server, request: RoutedRequest) -> float | None:
+    """Return the decode work left at an engine; None unless it is known."""
+    if request.output is None or not server.has_fresh_report:
+        return None
+    return server.work.left_ms
+
+
+def _call_work_ms(server: Server, request: RoutedRequest) -> float | None:
+    """Return the time that the plain calls at a server and this one need."""
+    if not request.call_ms:
+        return None
+    return (server.work.own_ms + request.call_ms) * server.work.slowness
 
 
 def _adapter_hash(server: Server, model: str, adapter: str) -> int:
--- a/src/copperrun/routing/servers.py
+++ b/src/copperrun/routing/servers.py
@@ -10,6 +10,7 @@
 
 from copperrun.ports.timers import Timers
 from copperrun.routing.origins import StreamOrigin
+from copperrun.routing.work import ServerWork
 from copperrun.signals import ChangeSignal
 
 FAILURE_SMOOTHING = 0.2  # weight of the newest answer in the moving failure rate
@@ -124,7 +125,7 @@
         self.loading: Mapping[str, int] = {}
         self.is_side_unresponsive = False
         self.inflight = 0
-        self.inflight_tokens = 0
+        self.work = ServerWork(timers)
         self.reported_load = 0
         self.backlog_ms = 0
         self.utilization = 0.0
@@ -132,8 +133,6 @@
         self._timers = timers
         self._reported_ms = -REPORT_TTL_MS
         self._sent_since_report = 0
-        self._tokens_since_report = 0
-        self._reported_free_tokens: int | None = None
         self._failure_rate = 0.0
         self._failure_rate_ms = 0
         self._backoff_until_ms = 0
@@ -191,24 +190,16 @@
             return int(self.inflight * DEFAULT_PROMPT_MS)
         return int(self.backlog_ms + self._sent_since_report * DEFAULT_PROMPT_MS)
 
-    @property
-    def free_tokens(self) -> int | None:
-        """Memory for requests to come; None unless its side has just reported it."""
-        if self._reported_free_tokens is None or not self.has_fresh_report:
-            return None
-        return max(self._reported_free_tokens - self._tokens_since_report, 0)
-
-    def begin_request(self, tokens: int = 0) -> None:
-        """Count a request as in flight, with the memory that it needs in tokens."""
+    def begin_request(self, tokens: int = 0, work_ms: float = 0.0) -> None:
+        """Count a request as in flight, with its memory in tokens and its work."""
         self.inflight += 1
-        self.inflight_tokens += tokens
         self._sent_since_report += 1
-        self._tokens_since_report += tokens
+        self.work.begin(tokens, work_ms)
 
-    def end_request(self, tokens: int = 0) -> None:
+    def end_request(self, tokens: int = 0, work_ms: float = 0.0) -> None:
         """Count a request as ended."""
         self.inflight -= 1
-        self.inflight_tokens -= tokens
+        self.work.end(tokens, work_ms)
 
     def record_answer(self, *, failed: bool) -> None:
         """Update the moving failure rate with the outcome of one request."""
@@ -252,10 +243,9 @@
         self.backlog_ms = report.backlog_ms
         self.utilization = report.utilization
         self.active = report.active
-        self._reported_free_tokens = report.free_tokens
         self._reported_ms = self._timers.now_ms()
         self._sent_since_report = 0
-        self._tokens_since_report = 0
+        self.work.apply_report(report.free_tokens, report.step_ms, report.work_ms)
 
     def record_start(self, born_ms: int, server_id: str) -> None:
         """Record a start of the server that its side has seen."""
--- a/src/copperrun/side/admission.py
+++ b/src/copperrun/side/admission.py
@@ -13,6 +13,7 @@
 from copperrun.admission.prefill import DEFAULT_TOKENS_PER_MS
 from copperrun.admission.prefill import PrefillQueue
 from copperrun.admission.prefill import Ticket
+from copperrun.admission.work import EngineWork
 from copperrun.placement.adapter_slots import USE_TTL_MS
 from copperrun.placement.controller import PlacementController
 from copperrun.ports.admission import Admission
@@ -59,6 +60,9 @@
         self._queue = PrefillQueue()
         self._memory = self._queue.memory = memory
         self._metrics = metrics
+        self._work = EngineWork()
+        # Entries state it only where they learn costs.
+        self._expects_output = False
         self._status: EngineStatus | None = None
         self._waiters: dict[str, asyncio.Future[None]] = {}
         self._spec: EngineSpec | None = None
@@ -71,6 +75,7 @@
         if not self._placement.holds(req.model):
             return NotHeld()
         self._apply_spec()
+        self._expects_output = self._expects_output or req.expected_output > 0
         arrived_ms = self._timers.now_ms()
         ticket = self._build_ticket(req, arrived_ms)
         if not self._queue.can_meet_deadline(ticket, arrived_ms):
@@ -98,6 +103,7 @@
                 self._queue.record_first_event(admitted.ticket_id, now_ms)
         for request_id in ended:
             admitted = self._admitted.pop(request_id, None)
+            self._work.end(request_id)
             if admitted is not None:
                 self._queue.remove(admitted.ticket_id)
                 self._placement.end_use(admitted.ticket_id)
@@ -120,6 +126,7 @@
         self._admitted[req.request] = _AdmittedRequest(
             ticket.id, req.model, self._timers.now_ms()
         )
+        self._work.begin(req)
         self._update_active_models()
         return self._placement.grant()
 
@@ -159,6 +166,8 @@
             queued=report.queued + self._queue.waiting_count,
             backlog_ms=self._queue.backlog_ms(),
             free_tokens=self._free_tokens(),
+            step_ms=self._work.step_ms if self._expects_output else 0.0,
+            work_ms=self._work.left_ms() if self._expects_output else 0.0,
         )
 
     def _free_tokens(self) -> int | None:
@@ -167,23 +176,28 @@
         if memory is None:
             return None
         now_ms = self._timers.now_ms()
-        self._update_memory()
+        self._apply_status()
         if self._metrics is not None:
             self._metrics.record_engine_memory(
                 memory.used_share(), memory.committed_share(now_ms)
             )
         return memory.free_tokens(now_ms)
 
-    def _update_memory(self) -> None:
-        """Apply the engine's latest count of its memory."""
+    def _apply_status(self) -> None:
+        """Apply the engine's latest count of its memory and its runs."""
         status, previous = self._placement.status, self._status
-        if self._memory is None or status is None or status is previous:
+        if status is None or status is previous:
             return
         self._status = status
-        if previous is not None and previous.born_ms != status.born_ms:
+        has_restarted = previous is not None and previous.born_ms != status.born_ms
+        if self._memory is not None and has_restarted:
             self._memory.forget()
-        if status.memory is not None:
+        if status.memory is None:
+            return
+        if self._memory is not None:
             self._memory.apply_report(status.memory)
+        if self._expects_output and status.memory.runs is not None:
+            self._work.apply_report(status.memory.runs, self._timers.now_ms())
 
     def _update_active_models(self) -> None:
         """Update the models that have admitted requests.
@@ -191,10 +205,12 @@
         Requests of an entry that died are removed after ``USE_TTL_MS``.
         """
         oldest = self._timers.now_ms() - USE_TTL_MS
-        if self._memory is not None:
-            for admitted in self._admitted.values():
-                if admitted.admitted_ms <= oldest:
-                    self._memory.release(admitted.ticket_id)
+        for request, admitted in self._admitted.items():
+            if admitted.admitted_ms > oldest:
+                continue
+            self._work.end(request)
+            if self._memory is not None:
+                self._memory.release(admitted.ticket_id)
         self._admitted = {
             request: admitted
             for request, admitted in self._admitted.items()
@@ -224,6 +240,7 @@
             return
         self._spec = spec
         self._queue.tokens_per_event = spec.tokens_per_event
+        self._work.tokens_per_event = spec.tokens_per_event
         if self._memory is not None:
             self._memory.capacity = spec.cache_tokens
             self._memory.tokens_per_event = spec.tokens_per_event
@@ -262,7 +279,7 @@
         return granted
 
     def _issue_grants(self) -> None:
-        self._update_memory()
+        self._apply_status()
         for ticket in self._queue.issue_grants(self._timers.now_ms()):
             fut = self._waiters.get(ticket.id)
             if fut is not None and not fut.done():
--- a/testing/mutants.py
+++ b/testing/mutants.py
@@ -36,6 +36,27 @@
 
 
 MUTANTS = (
+    Mutant(
+        "learned costs",
+        "routing/scoring.py",
+        "min(max(work / mean_ms, count / MAX_WORK_WEIGHT), count * MAX_WORK_WEIGHT)",
+        "work / mean_ms",
+        "test_costs.py::test_a_choice_by_wrong_work_is_never_worse_than_its_bound",
+    ),
+    Mutant(
+        "learned costs",
+        "routing/costs.py",
+        "return with_hints < without",
+        "return True",
+        "test_costs.py::test_hints_that_lie_at_random_by_ten_are_not_used",
+    ),
+    Mutant(
+        "learned costs",
+        "routing/costs.py",
+        "2 ** (idle / IDLE_HALF_LIFE) / SAMPLE_DECAY",
+        "1.0",
+        "test_costs.py::test_a_route_whose_cost_jumps_tenfold_is_known_after_60_answers",
+    ),
     Mutant(
         "engine memory",
         "admission/memory.py",
--- a/testing/test_memory.py
+++ b/testing/test_memory.py
@@ -307,8 +307,8 @@
     request = bench.sides.admission_requests[0][1]
     assert_that(request.body_bytes, Equals(4))
     server = bench.servers.find("f")
-    assert_that(server.free_tokens, LessThan(5_000))
-    assert_that(server.inflight_tokens, Equals(0))
+    assert_that(server.work.free_tokens, LessThan(5_000))
+    assert_that(server.work.own_tokens, Equals(0))
 
 
 async def test_an_engine_that_started_again_holds_nothing():
