--- a/src/copperrun/side/admission.py
+++ b/src/copperrun/side/admission.py
@@ -152,6 +152,8 @@
             backlog_ms=self._queue.backlog_ms(),
             tokens_per_ms=round(speed.tokens_per_ms, 1),
             delay_ms=int(speed.delay_ms),
+            free_tokens=self._free_tokens(),
+            step_ms=round(self._work.step_ms, 1),
         )
 
     def report(self) -> ServerReport | None:
@@ -162,6 +164,7 @@
         report = self._placement.report()
         if report is None:
             return None
+        self._record_memory()
         return report._replace(
             queued=report.queued + self._queue.waiting_count,
             backlog_ms=self._queue.backlog_ms(),
@@ -172,16 +175,17 @@
 
     def _free_tokens(self) -> int | None:
         """Return the memory for requests to come; None when it is not counted."""
-        memory = self._memory
-        if memory is None:
+        if self._memory is None:
             return None
-        now_ms = self._timers.now_ms()
         self._apply_status()
-        if self._metrics is not None:
+        return self._memory.free_tokens(self._timers.now_ms())
+
+    def _record_memory(self) -> None:
+        memory, now_ms = self._memory, self._timers.now_ms()
+        if memory is not None and self._metrics is not None:
             self._metrics.record_engine_memory(
                 memory.used_share(), memory.committed_share(now_ms)
             )
-        return memory.free_tokens(now_ms)
 
     def _apply_status(self) -> None:
         """Apply the engine's latest count of its memory and its runs."""
