Count requests of a new side's engine that lists no runs

Such an engine tells its memory in use and how many run; what these may still generate was left out until their ends. test_memory, test_platform_records, test_admission and test_costs pass.

--- a/src/copperrun/admission/memory.py
+++ b/src/copperrun/admission/memory.py
@@ -68,12 +68,14 @@
         used: Tokens that cannot yield.
         reserved: Tokens kept for requests or copies to come, which ``used`` leaves out.
         runs: Running requests; None when the engine does not list them.
+        running: Count of running requests.
     """
 
     total: int
     used: int
     reserved: int = 0
     runs: tuple[EngineRun, ...] | None = None
+    running: int = 0
 
 
 @dataclass
@@ -285,7 +287,7 @@
         if report is None:
             return self._claimed
         if report.runs is None:
-            return max(self._claimed + report.reserved, report.used)
+            return self._sum_without_runs(report)
         runs = {
             run.request: run for run in report.runs if run.request not in self._released
         }
@@ -309,6 +311,18 @@
         measured = max(report.used - sum(self._released.values()), 0) + growth
         return max(self._claimed - lost + unknown, measured) + report.reserved
 
+    def _sum_without_runs(self, report: MemoryReport) -> int:
+        """Return the tokens in use or claimed, by an engine's counts alone."""
+        begun = sum(claim.has_begun for claim in self._claims.values())
+        strangers = max(report.running - begun, 0)
+        if not strangers:
+            return max(self._claimed, report.used) + report.reserved
+        growth = strangers * self._largest_output + sum(
+            claim.need.output_tokens + (0 if claim.has_begun else claim.need.own_tokens)
+            for claim in self._claims.values()
+        )
+        return max(self._claimed, report.used + growth) + report.reserved
+
     def _generated(self, run: EngineRun) -> int:
         return run.events * self.tokens_per_event
 
--- a/src/copperrun/platform/engine_control.py
+++ b/src/copperrun/platform/engine_control.py
@@ -122,6 +122,7 @@
         None
         if runs is None
         else tuple(EngineRun(str(run[0]), int(run[1]), int(run[2])) for run in runs),
+        int(fields["running"]),
     )
 
 
--- a/testing/test_memory.py
+++ b/testing/test_memory.py
@@ -115,6 +115,14 @@
     assert not claim(counted, "y", tokens=1_500)
 
 
+def test_a_new_side_goes_by_the_counts_of_an_engine_that_lists_no_runs():
+    counted = memory()
+    counted.apply_report(MemoryReport(10_000, 5 * 1_550, running=5))
+    # The first request tells how far those that run may grow.
+    assert claim(counted, "x", tokens=1_500)
+    assert not claim(counted, "y", tokens=51)
+
+
 def test_what_the_engine_holds_beyond_the_claims_counts():
     counted = memory()
     assert claim(counted, "x", tokens=1_500)
--- a/testing/test_platform_records.py
+++ b/testing/test_platform_records.py
@@ -305,11 +305,16 @@
     }
     assert_that(_decode_status(report).memory, Equals(None))
     report |= {"kv-used": 1_600, "kv-total": 9_000, "pinned": 100, "held": 50}
-    assert_that(_decode_status(report).memory, Equals(MemoryReport(9_000, 1_600, 50)))
+    assert_that(
+        _decode_status(report).memory, Equals(MemoryReport(9_000, 1_600, 50, running=1))
+    )
     report["runs"] = [["id-1", 1_550, 30, 5]]
     memory = _decode_status(report).memory
     assert memory is not None
     assert_that(memory.runs, Equals((EngineRun("id-1", 1_550, 30),)))
+    # The models are known though the memory is not.
+    for malformed in ({"kv-used": "x"}, {"runs": [["id-1"]]}, {"held": [1]}):
+        assert_that(_decode_status(report | malformed).memory, Equals(None))
 
 
 def test_missing_or_malformed_settings_files_give_one_line(tmp_path: Path) -> None:
