Move what a request needs at an engine out of the selector

Behaviour is the same; test_memory, test_costs, test_relay, test_admission, test_prefill, test_proxy, test_decisions and test_versions pass.

--- a/src/copperrun/routing/estimates.py
+++ b/src/copperrun/routing/estimates.py
@@ -1,12 +1,15 @@
-"""Estimates of a request's cost before it is sent, and their correction afterwards."""
+"""What a request is expected to cost, where that counts, and what it cost."""
 
 from __future__ import annotations
 
 from dataclasses import replace
 
+from copperrun.ports.admission import AdmissionRequest
+from copperrun.ports.admission import PromptPart
 from copperrun.ports.costs import Costs
 from copperrun.routing.requests import Progress
 from copperrun.routing.requests import RoutedRequest
+from copperrun.routing.servers import Server
 
 
 def with_estimate(request: RoutedRequest, costs: Costs) -> RoutedRequest:
@@ -36,3 +39,45 @@
             hint=call.output_hint,
             generated=progress.events * engine.tokens_per_event,
         )
+
+
+def with_needs(
+    req: AdmissionRequest, request: RoutedRequest, *, counts_memory: bool
+) -> AdmissionRequest:
+    """Return the request for admission with its output, and with its memory if told."""
+    call = request.call
+    if counts_memory:
+        req = req._replace(
+            output_tokens=call.output_tokens,
+            parts=tuple(map(PromptPart, call.prompt_parts, call.part_tokens)),
+            body_bytes=len(call.body or b""),
+        )
+    if request.output is not None:
+        req = req._replace(
+            output_tokens=call.output_tokens,
+            expected_output=request.output.expected,
+            likely_output=request.output.likely,
+        )
+    return req
+
+
+def lacks_memory(server: Server, request: RoutedRequest) -> bool:
+    """Return whether a request does not fit into an engine's memory, as last told."""
+    free_tokens = server.work.free_tokens
+    if free_tokens is None or not server.has_fresh_report:
+        return False
+    return request.call.memory_tokens > free_tokens
+
+
+def left_ms(server: Server, request: RoutedRequest) -> float | None:
+    """Return the decode work left at an engine; None unless it is known."""
+    if request.output is None or not server.has_fresh_report:
+        return None
+    return server.work.left_ms
+
+
+def call_work_ms(server: Server, request: RoutedRequest) -> float | None:
+    """Return the time that the plain calls at a server and this one need."""
+    if not request.call_ms:
+        return None
+    return (server.work.own_ms + request.call_ms) * server.work.slowness
--- a/src/copperrun/routing/selector.py
+++ b/src/copperrun/routing/selector.py
@@ -24,11 +24,13 @@
 from copperrun.ports.admission import Granted
 from copperrun.ports.admission import NotHeld
 from copperrun.ports.admission import Overloaded
-from copperrun.ports.admission import PromptPart
-from copperrun.ports.backends import BackendCall
 from copperrun.ports.sides import SideError
 from copperrun.ports.sides import SideErrorReason
 from copperrun.ports.timers import Timers
+from copperrun.routing.estimates import call_work_ms
+from copperrun.routing.estimates import lacks_memory
+from copperrun.routing.estimates import left_ms
+from copperrun.routing.estimates import with_needs
 from copperrun.routing.refusals import QUEUE_FULL_RETRY_AFTER_MS
 from copperrun.routing.refusals import larger_than_engine
 from copperrun.routing.refusals import no_server
@@ -81,7 +83,7 @@
             if not servers:
                 return self._no_server(request, progress)
             candidates = [
-                self._candidate(server)._replace(work_ms=_call_work_ms(server, request))
+                self._candidate(server)._replace(work_ms=call_work_ms(server, request))
                 for server in servers
             ]
             return servers[choose_plain_server(candidates)]
@@ -206,8 +208,8 @@
         candidates = [
             self._candidate(server)._replace(
                 adapter_rank=ranks[server.record.id],
-                is_full=_is_full(server, request.call),
-                work_ms=_left_ms(server, request),
+                is_full=lacks_memory(server, request),
+                work_ms=left_ms(server, request),
             )
             for server in holders
         ]
@@ -300,19 +302,7 @@
             target_ms=request.started_ms + request.route.target_ms - now_ms,
             remaining_ms=request.first_event_deadline_ms - now_ms,
         )
-        if self._memory_share is not None:
-            req = req._replace(
-                output_tokens=call.output_tokens,
-                parts=tuple(map(PromptPart, call.prompt_parts, call.part_tokens)),
-                body_bytes=len(call.body or b""),
-            )
-        if request.output is not None:
-            req = req._replace(
-                output_tokens=call.output_tokens,
-                expected_output=request.output.expected,
-                likely_output=request.output.likely,
-            )
-        return req
+        return with_needs(req, request, counts_memory=self._memory_share is not None)
 
     def _fits_own_share(self, request: RoutedRequest, server: Server) -> bool:
         """Return whether a request fits this entry's share of an engine's memory.
@@ -418,27 +408,6 @@
     return SideError(SideErrorReason.UNREACHABLE, "the side does not answer")
 
 
-def _is_full(server: Server, call: BackendCall) -> bool:
-    free_tokens = server.work.free_tokens
-    if free_tokens is None or not server.has_fresh_report:
-        return False
-    return call.memory_tokens > free_tokens
-
-
-def _left_ms(server: Server, request: RoutedRequest) -> float | None:
-    """Return the decode work left at an engine; None unless it is known."""
-    if request.output is None or not server.has_fresh_report:
-        return None
-    return server.work.left_ms
-
-
-def _call_work_ms(server: Server, request: RoutedRequest) -> float | None:
-    """Return the time that the plain calls at a server and this one need."""
-    if not request.call_ms:
-        return None
-    return (server.work.own_ms + request.call_ms) * server.work.slowness
-
-
 def _adapter_hash(server: Server, model: str, adapter: str) -> int:
     key = f"{server.record.address}/{model}/{adapter}"
     return int(xxhash.xxh64_intdigest(key.encode()))
