--- a/src/copperrun/platform/daemon.py
+++ b/src/copperrun/platform/daemon.py
@@ -70,6 +70,7 @@
 from copperrun.ports.allotments import AllotmentKeepers
 from copperrun.ports.topics import TopicStore
 from copperrun.routing.catalog import CallerLimits
+from copperrun.routing.costs import LearnedCosts
 from copperrun.routing.crashes import CrashLog
 from copperrun.routing.origins import OriginTable
 from copperrun.routing.servers import ServerRecord
@@ -267,6 +268,8 @@
             gate = self._gate = AllotmentGate(
                 Credits(keepers, self.timers, cfg.quota), _seed_hosts(cfg)
             )
+            # How large requests grow decides what an engine may hold there.
+            costs = LearnedCosts() if cfg.engines_crash_when_full else None
             process = self._process = ProxyProcess(
                 cfg.place,
                 view,
@@ -284,6 +287,7 @@
                 is_first_start=cfg.is_first_start,
                 key_max_age_ms=cfg.key_max_age_ms,
                 engines_crash_when_full=cfg.engines_crash_when_full,
+                costs=costs,
             )
             buffers = self._build_buffers()
             ingress = Ingress(process.handle, self._max_body_bytes, buffers)
