Begin allotments full in whatever era the store starts

Cause: found by the soak of client accounts, in each of its seeds: with a store whose first era is 1, the first claim of a group named a former keeper that nobody knows, as after a fall back to a copy. Its accounts got 503 for the 10.5 s of a lease, and nothing at all in runs of 5 s ('busy runs': 0 of some 130).

Change: where the settings say that the whole system starts for the first time, the era of the first read is one in which no claim is missing.

--- a/src/copperrun/membership/claim_log.py
+++ b/src/copperrun/membership/claim_log.py
@@ -100,6 +100,14 @@
 class ClaimLog:
     """The newest claim of each group, as of the last read.
 
+    Args:
+        topic: Topic of the claims.
+        store: The platform's store.
+        by: This process.
+        timers: Timer service.
+        is_first_start: Whether the whole system starts for the first time, so that the
+            store has lost no claims.
+
     Attributes:
         position: Where the last read ended; offset -1 before the first one.
         sent_ms: When the last read that succeeded was sent, in monotonic
@@ -107,8 +115,16 @@
     """
 
     def __init__(
-        self, topic: str, store: TopicStore, by: Incarnation, timers: Timers
+        self,
+        topic: str,
+        store: TopicStore,
+        by: Incarnation,
+        timers: Timers,
+        *,
+        is_first_start: bool = False,
     ) -> None:
+        self._is_first_start = is_first_start
+        self._whole_era = 0  # in which no claim is missing
         self.position = TopicPosition(0, -1)
         self.sent_ms: int | None = None
         self._topic = topic
@@ -179,7 +195,7 @@
         newest = self.newest(group)
         formers = () if newest is None else (newest.by, *newest.formers)
         is_certain = newest is not None and newest.era == self.position.era
-        if self.position.era and not is_certain:
+        if self.position.era > self._whole_era and not is_certain:
             formers = (*formers, UNKNOWN)
         return tuple(dict.fromkeys(formers))
 
@@ -213,6 +229,8 @@
             return snapshot
         if snapshot.era < self.position.era:
             return _other_era(snapshot.era, self.position.era)
+        if self._is_first_start and self.position.offset < 0:
+            self._whole_era = snapshot.era
         self._items = dict(snapshot.items)
         self.position = snapshot.position
         return None
--- a/src/copperrun/membership/tenures.py
+++ b/src/copperrun/membership/tenures.py
@@ -67,6 +67,7 @@
         topic: Topic of the claims.
         keepers: Calls to the other keepers.
         timers: Timer service.
+        is_first_start: Whether the whole system starts for the first time.
     """
 
     def __init__(
@@ -76,11 +77,13 @@
         topic: str,
         keepers: AllotmentKeepers,
         timers: Timers,
+        *,
+        is_first_start: bool = False,
     ) -> None:
         self._by = by
         self._keepers = keepers
         self._timers = timers
-        self._log = ClaimLog(topic, store, by, timers)
+        self._log = ClaimLog(topic, store, by, timers, is_first_start=is_first_start)
         self._log.subscribe(self._check_tenures)
         self._tenures: dict[int, _Tenure] = {}
         self._ended: dict[int, TopicPosition] = {}
--- a/src/copperrun/platform/daemon.py
+++ b/src/copperrun/platform/daemon.py
@@ -167,7 +167,14 @@
         self, role: str, start: str, store: TopicStore, keepers: AllotmentKeepers
     ) -> TenureKeeper:
         by = Incarnation(self.cfg.host, role, start)
-        return TenureKeeper(by, store, ALLOTMENTS_TOPIC, keepers, self.timers)
+        return TenureKeeper(
+            by,
+            store,
+            ALLOTMENTS_TOPIC,
+            keepers,
+            self.timers,
+            is_first_start=self.cfg.is_first_start,
+        )
 
     async def listen(
         self, runner: web.AppRunner | web.ServerRunner, *ports: int
--- a/testing/soak.py
+++ b/testing/soak.py
@@ -133,6 +133,7 @@
     """
 
     entries, engines = ENTRIES, ENGINES
+    _is_first_start = False  # as the settings say, also at each restart
 
     def __init__(
         self, seed: int, folder: Path, *, fall_backs: bool, bad_part: bool
@@ -276,6 +277,7 @@
             "internal-port-range": [internal, internal + 1],
             "seeds": [f"{HOST_PREFIX}{100 + n}:{control}" for n in range(self.entries)],
             "platform": {"address": store},
+            "bootstrap": self._is_first_start,
             "bounds": {
                 "grace-s": GRACE_S,
                 "drain-ms": 2_500,
--- a/testing/soak_accounts.py
+++ b/testing/soak_accounts.py
@@ -43,6 +43,7 @@
     """One run of one seed: keys change in series beside all other faults."""
 
     entries, engines = 3, 3
+    _is_first_start = True
 
     def __init__(self, seed: int, folder: Path) -> None:
         super().__init__(seed, folder, fall_backs=False, bad_part=False)
--- a/testing/test_allotments.py
+++ b/testing/test_allotments.py
@@ -335,3 +335,20 @@
     assert_that(stock.available(799), Equals(200))
     assert_that(stock.available(800), Equals(50))
     assert_that(stock.available(900), Equals(0))
+
+
+async def test_the_first_claim_of_all_has_no_formers_in_any_era_of_the_store():
+    for is_first_start, formers in ((True, ()), (False, (UNKNOWN,))):
+        timers = ManualTimers()
+        store = MemoryTopicStore(timers)
+        store.era = 1
+        log = ClaimLog(
+            "t",
+            store,
+            Incarnation("a", "side", "1"),
+            timers,
+            is_first_start=is_first_start,
+        )
+        task = asyncio.create_task(log.append(0))
+        await timers.advance(100)
+        assert_that(task.result().claim.formers, Equals(formers))
--- a/testing/test_soak.py
+++ b/testing/test_soak.py
@@ -4,6 +4,7 @@
 
 import asyncio
 
+import soak_accounts
 import soak_versions
 from soak import run_seed
 from testtools.assertions import assert_that
@@ -35,3 +36,9 @@
     violations, outcomes = asyncio.run(soak_versions.run_seed(CI_SEED, CI_SECONDS))
     assert_that(violations, Equals([]))
     assert_that(outcomes["went on"], GreaterThan(5))
+
+
+def test_keys_and_allotments_hold_in_a_short_soak() -> None:
+    violations, outcomes = asyncio.run(soak_accounts.run_seed(CI_SEED, CI_SECONDS))
+    assert_that(violations, Equals([]))
+    assert_that(outcomes["busy runs"], GreaterThan(20))
