Explain refusals of client accounts to operators, and measure the spread of a limit

Cause: an operator could not tell why an account was refused, nor what a limit's spread over entries costs.

--- a/src/copperrun/adapters/metrics.py
+++ b/src/copperrun/adapters/metrics.py
@@ -19,6 +19,8 @@
     0.84, 1.2, 2.0, 4.0, 8.0, 15.0, 30.0, 60.0, 120.0,
 )  # fmt: skip
 MS_PER_S = 1000
+MAX_ACCOUNT_LABELS = 200
+OTHER_ACCOUNTS = "(others)"
 
 
 class PrometheusMetrics:
@@ -41,6 +43,11 @@
         self._queue = meter.create_histogram("copperrun.queue.seconds")
         self._lag = meter.create_histogram("copperrun.configuration_lag.seconds")
         self._refusals = meter.create_counter("copperrun.refusals")
+        self._account_requests = meter.create_counter("copperrun.account.requests")
+        self._account_units = meter.create_counter("copperrun.account.units")
+        self._account_refusals = meter.create_counter("copperrun.account.refusals")
+        self._allotment = meter.create_gauge("copperrun.account.allotment_used.share")
+        self._accounts: set[str] = set()
         self._missed = meter.create_counter("copperrun.missed")
         self._retries = meter.create_counter("copperrun.retries")
         self._moves = meter.create_counter("copperrun.moves")
@@ -85,6 +92,32 @@
             {**attributes, "reason": refusal.reason.value, "ran": refusal.ran.value},
         )
 
+    def record_account_use(self, account: str, units: int) -> None:
+        """Record a request of a client account, with its units of the allotment."""
+        labels = {"account": self._account_label(account)}
+        self._account_requests.add(1, labels)
+        self._account_units.add(units, labels)
+
+    def record_account_refusal(self, account: str, refusal: Refusal) -> None:
+        """Record a request of a client account refused for its allotment."""
+        label = self._account_label(account)
+        self._account_refusals.add(
+            1, {"account": label, "reason": refusal.reason.value}
+        )
+
+    def record_allotment(self, account: str, used_share: float) -> None:
+        """Record the share of an account's burst that is used up, as last known."""
+        label = self._account_label(account)
+        if label == account:
+            self._allotment.set(used_share, {"account": label})
+
+    def _account_label(self, account: str) -> str:
+        """Return the account's name; one name for all beyond a bound."""
+        if account not in self._accounts and len(self._accounts) >= MAX_ACCOUNT_LABELS:
+            return OTHER_ACCOUNTS
+        self._accounts.add(account)
+        return account
+
     def record_missed(self, tenant: str, service_class: str) -> None:
         """Record a valid request that got no complete answer in time."""
         self._missed.add(1, self._attributes_for(tenant, service_class))
--- a/src/copperrun/admission/credits.py
+++ b/src/copperrun/admission/credits.py
@@ -119,6 +119,11 @@
         if account is not None:
             account.stock.give_back(credit, self._timers.now_ms())
 
+    def used_share(self, account: str) -> float:
+        """Return the part of an account's burst that was used up when last told."""
+        known = self._accounts.get(account)
+        return 0.0 if known is None else known.used_share
+
     def close(self) -> None:
         """End all questions."""
         for channel in self._channels.values():
@@ -167,6 +172,11 @@
         """Version of the configuration that names the limit."""
         return self._version
 
+    @property
+    def used_share(self) -> float:
+        """Part of the burst that the bucket lacked when the keeper last answered."""
+        return self._used / self._allotment.burst if self._allotment.burst else 0.0
+
     def learn_limit(self, use: AccountUse) -> None:
         """Apply the limit of a newer configuration."""
         if use.version <= self._version:
@@ -237,6 +247,7 @@
             "over the allotment",
             request=use.request_id,
             account=self._name,
+            group=group_of(self._name),
             cost=use.cost,
             rate_per_s=limit.rate_per_s,
             burst=limit.burst,
--- a/src/copperrun/admission/uses.py
+++ b/src/copperrun/admission/uses.py
@@ -6,6 +6,7 @@
 
 from loguru import logger
 
+from copperrun.admission.groups import group_of
 from copperrun.model import Ran
 from copperrun.model import Refusal
 from copperrun.model import RefusalReason
@@ -77,7 +78,10 @@
 def no_keeper(use: AccountUse) -> Refusal:
     """Return the refusal while no keeper of an account's allotment answers."""
     logger.info(
-        "no keeper of the allotment", request=use.request_id, account=use.account.name
+        "no keeper of the allotment",
+        request=use.request_id,
+        account=use.account.name,
+        group=group_of(use.account.name),
     )
     return Refusal(
         RefusalReason.NOT_READY,
--- a/src/copperrun/configuration/catalog.py
+++ b/src/copperrun/configuration/catalog.py
@@ -50,6 +50,7 @@
                 in_force=self.catalog.version,
             )
             return
+        _log_key_changes(self.catalog, catalog)
         self.catalog = catalog
         self.encoded = value
         self.table = RouteTable(catalog.routes)
@@ -57,3 +58,29 @@
         logger.info(
             "catalog in force", version=catalog.version, routes=len(catalog.routes)
         )
+
+
+def _log_key_changes(previous: Catalog | None, catalog: Catalog) -> None:
+    """Log how many keys each client account got or lost at this process."""
+    before = _digests(previous)
+    after = _digests(catalog)
+    for account in sorted(before.keys() | after.keys()):
+        added = after.get(account, frozenset()) - before.get(account, frozenset())
+        withdrawn = before.get(account, frozenset()) - after.get(account, frozenset())
+        if added or withdrawn:
+            logger.info(
+                "keys changed",
+                account=account,
+                added=len(added),
+                withdrawn=len(withdrawn),
+                version=catalog.version,
+            )
+
+
+def _digests(catalog: Catalog | None) -> dict[str, frozenset[bytes]]:
+    if catalog is None or catalog.accounts is None:
+        return {}
+    return {
+        account.name: account.key_digests
+        for account in catalog.accounts.by_name.values()
+    }
--- a/src/copperrun/ctl/timeline.py
+++ b/src/copperrun/ctl/timeline.py
@@ -21,10 +21,17 @@
 # Changes in what a process knows. They may explain a request that they do not name.
 CONTEXT_MESSAGES = frozenset(
     {
+        "allotments claimed by another process",
+        "allotments handed over",
+        "allotments kept here",
+        "allotments not claimed",
         "catalog in force",
+        "claims of allotments not read",
         "engine status available",
         "engine status unavailable",
+        "keeper of allotments does not answer",
         "keeper of stream origins does not reply",
+        "keys changed",
         "keeper of stream origins is told anew",
         "lifecycle state changed",
         "move cancelled: not enough accelerator memory",
@@ -52,6 +59,19 @@
         "store regained",
     }
 )
+# Why a request was refused before any server was chosen.
+EXPLANATIONS = {
+    "unknown key": "its key is in no configuration that the entry had; see 'keys "
+    "changed' for when keys were added to or withdrawn from this entry",
+    "over the allotment": "its client account had used its limit; 'used' is what the "
+    "account's bucket lacked, as its keeper said 'used_age_ms' before",
+    "request larger than the allotment": "it needs more units than its client account "
+    "may use in a whole window",
+    "no keeper of the allotment": "no process kept the limit of its client account, or "
+    "none answered in time; it could not be said whether it was within it",
+}
+# A refusal is logged at once; what led to it came some time before.
+LOOK_BACK_MS = 10_000
 _COMMON_FIELDS = frozenset({"time", "level", "instance", "message", "request"})
 
 
@@ -84,8 +104,11 @@
             f"no line names request {arguments.request!r}; pass all logs of its time"
         )
         return ToolError(ToolErrorReason.FAILED, detail)
+    causes = dict.fromkeys(line.message for line in timeline if line.is_about)
+    words = [EXPLANATIONS[name] for name in causes if name in EXPLANATIONS]
     output.emit(
-        [line._asdict() for line in timeline], [_format_line(line) for line in timeline]
+        [line._asdict() for line in timeline],
+        [*map(_format_line, timeline), *(f"= refused: {text}" for text in words)],
     )
     return None
 
@@ -155,7 +178,10 @@
     """Return the arrival time, estimated from durations in the request's lines."""
     return min(
         _subtract_ms(
-            line.time, line.fields.get("elapsed_ms") or line.fields.get("waited_ms")
+            line.time,
+            LOOK_BACK_MS
+            if line.message in EXPLANATIONS
+            else line.fields.get("elapsed_ms") or line.fields.get("waited_ms"),
         )
         for line in request_lines
     )
@@ -182,6 +208,8 @@
             values = line.fields.get(field)
             if isinstance(values, list):
                 names.update(str(value) for value in values)
+        if isinstance(line.fields.get("group"), int):
+            names.add(f"group {line.fields['group']}")
     names.discard("")
     return names
 
--- a/src/copperrun/entry/allotments.py
+++ b/src/copperrun/entry/allotments.py
@@ -9,6 +9,7 @@
 from copperrun.admission.stock import Credit
 from copperrun.admission.uses import AccountUse
 from copperrun.model import Refusal
+from copperrun.ports.metrics import Metrics
 from copperrun.routing.requests import RoutedRequest
 from copperrun.routing.servers import ServerRecord
 
@@ -22,14 +23,18 @@
     Args:
         credits: Units of all accounts at this entry.
         entry_hosts: Hosts of entries.
+        metrics: Instruments.
 
     Attributes:
         entry_hosts: Hosts of entries, which keep the allotments where there are no
             engines and so no sides; a change counts from the next list of engines on.
     """
 
-    def __init__(self, credits: Credits, entry_hosts: Sequence[str]) -> None:
+    def __init__(
+        self, credits: Credits, entry_hosts: Sequence[str], metrics: Metrics
+    ) -> None:
         self._credits = credits
+        self._metrics = metrics
         self.entry_hosts = entry_hosts
 
     def set_engines(self, engines: Iterable[ServerRecord]) -> None:
@@ -47,7 +52,10 @@
             version: Version of the configuration that names the limit.
         """
         account = request.account
-        if account is None or account.allotment is None:
+        if account is None:
+            return None
+        if account.allotment is None:
+            self._metrics.record_account_use(account.name, 0)
             return None
         call = request.call
         cost = account.allotment.cost_of(0, 0)
@@ -56,7 +64,15 @@
         use = AccountUse(account, account.allotment, version, cost, call.id)
         wait_ms = int(WAIT_FRACTION * request.route.target_ms)
         limit_ms = request.deadline_ms - request.started_ms
-        return await self._credits.acquire(use, min(wait_ms, limit_ms))
+        credit = await self._credits.acquire(use, min(wait_ms, limit_ms))
+        if isinstance(credit, Refusal):
+            self._metrics.record_account_refusal(account.name, credit)
+        else:
+            self._metrics.record_account_use(account.name, cost)
+        self._metrics.record_allotment(
+            account.name, self._credits.used_share(account.name)
+        )
+        return credit
 
     def give_back(self, credit: Credit | None) -> None:
         """Take back the units of a request that no server has run or will run."""
--- a/src/copperrun/platform/daemon.py
+++ b/src/copperrun/platform/daemon.py
@@ -263,7 +263,9 @@
             start = secrets.token_hex(8)
             keeper = self.build_keeper("entry", start, store, keepers)
             gate = self._gate = AllotmentGate(
-                Credits(keepers, self.timers, cfg.quota), _seed_hosts(cfg)
+                Credits(keepers, self.timers, cfg.quota),
+                _seed_hosts(cfg),
+                self.metrics,
             )
             process = self._process = ProxyProcess(
                 cfg.place,
--- a/src/copperrun/ports/metrics.py
+++ b/src/copperrun/ports/metrics.py
@@ -26,6 +26,15 @@
     def record_refusal(self, tenant: str, service_class: str, refusal: Refusal) -> None:
         """Record a refusal."""
 
+    def record_account_use(self, account: str, units: int) -> None:
+        """Record a request of a client account, with its units of the allotment."""
+
+    def record_account_refusal(self, account: str, refusal: Refusal) -> None:
+        """Record a request of a client account refused for its allotment."""
+
+    def record_allotment(self, account: str, used_share: float) -> None:
+        """Record the share of an account's burst that is used up, as last known."""
+
     def record_missed(self, tenant: str, service_class: str) -> None:
         """Record a valid request that got no complete answer in time."""
 
--- a/testing/allotment_fleet.py
+++ b/testing/allotment_fleet.py
@@ -40,7 +40,10 @@
 BOUNDS = QuotaBounds()
 WAIT_MS = 300
 Reply = TypeVar("Reply")
-MESSAGE_BYTES = 90  # of a question about one account, and of its answer
+# A question with its answer, encoded; further ones of each account and each request.
+MESSAGE_BYTES = 10
+ACCOUNT_BYTES = 55
+COST_BYTES = 3
 
 
 class ProcessTimers:
@@ -126,7 +129,9 @@
         timeout_ms: int,
     ) -> Sequence[CreditGrant] | NotKeeper | SideError:
         self._fleet.messages += 1
-        self._fleet.bytes += MESSAGE_BYTES * (1 + len(requests))
+        self._fleet.bytes += MESSAGE_BYTES + sum(
+            ACCOUNT_BYTES + COST_BYTES * len(request.needed) for request in requests
+        )
         target = await self._reach(host, timeout_ms)
         if not isinstance(target, Process):
             return target or SideError(SideErrorReason.UNREACHABLE, "refused")
--- a/testing/mutants.py
+++ b/testing/mutants.py
@@ -660,6 +660,87 @@
         "test_installation.py::test_a_side_refuses_to_continue_an_answer_of_wei"
         "ghts_that_it_does_not_hold",
     ),
+    Mutant(
+        "quota",
+        "membership/tenures.py",
+        "<= LEASE_MS",
+        "<= 100 * LEASE_MS",
+        "test_allotments.py::test_a_keeper_without_the_store_stops_before_anoth"
+        "er_one_begins",
+    ),
+    Mutant(
+        "quota",
+        "membership/tenures.py",
+        "is_full=is_first",
+        "is_full=True",
+        "test_allotments.py::test_another_keeper_goes_on_with_the_units_left_or"
+        "_with_none",
+    ),
+    Mutant(
+        "quota",
+        "membership/tenures.py",
+        "self._timers.now_ms() + LEASE_MS + LEASE_MARGIN_MS",
+        "self._timers.now_ms()",
+        "test_allotments.py::test_no_fault_makes_the_use_in_a_window_pass_the_limit",
+    ),
+    Mutant(
+        "quota",
+        "membership/claim_log.py",
+        "at=at.offset",
+        "at=None",
+        "test_allotments.py::test_claims_written_at_once_name_those_before_them",
+    ),
+    Mutant(
+        "quota",
+        "admission/uses.py",
+        "return int(self.overage * self.window_ms)",
+        "return self.window_ms",
+        "test_allotments.py::test_no_fault_makes_the_use_in_a_window_pass_the_limit",
+    ),
+    Mutant(
+        "quota",
+        "admission/stock.py",
+        "self._lots[0].expires_ms <= now_ms",
+        "False",
+        "test_allotments.py::test_units_in_stock_lapse_also_when_they_were_given_back",
+    ),
+    Mutant(
+        "quota",
+        "entry/proxy.py",
+        "credit = await self._gate.admit(request, catalog.version)",
+        "credit = None",
+        "test_allotments_http.py::test_a_request_over_the_allotment_gets_429_an"
+        "d_reaches_no_server",
+    ),
+    Mutant(
+        "keys",
+        "platform/http_headers.py",
+        "if name.lower() not in _IDENTITY_HEADERS",
+        "if True",
+        "test_accounts.py::test_a_server_is_told_the_account_and_never_the_key",
+    ),
+    Mutant(
+        "keys",
+        "routing/accounts.py",
+        "return self._by_digest.get(digest_key(key))",
+        "return next(iter(self.by_name.values()))",
+        "test_accounts.py::test_a_request_without_a_known_key_gets_401_and_reac"
+        "hes_no_server",
+    ),
+    Mutant(
+        "keys",
+        "configuration/catalog.py",
+        "catalog.version <= self.catalog.version",
+        "True",
+        "test_accounts.py::test_keys_are_added_and_withdrawn_with_a_new_configuration",
+    ),
+    Mutant(
+        "starved",
+        "admission/buckets.py",
+        "self.level += elapsed_ms / 1000 * self.rate_per_s",
+        "self.level += elapsed_ms / 5000 * self.rate_per_s",
+        "test_allotments.py::test_the_limit_holds_and_is_served_without_faults",
+    ),
 )
 
 
@@ -690,13 +771,16 @@
 
 
 def main() -> int:
+    """Check all mutants, or those of the promises named as arguments."""
+    promises = sys.argv[1:]
+    chosen = [item for item in MUTANTS if not promises or item.promise in promises]
     survived = 0
-    for mutant in MUTANTS:
+    for mutant in chosen:
         detected = is_detected(mutant)
         survived += not detected
         outcome = "detected" if detected else "SURVIVED"
         print(f"{outcome:9} {mutant.promise:14} {mutant.file:24} {mutant.test}")
-    print(f"{len(MUTANTS) - survived} detected, {survived} survived")
+    print(f"{len(chosen) - survived} detected, {survived} survived")
     return min(survived, 1)
 
 
--- a/testing/platform_standins.py
+++ b/testing/platform_standins.py
@@ -126,10 +126,9 @@
     def __init__(self, head: bytes, body: bytes) -> None:
         first, *lines = head.decode("latin-1").split("\r\n")
         self.method, self.target, _ = first.split(" ")
-        self.headers = {
-            name.lower(): value
-            for name, _, value in (line.partition(": ") for line in lines if line)
-        }
+        pairs = [line.partition(": ") for line in lines if line]
+        self.header_names = [name.lower() for name, _, _ in pairs]
+        self.headers = {name.lower(): value for name, _, value in pairs}
         self.body = body
 
     @property
--- a/testing/test_accounts.py
+++ b/testing/test_accounts.py
@@ -5,6 +5,7 @@
 from pathlib import Path
 
 import pytest
+from loguru import logger
 from platform_entry import PlatformEntry
 from platform_entry import until
 from platform_standins import ScriptedServer
@@ -15,6 +16,8 @@
 from testtools.matchers import HasLength
 from testtools.matchers import Not
 
+from copperrun.routing.accounts import digest_key
+
 KEY = "asnmgkcuyj8pjbvk9m68"
 NEW_KEY = "k7b2ex5wa5xwyhks8nbk"
 PUBLIC_PREFIX = "/open/"
@@ -64,6 +67,7 @@
     received = server.requests[0].headers
     assert_that(status, Equals(200))
     assert_that(received["tenant"], Equals("north"))
+    assert_that(server.requests[0].header_names.count("tenant"), Equals(1))
     assert_that(received["x-own"], Equals("kept"))
     for name in ("authorization", "x-api-key", "cookie"):
         assert_that(received, Not(Contains(name)))
@@ -153,3 +157,22 @@
     await entry.close()
     await server.close()
     assert_that((before, after, unknown), Equals((200, status, 503)))
+
+
+async def test_changes_of_keys_are_logged_without_the_keys(tmp_path):
+    lines: list[str] = []
+    handler = logger.add(lines.append, format="{message} {extra}")
+    server = ScriptedServer()
+    entry = await start_entry(tmp_path, server, account("north", KEY))
+    entry.configuration["tenants"] = [account("north", NEW_KEY), account("south", KEY)]
+    await entry.publish()
+    await ask(entry, "Authorization: Token some-other-key")
+    await entry.close()
+    await server.close()
+    logger.remove(handler)
+    changed = [text for text in lines if text.startswith("keys changed")]
+    assert_that(changed, HasLength(3))
+    assert_that(changed[1], Contains("'account': 'north', 'added': 1, 'withdrawn': 1"))
+    for key in (KEY, NEW_KEY, "some-other-key"):
+        assert_that("".join(lines), Not(Contains(key)))
+        assert_that("".join(lines), Not(Contains(digest_key(key).hex())))
--- a/testing/test_timeline.py
+++ b/testing/test_timeline.py
@@ -13,6 +13,7 @@
 from testtools.matchers import Equals
 from testtools.matchers import Not
 
+from copperrun.ctl.timeline import EXPLANATIONS
 from copperrun.ctl.timeline import build_timeline
 
 
@@ -152,3 +153,33 @@
             ]
         ),
     )
+
+
+def test_a_refusal_for_an_allotment_is_explained_with_its_keeper():
+    logs = [
+        line(2, "side-1", "allotments kept here", group=3, is_first=False),
+        line(2, "side-2", "allotments kept here", group=4, is_first=True),
+        line(5, "front-2", "keys changed", account="south", added=1, withdrawn=0),
+        line(
+            10, "front-1", "over the allotment", request="r1", account="north", group=3
+        ),
+        line(11, "side-1", "allotments handed over", group=3),
+    ]
+    messages = [(item.instance, item.message) for item in build_timeline("r1", logs)]
+    assert_that(
+        messages,
+        Equals([("side-1", "allotments kept here"), ("front-1", "over the allotment")]),
+    )
+
+
+@pytest.mark.parametrize("message", sorted(EXPLANATIONS))
+def test_the_tool_says_in_words_why_a_caller_was_refused(tmp_path: Path, message):
+    path = tmp_path / "log"
+    path.write_text(line(1, "front-1", message, request="r1", account="north"))
+    result = subprocess.run(
+        [BIN / "copperrunctl", "explain", "r1", path],
+        capture_output=True,
+        text=True,
+        check=True,
+    )
+    assert_that(result.stdout, Contains(f"= refused: {EXPLANATIONS[message]}"))
