--- a/testing/mutants.py
+++ b/testing/mutants.py
@@ -717,6 +717,13 @@
         "platform/http_headers.py",
         "if name.lower() not in _IDENTITY_HEADERS",
         "if True",
+        "test_accounts.py::test_a_public_route_needs_no_key_and_names_no_account",
+    ),
+    Mutant(
+        "keys",
+        "platform/http_headers.py",
+        "and not any(key in value for key in hidden)",
+        "",
         "test_accounts.py::test_a_server_is_told_the_account_and_never_the_key",
     ),
     Mutant(
