--- a/src/copperrun/side/admission.py
+++ b/src/copperrun/side/admission.py
@@ -12,7 +12,7 @@
 from copperrun.admission.memory import need_of
 from copperrun.admission.prefill import DEFAULT_TOKENS_PER_MS
 from copperrun.admission.prefill import PrefillQueue
-from copperrun.admission.prefill import Ticket
+from copperrun.admission.tickets import Ticket
 from copperrun.placement.adapter_slots import USE_TTL_MS
 from copperrun.placement.controller import PlacementController
 from copperrun.ports.admission import Admission
@@ -60,7 +60,8 @@
         self._memory = self._queue.memory = memory
         self._metrics = metrics
         self._status: EngineStatus | None = None
-        self._waiters: dict[str, asyncio.Future[None]] = {}
+        # True for a grant, False for a request that gives way.
+        self._waiters: dict[str, asyncio.Future[bool]] = {}
         self._spec: EngineSpec | None = None
         self._ticket_count = 0
         self._admitted: dict[str, _AdmittedRequest] = {}
@@ -73,6 +74,7 @@
         self._apply_spec()
         arrived_ms = self._timers.now_ms()
         ticket = self._build_ticket(req, arrived_ms)
+        self._queue.record_asked(ticket, arrived_ms)
         if not self._queue.can_meet_deadline(ticket, arrived_ms):
             return Overloaded(self._queue.backlog_ms())
         admission: Admission | None = None
@@ -215,6 +217,9 @@
             req.gap_ms,
             now_ms + req.target_ms,
             now_ms + req.remaining_ms,
+            alternatives=req.alternatives,
+            continues=req.continues,
+            account=req.account,
             need=need_of(req) if self._memory is not None else None,
         )
 
@@ -234,8 +239,8 @@
         }
 
     async def _wait_for_grant(self, ticket: Ticket) -> bool:
-        """Return True once granted, False once the deadline cannot be met."""
-        fut: asyncio.Future[None] = asyncio.get_running_loop().create_future()
+        """Return True once granted, False when it gives way or would come too late."""
+        fut: asyncio.Future[bool] = asyncio.get_running_loop().create_future()
         self._waiters[ticket.id] = fut
         self._queue.enqueue(ticket)
         self._issue_grants()
@@ -252,7 +257,7 @@
                         await asyncio.shield(fut)
                 except TimeoutError:
                     self._issue_grants()
-            granted = True
+            granted = fut.result()
         finally:
             self._waiters.pop(ticket.id, None)
             if not granted:
@@ -263,7 +268,13 @@
 
     def _issue_grants(self) -> None:
         self._update_memory()
-        for ticket in self._queue.issue_grants(self._timers.now_ms()):
-            fut = self._waiters.get(ticket.id)
-            if fut is not None and not fut.done():
-                fut.set_result(None)
+        now_ms = self._timers.now_ms()
+        for ticket in self._queue.yield_places(now_ms):
+            self._wake(ticket, granted=False)
+        for ticket in self._queue.issue_grants(now_ms):
+            self._wake(ticket, granted=True)
+
+    def _wake(self, ticket: Ticket, *, granted: bool) -> None:
+        fut = self._waiters.get(ticket.id)
+        if fut is not None and not fut.done():
+            fut.set_result(granted)
