Let an idle engine take a long prompt whose output is not stated

Its assumed output of 512 tokens could make it larger than the engine, so it waited for its deadline at an idle one. test_memory, test_admission and test_costs pass.

--- a/src/copperrun/admission/memory.py
+++ b/src/copperrun/admission/memory.py
@@ -31,7 +31,7 @@
         own_tokens: Prompt tokens that it shares with no other request.
         parts: Tokens of each shared part, by the parts up to it and its model.
         output_tokens: Tokens that it is likely to generate at most.
-        output_limit: Most tokens that it may generate.
+        output_limit: Most tokens that it may generate; 0 when not stated.
         body_bytes: Bytes that wait at the engine until it begins.
     """
 
@@ -47,6 +47,13 @@
         """Tokens that it needs in an empty engine."""
         return self.own_tokens + sum(self.parts.values()) + self.output_tokens
 
+    @property
+    def least_tokens(self) -> int:
+        """Tokens without which it can't run: all of them if its output is bounded."""
+        return (
+            self.tokens if self.output_limit else self.tokens - self.output_tokens + 1
+        )
+
 
 class EngineRun(NamedTuple):
     """One running request as the engine reports it.
@@ -97,8 +104,10 @@
 
 def need_of(req: AdmissionRequest) -> MemoryNeed:
     """Return what a request needs."""
-    limit = req.output_tokens or max(req.likely_output, UNSTATED_OUTPUT_TOKENS)
-    output = min(limit, OUTPUT_MARGIN * req.likely_output or limit)
+    most = req.output_tokens or UNSTATED_OUTPUT_TOKENS
+    output = OUTPUT_MARGIN * req.likely_output or most
+    if req.output_tokens:
+        output = min(output, most)
     parts: dict[int, int] = {}
     shared = 0
     # The same part holds other tokens after another beginning.
@@ -109,7 +118,9 @@
         shared += tokens
         parts[key] = tokens
     own_tokens = max(req.tokens - shared, 0)
-    return MemoryNeed(req.request, own_tokens, parts, output, limit, req.body_bytes)
+    return MemoryNeed(
+        req.request, own_tokens, parts, output, req.output_tokens, req.body_bytes
+    )
 
 
 def can_ever_fit(prompt_tokens: int, output_tokens: int, capacity: int) -> bool:
@@ -216,7 +227,7 @@
         if not self.capacity:
             return True
         if self._is_empty():
-            return need.tokens <= self.capacity
+            return need.least_tokens <= self.capacity
         if not self._queue_has_room(need):
             return False
         return self._committed(now_ms) + self._added_tokens(need) <= self.capacity
@@ -342,8 +353,10 @@
 def _expected_growth(need: MemoryNeed, generated: int) -> int:
     """Return the tokens that a request may still generate.
 
-    One that outlived its estimate may go on to its limit.
+    One that outlived its estimate may go on to its limit, or for long without one.
     """
     if generated < need.output_tokens:
         return need.output_tokens - generated
+    if not need.output_limit:
+        return max(generated, UNSTATED_OUTPUT_TOKENS)
     return max(need.output_limit - generated, 0)
--- a/testing/test_memory.py
+++ b/testing/test_memory.py
@@ -113,6 +113,17 @@
     assert not counted.fits(need("small", tokens=1), 0)
 
 
+def test_an_idle_engine_takes_a_prompt_whose_output_is_not_stated():
+    counted = memory()
+    item = need_of(admission_request("r", tokens=9_900))
+    assert counted.fits(item, 0)
+    counted.claim("r", item, 0)
+    counted.apply_report(
+        MemoryReport(10_000, 10_600, runs=(EngineRun("r", 10_600, 700),))
+    )
+    assert not counted.fits(need("next", tokens=1), 0)
+
+
 def test_a_request_larger_than_an_engine_never_fits():
     assert can_ever_fit(9_900, 100, 10_000)
     assert not can_ever_fit(9_901, 100, 10_000)
