--- a/src/copperrun/routing/selector.py
+++ b/src/copperrun/routing/selector.py
@@ -265,24 +265,10 @@
         slack_ms = self._slack_ms(request)
         holders = self._holders(request, progress)
         continues = self._is_confined(request, progress)
-        admission_request = AdmissionRequest(
-            request=call.id,
-            model=call.model,
-            adapter=call.adapter,
-            priority=request.rank,
-            tokens=call.prompt_tokens,
-            gap_ms=request.route.target_gap_ms,
-            target_ms=slack_ms,
-            remaining_ms=request.first_event_deadline_ms - now,
-            account=request.account.name if request.account else "",
+        admission_request = self._admission_request(request, now)._replace(
             alternatives=count_alternatives(holders, server, slack_ms),
             continues=continues,
         )
-        admission_request = with_needs(
-            admission_request,
-            request,
-            counts_memory=self._memory_share is not None,
-        )
         server.begin_request()
         server.waiting_streams += continues
         progress.admission = "waiting"
@@ -331,6 +317,23 @@
                 progress.tried.add(server.record.id)
                 return overloaded(retry_after_ms)
 
+    def _admission_request(
+        self, request: RoutedRequest, now_ms: int
+    ) -> AdmissionRequest:
+        call = request.call
+        req = AdmissionRequest(
+            request=call.id,
+            model=call.model,
+            adapter=call.adapter,
+            priority=request.rank,
+            tokens=call.prompt_tokens,
+            gap_ms=request.route.target_gap_ms,
+            target_ms=self._slack_ms(request),
+            remaining_ms=request.first_event_deadline_ms - now_ms,
+            account=request.account.name if request.account else "",
+        )
+        return with_needs(req, request, counts_memory=self._memory_share is not None)
+
     def _fits_own_share(self, request: RoutedRequest, server: Server) -> bool:
         """Return whether a request fits this entry's share of an engine's memory.
 
