Start a role on the platform without libraries that it does not use

Cause: of some 52 MB that a process takes at its peak, 49 MB are there once its modules are imported: the TLS library (which asyncio, aiohttp and hashlib load, and with it all trusted certificates), OpenTelemetry and prometheus_client for ten instruments, absl for one call.

Change: the TLS modules are blocked before the role's modules are imported; roles speak plain HTTP, and these libraries do without TLS where it cannot be imported. The program moves to platform/program.py, so that __main__ imports nothing before that.

--- a/src/copperrun/platform/__main__.py
+++ b/src/copperrun/platform/__main__.py
@@ -2,53 +2,20 @@
 
 from __future__ import annotations
 
-import asyncio
 import sys
-from typing import NoReturn
+from importlib import import_module
 
-from absl import app
+# Roles speak plain HTTP. asyncio, aiohttp and hashlib do without TLS and its library
+# where they cannot be imported.
+TLS_MODULES = ("ssl", "_hashlib")
 
-from copperrun.adapters.logs import configure_logs
-from copperrun.adapters.timers import SystemTimers
-from copperrun.garbage import tune_collector
-from copperrun.platform.daemon import EntryRole
-from copperrun.platform.daemon import SideRole
-from copperrun.platform.settings import SettingsError
-from copperrun.platform.settings import SettingsFile
-from copperrun.platform.settings import load_settings
-from copperrun.platform.settings import settings_path
 
-EXIT_FAILED = 1
-EXIT_USAGE = 2
-ROLES: dict[str, type[EntryRole | SideRole]] = {"entry": EntryRole, "side": SideRole}
-
-
-def main(argv: list[str]) -> None:
-    """Run the role named on the command line."""
-    if len(argv) != 2 or argv[1] not in ROLES:
-        _fail(f"usage: python -m copperrun.platform {'|'.join(ROLES)}")
-    path = settings_path()
-    if isinstance(path, SettingsError):
-        _fail(f"copperrun: {path.detail}")
-    cfg = load_settings(path)
-    if isinstance(cfg, SettingsError):
-        _fail(f"copperrun: {cfg.detail}")
-    instance = cfg.place.instance
-    writer = configure_logs("info", instance, sys.stdout.fileno(), SystemTimers())
-    tune_collector()
-    try:
-        asyncio.run(ROLES[argv[1]](SettingsFile(path, cfg)).run())
-    except OSError as exc:
-        # The usual cause is a port in use; a traceback would not help.
-        _fail(f"copperrun: {exc.strerror or exc}", EXIT_FAILED)
-    finally:
-        writer.flush()
-
-
-def _fail(detail: str, code: int = EXIT_USAGE) -> NoReturn:
-    print(detail, file=sys.stderr)
-    sys.exit(code)
+def main() -> None:
+    """Run a role without the TLS library, which takes memory and time at the start."""
+    blocked: dict[str, None] = dict.fromkeys(TLS_MODULES)
+    sys.modules.update(blocked)  # type: ignore[arg-type]
+    import_module("copperrun.platform.program").main(sys.argv)
 
 
 if __name__ == "__main__":
-    app.run(main)
+    main()
--- a/src/copperrun/platform/daemon.py
+++ b/src/copperrun/platform/daemon.py
@@ -12,7 +12,6 @@
 from aiohttp import web
 from loguru import logger
 
-from copperrun.adapters import metrics as metrics_adapter
 from copperrun.adapters.admission import VIEW_PATH
 from copperrun.adapters.admission import EngineSideRoutes
 from copperrun.adapters.admission import HttpEngineSides
@@ -22,7 +21,6 @@
 from copperrun.adapters.client import open_session
 from copperrun.adapters.crashes import CrashRoutes
 from copperrun.adapters.crashes import HttpCrashRelays
-from copperrun.adapters.metrics import PrometheusMetrics
 from copperrun.adapters.origins import HttpOriginKeepers
 from copperrun.adapters.origins import OriginRoutes
 from copperrun.adapters.timers import SystemTimers
@@ -44,6 +42,8 @@
 from copperrun.platform.connections import CallerServer
 from copperrun.platform.engine_control import HttpEngineControl
 from copperrun.platform.ingress import Ingress
+from copperrun.platform.metrics import CONTENT_TYPE
+from copperrun.platform.metrics import TextMetrics
 from copperrun.platform.records import decode_catalog
 from copperrun.platform.records import decode_server
 from copperrun.platform.settings import PlatformSettings
@@ -90,7 +90,7 @@
         self.settings_file = settings_file
         self.cfg = settings_file.cfg
         self.timers = SystemTimers()
-        self.metrics = PrometheusMetrics()
+        self.metrics = TextMetrics()
         self.shutdown = Shutdown()
         self.catalog = CurrentCatalog(decode_catalog)
         self._runners: list[web.AppRunner | web.ServerRunner] = []
@@ -123,7 +123,7 @@
         async def handle_metrics(request: web.Request) -> web.Response:
             return web.Response(
                 body=self.metrics.render(),
-                headers={"Content-Type": metrics_adapter.CONTENT_TYPE},
+                headers={"Content-Type": CONTENT_TYPE},
             )
 
         async def handle_view(request: web.Request) -> web.Response:
--- a/testing/test_platform_process.py
+++ b/testing/test_platform_process.py
@@ -114,10 +114,15 @@
 
 
 def test_the_roles_start_without_the_libraries_that_the_platform_does_not_install():
-    # The deploy file's requirements name no pydantic; a clean machine has none.
+    # The deploy file's requirements name none of them; a clean machine has none. The
+    # TLS library is there, but costs memory in each process.
+    unused = ("pydantic", "tqdm", "absl", "opentelemetry", "prometheus_client")
     code = (
-        "import sys; import copperrun.platform.__main__; "
-        "print([name for name in ('pydantic', 'tqdm') if name in sys.modules])"
+        "import sys; import copperrun.platform.__main__ as program\n"
+        "try:\n    program.main()\nexcept SystemExit:\n    pass\n"
+        "assert 'copperrun.platform.daemon' in sys.modules\n"
+        f"print([name for name in {(*unused, 'ssl', '_hashlib')} "
+        "if sys.modules.get(name) is not None])"
     )
     result = subprocess.run(
         [sys.executable, "-c", code], capture_output=True, text=True, check=True
