Place copies by the requests that they let be in time

Four engines held the busiest model and let its requests wait for a second; the sides of five others had evicted it, before callers came, for models that nobody asked for, and loads take up to 5.8 s.

Change: a model that no caller has asked for evicts nothing. A further copy is worth the requests that it lets be in time, by the use of each copy and the number of typical prompts that fit into the shortest pause that the pool's routes allow; all sides take it from the routes. Where no route limits the pause the values are as before.

--- a/src/copperrun/admission/prefill.py
+++ b/src/copperrun/admission/prefill.py
@@ -285,12 +285,15 @@
         """Return the prefill time of the prompts that may be admitted at once."""
         if not ticket.gap_ms:
             return float("inf")
-        budget_ms = (
-            GAP_BUDGET_FRACTION * ticket.gap_ms - self.tokens_per_event * DECODE_STEP_MS
-        )
+        budget_ms = pause_prefill_ms(ticket.gap_ms, self.tokens_per_event)
         return max(budget_ms / 2, DECODE_STEP_MS)
 
 
+def pause_prefill_ms(gap_ms: int, tokens_per_event: int) -> float:
+    """Return the time for prefill between two events whose longest gap is given."""
+    return GAP_BUDGET_FRACTION * gap_ms - tokens_per_event * DECODE_STEP_MS
+
+
 def _urgency(ticket: Ticket, now_ms: int) -> tuple[int, bool, int]:
     """Sort by priority, then requests that can meet their target, least slack first."""
     return ticket.priority, ticket.target_ms < now_ms, ticket.target_ms
--- a/src/copperrun/placement/controller.py
+++ b/src/copperrun/placement/controller.py
@@ -87,6 +87,8 @@
         utilization: Fraction of time that the engine spends on prefill.
         active: Models with running requests.
         capacity_rps: Requests per second that the engine can prefill when fully used.
+        pause_ms: Time for prefill within the pause that streams of the pool allow; None
+            when they allow any. All sides know it alike, also those of idle engines.
 
     Each order carries the number of orders that the engine must have accepted before
     it, so an unanswered order has no effect once a later one has been accepted.
@@ -108,6 +110,7 @@
         self.utilization = 0.0
         self.active: frozenset[str] = frozenset()
         self.capacity_rps = DEFAULT_CAPACITY_RPS
+        self.pause_ms: float | None = None
         self._control = control
         self._demand = demand
         self._loads = loads
@@ -342,6 +345,9 @@
         Such a stream goes on only at engines of one software version, so a copy at
         another engine is none for it.
         """
+        pause_prompts = None
+        if self.pause_ms is not None:
+            pause_prompts = self.pause_ms * self.capacity_rps / 1000
         continuing = self._demand.continuing()
         own = self._own_record
         if continuing and own is not None and own.software_version:
@@ -357,11 +363,18 @@
                 needed[model] = item._replace(waiting=item.waiting + count)
             same_version = [view for view in views if view.id in alike]
             for move in plan_moves(
-                spec, same_version, needed, pressure, self.capacity_rps
+                spec,
+                same_version,
+                needed,
+                pressure,
+                self.capacity_rps,
+                pause_prompts,
             ):
                 if continuing[move.model]:
                     yield move
-        yield from plan_moves(spec, views, demand, pressure, self.capacity_rps)
+        yield from plan_moves(
+            spec, views, demand, pressure, self.capacity_rps, pause_prompts
+        )
 
     async def _advance_move(
         self, ongoing: _OngoingMove, spec: EngineSpec, status: EngineStatus, now: int
--- a/src/copperrun/placement/moves.py
+++ b/src/copperrun/placement/moves.py
@@ -3,7 +3,8 @@
 Demand moves between many models while each engine holds two to five of them. A resident
 model stays unless a load gains clearly more than its victims are worth: a first copy
 serves requests that no engine serves now, a further copy serves requests beyond the
-capacity of the others, or takes load off them. Each side computes the same moves from
+capacity of the others, or lets more of them be in time, or takes load off them. A model
+that no caller has asked for evicts nothing. Each side computes the same moves from
 the same inputs and carries out those of its own engine.
 
 The value of a copy, and so the gain of a move, is in requests per second.
@@ -11,6 +12,7 @@
 
 from __future__ import annotations
 
+import math
 from collections import Counter
 from collections.abc import Iterator
 from collections.abc import Mapping
@@ -85,6 +87,11 @@
         """Recent requests per second, increased for requests queued at engines."""
         return self.rate + QUEUED_REQUEST_RPS * self.queued
 
+    @property
+    def is_requested(self) -> bool:
+        """Whether callers have lately asked for the model."""
+        return bool(self.rate or self.steady_rate or self.waiting)
+
     @property
     def first_copy_value(self) -> float:
         """Value of a first copy, in requests per second.
@@ -119,6 +126,7 @@
     demand: Mapping[str, ModelDemand],
     pressure: float,
     capacity_rps: float,
+    pause_prompts: float | None = None,
 ) -> Iterator[Move]:
     """Yield the moves worth making now, the best first.
 
@@ -128,8 +136,10 @@
         demand: Demand by model.
         pressure: Mean fraction of time that the engines spend on prefill.
         capacity_rps: Requests per second that one engine can serve.
+        pause_prompts: Typical prompts that an engine can prefill within the pause that
+            streams allow; None when they allow any.
     """
-    planner = _Planner(spec, engines, demand, pressure, capacity_rps)
+    planner = _Planner(spec, engines, demand, pressure, capacity_rps, pause_prompts)
     for _ in range(MAX_MOVES):
         move = planner.best_move()
         if move is None:
@@ -172,8 +182,11 @@
         demand: Mapping[str, ModelDemand],
         pressure: float,
         capacity_rps: float,
+        pause_prompts: float | None,
     ) -> None:
         self._spec = spec
+        self._capacity_rps = capacity_rps
+        self._pause_prompts = pause_prompts
         self._views = {engine.id: engine for engine in engines}
         self._states = {engine.id: _EngineState(set(engine.held)) for engine in engines}
         self._available = sorted(engine.id for engine in engines if not engine.is_busy)
@@ -261,6 +274,8 @@
         needed_mb = model.size_mb - state.free_mb
         victims: list[tuple[str, float, float]] = []
         if needed_mb > 0:
+            if not self._demand.get(model.name, _NO_DEMAND).is_requested:
+                return None
             if (
                 value - min((cost for _, _, cost in state.victims), default=0.0)
                 < MIN_GAIN_RPS
@@ -302,7 +317,17 @@
         served = min(rate, copies * self._copy_capacity_rps)
         served -= min(rate, (copies - 1) * self._copy_capacity_rps)
         # The last copy takes rate / (copies - 1) - rate / copies off each other one.
-        return served + rate * self._relief / (copies * (copies - 1))
+        relief = rate * self._relief / (copies * (copies - 1))
+        in_time = rate * (
+            self._late_fraction(rate, copies - 1) - self._late_fraction(rate, copies)
+        )
+        return max(served, in_time) + relief
+
+    def _late_fraction(self, rate: float, copies: int) -> float:
+        if self._pause_prompts is None:
+            return 0.0
+        utilization = rate / (copies * self._capacity_rps)
+        return late_fraction(utilization, self._pause_prompts)
 
     def _size_mb(self, name: str) -> float:
         model = self._spec.models.get(name)
@@ -312,6 +337,21 @@
 _NO_DEMAND = ModelDemand()
 
 
+def late_fraction(utilization: float, pause_prompts: float) -> float:
+    """Return the fraction of requests that the prompts of others make late.
+
+    Load: prompts that arrive at random at an engine whose streams allow a pause. It is
+    the chance that more prefill is pending than fits into the pause, as in a queue with
+    one server.
+
+    Args:
+        utilization: Fraction of time that the engine spends on prefill.
+        pause_prompts: Typical prompts that fit into the pause.
+    """
+    busy = min(utilization, 1.0)
+    return busy * math.exp((busy - 1) * pause_prompts)
+
+
 def demand_from_copies(
     engines: Sequence[EngineView], capacity_rps: float
 ) -> dict[str, ModelDemand]:
--- a/testing/test_moves.py
+++ b/testing/test_moves.py
@@ -9,11 +9,13 @@
 from testtools.matchers import Equals
 from testtools.matchers import GreaterThan
 from testtools.matchers import HasLength
+from testtools.matchers import LessThan
 from testtools.matchers import Not
 
 from copperrun.placement.moves import EngineView
 from copperrun.placement.moves import ModelDemand
 from copperrun.placement.moves import demand_from_copies
+from copperrun.placement.moves import late_fraction
 from copperrun.placement.moves import plan_moves
 from copperrun.routing.catalog import EngineSpec
 
@@ -256,3 +258,55 @@
             for view in engines
         ]
     raise AssertionError("moves were still planned after 20 rounds")
+
+
+def test_a_model_that_nobody_asked_for_evicts_nothing():
+    # Before callers came, half of the copies of the busiest model, as its operator had
+    # placed them, went for models that nobody asked for; loading them again took 5.8 s.
+    engines = [engine(str(number), "ab") for number in range(4)]
+    demand = {"a": ModelDemand(3.0, 3.0), "b": ModelDemand(3.0, 3.0)}
+    for known in (
+        demand,
+        {"a": ModelDemand(0.0, 3.0)},
+        demand_from_copies(engines, 12.0),
+    ):
+        assert_that(list(plan_moves(SPEC, engines, known, 0.1, 12.0)), Equals([]))
+    free = [*engines, engine("4")]
+    loaded = {move.model for move in plan_moves(SPEC, free, demand, 0.1, 12.0)}
+    assert_that(loaded, Not(Equals(set())))
+
+
+def test_a_rarely_asked_model_still_evicts_a_spare_copy():
+    engines = [engine(str(number), "ab") for number in range(4)]
+    demand = {"a": ModelDemand(3.0, 3.0), "c": ModelDemand(0.2, 0.2, waiting=1)}
+    moves = list(plan_moves(SPEC, engines, demand, 0.1, 12.0))
+    assert_that([move.model for move in moves], Contains("c"))
+
+
+def test_a_busy_model_gets_copies_until_its_requests_are_in_time():
+    # 27 requests a second at four engines: each prefilled for half of the time, and a
+    # quarter of the streams paused for longer than allowed, beside idle engines.
+    engines = [engine(str(number), "ab" if number < 4 else "cd") for number in range(8)]
+    demand = {"a": ModelDemand(27.0, 27.0)}
+    patient = list(plan_moves(SPEC, engines, demand, 0.1, 14.0))
+    hasty = list(plan_moves(SPEC, engines, demand, 0.1, 14.0, 3.0))
+    assert_that([move.model for move in patient], Not(Contains("a")))
+    copies = 4 + sum(move.model == "a" for move in hasty)
+    assert_that(copies, GreaterThan(4))
+    rate_per_copy = 27.0 / copies
+    assert_that(27.0 * late_fraction(rate_per_copy / 14.0, 3.0), LessThan(2.0))
+
+
+def test_no_further_copies_where_requests_are_in_time():
+    engines = [engine(str(number), "ab" if number < 4 else "cd") for number in range(8)]
+    demand = {"a": ModelDemand(6.0, 6.0)}
+    moves = list(plan_moves(SPEC, engines, demand, 0.1, 14.0, 3.0))
+    assert_that([move.model for move in moves], Not(Contains("a")))
+
+
+def test_the_late_fraction_grows_with_use_and_falls_with_the_pause():
+    shares = [late_fraction(use / 10, 3.0) for use in range(11)]
+    assert_that(shares, Equals(sorted(shares)))
+    assert_that((shares[0], shares[10]), Equals((0.0, 1.0)))
+    assert_that(late_fraction(0.5, 6.0), LessThan(late_fraction(0.5, 3.0)))
+    assert_that(late_fraction(2.0, 3.0), Equals(1.0))
