Merge main into placement

Cause: main has the memory of engines and its own form of the roles' start without TLS. Change: where both changed the start and the metrics of a role, main's form is kept; the metrics counted by hand are dropped. Result: formatter, linter and types pass; tests of moves, prefill, memory, metrics, processes, admission and claims pass.

--- a/src/copperrun/platform/daemon.py
+++ b/src/copperrun/platform/daemon.py
@@ -12,6 +12,7 @@
 from aiohttp import web
 from loguru import logger
 
+from copperrun.adapters.admission import NEWER_THAN
 from copperrun.adapters.admission import VIEW_PATH
 from copperrun.adapters.admission import EngineSideRoutes
 from copperrun.adapters.admission import HttpEngineSides
@@ -24,6 +25,7 @@
 from copperrun.adapters.origins import HttpOriginKeepers
 from copperrun.adapters.origins import OriginRoutes
 from copperrun.adapters.timers import SystemTimers
+from copperrun.admission.memory import EngineMemory
 from copperrun.configuration.catalog import CurrentCatalog
 from copperrun.entry.proxy import ProxyProcess
 from copperrun.membership.registry import Registry
@@ -42,8 +44,7 @@
 from copperrun.platform.connections import CallerServer
 from copperrun.platform.engine_control import HttpEngineControl
 from copperrun.platform.ingress import Ingress
-from copperrun.platform.metrics import CONTENT_TYPE
-from copperrun.platform.metrics import TextMetrics
+from copperrun.platform.metrics import MetricsOnDemand
 from copperrun.platform.records import decode_catalog
 from copperrun.platform.records import decode_server
 from copperrun.platform.settings import PlatformSettings
@@ -90,7 +91,7 @@
         self.settings_file = settings_file
         self.cfg = settings_file.cfg
         self.timers = SystemTimers()
-        self.metrics = TextMetrics()
+        self.metrics = MetricsOnDemand()
         self.shutdown = Shutdown()
         self.catalog = CurrentCatalog(decode_catalog)
         self._runners: list[web.AppRunner | web.ServerRunner] = []
@@ -115,19 +116,34 @@
             catalog_max_age_ms=self.cfg.apply_ms,
             asks_peers_first=not self.cfg.is_first_start,
         )
+        view.subscribe(self._update_sides)
         return store, view
 
+    def _update_sides(self, servers: list[ServerRecord]) -> None:
+        """Let peers be asked that are beside an engine."""
+        catalog = self.catalog.catalog
+        pools = catalog.pools if catalog is not None else {}
+        self.topic_peers.sides = [
+            self.side_address(server)
+            for server in servers
+            if server.pool in pools and pools[server.pool].engine is not None
+        ]
+
     def build_internal_app(self, view: PlatformView) -> web.Application:
         app = web.Application()
 
         async def handle_metrics(request: web.Request) -> web.Response:
-            return web.Response(
-                body=self.metrics.render(),
-                headers={"Content-Type": CONTENT_TYPE},
-            )
+            body, content_type = self.metrics.render()
+            return web.Response(body=body, headers={"Content-Type": content_type})
 
         async def handle_view(request: web.Request) -> web.Response:
-            return web.Response(body=encode_view(view.topic_snapshots()))
+            version = request.query.get(NEWER_THAN, "")
+            topics = (
+                view.newer_catalog(int(version))
+                if version.isdecimal()
+                else view.topic_snapshots()
+            )
+            return web.Response(body=encode_view(topics))
 
         app.router.add_get(METRICS_PATH, handle_metrics)
         app.router.add_get(VIEW_PATH, handle_view)
@@ -240,6 +256,8 @@
                 self.metrics,
                 peer_hosts=_peer_hosts(cfg),
                 is_first_start=cfg.is_first_start,
+                key_max_age_ms=cfg.key_max_age_ms,
+                engines_crash_when_full=cfg.engines_crash_when_full,
             )
             ingress = Ingress(process.handle, self._max_body_bytes)
             server = CallerServer(
@@ -332,7 +350,12 @@
                 self.timers,
                 self.metrics,
             )
-            admission = AdmissionController(placement, self.timers)
+            memory = EngineMemory() if cfg.engines_crash_when_full else None
+            admission = AdmissionController(
+                placement, self.timers, memory=memory, metrics=self.metrics
+            )
+            if memory is not None:
+                view.subscribe(lambda _: self._bound_queue(memory))
             process = PlacementProcess(
                 cfg.place.instance,
                 cfg.engine_address,
@@ -365,6 +388,12 @@
         super().apply_settings(cfg)
         self._load_limiter.limit = cfg.loads
 
+    def _bound_queue(self, memory: EngineMemory) -> None:
+        """Let no more bytes wait at the engine than one request may have."""
+        catalog = self.catalog.catalog
+        if catalog is not None:
+            memory.queue_bytes = catalog.limits.body_bytes
+
 
 def _peer_seeds(cfg: PlatformSettings) -> list[str]:
     own = f"{cfg.host}:{cfg.control_port}"
--- a/src/copperrun/platform/http_headers.py
+++ b/src/copperrun/platform/http_headers.py
@@ -11,6 +11,7 @@
 MODEL = "Model"  # MODEL or MODEL/ADAPTER
 TOKEN_USAGE = "Token-Usage"  # PROMPT,MAX_OUTPUT
 PROMPT_PARTS = "Prompt-Prefix"  # ID:TOKENS for each part, separated by commas
+OUTPUT_HINT = "Length-Hint"  # the caller's estimate of the output tokens
 LAST_EVENT_ID = "Last-Event-Id"
 AUTHORIZATION = "Authorization"  # Token KEY
 ACCOUNT = "Tenant"  # name of the client account, for servers
@@ -19,6 +20,7 @@
 SERVER_ID = "Instance-Id"  # in refusals and health checks: the server that answers
 PRIORITY = "Request-Priority"
 NOT_RUN = "Not-Executed"
+KEEP_ALIVE = "Keep-Alive"  # timeout=SECONDS, of an idle connection
 RETRY_AFTER = "Retry-After"
 SERVER_LEAVING = "Server-Leaving"  # "1" in all answers of a server that leaves
 STORE_ERA = "Store-Era"  # rises by one each time the store falls back to a copy
--- a/src/copperrun/platform/settings.py
+++ b/src/copperrun/platform/settings.py
@@ -16,6 +16,8 @@
 from copperrun.routing.retries import RetryBounds
 
 SETTINGS_PATH_VARIABLE = "COPPERRUN_BOOT"
+_RULES = "contracts"  # names of the platform's rules in force
+_FULL_ENGINES_CRASH = "pressure"
 LOAD_LIMIT_SLACK = 3  # loads allowed per window in addition to the rate
 
 
@@ -50,6 +52,10 @@
         loads: Bound on loads from the weight store.
         is_first_start: Whether the whole system starts for the first time, so that no
             peer knows more than the store.
+        key_max_age_ms: Time since the store confirmed the configuration after which
+            keys are no longer accepted; 0 when the last confirmed ones go on.
+        engines_crash_when_full: Whether an engine crashes once its requests need more
+            than its memory.
     """
 
     place: ProcessLocation
@@ -68,6 +74,8 @@
     retries: RetryBounds
     loads: LoadRateLimit
     is_first_start: bool
+    key_max_age_ms: int = 0
+    engines_crash_when_full: bool = False
 
 
 class SettingsFile:
@@ -173,9 +181,17 @@
             LOAD_LIMIT_SLACK,
         ),
         fields.get("bootstrap") is True,
+        _key_max_age_ms(bounds),
+        _FULL_ENGINES_CRASH in _get({_RULES: fields.get(_RULES) or []}, _RULES, list),
     )
 
 
+def _key_max_age_ms(bounds: Mapping[str, Any]) -> int:
+    if bounds.get("strict-revocation") is not True:
+        return 0
+    return int(_get(bounds, "revoke-ms", float))
+
+
 def _get(fields: Mapping[str, Any], name: str, kind: type) -> Any:
     value = fields.get(name)
     if kind is float and isinstance(value, int) and not isinstance(value, bool):
