Plan only as long as a side's own engine has a move to make

Cause: each side plans the moves of the whole pool three times a second, also while none of them is its own.

Change: a plan ends once no move of the side's own engine is worth making. The shortest pause of a pool's streams is now a method of the catalog, with its test.

Tests of moves, prefill, placement, claims, forwarding tables, admission and versions pass.

--- a/src/copperrun/admission/prefill.py
+++ b/src/copperrun/admission/prefill.py
@@ -315,7 +315,7 @@
 
 def pause_prefill_ms(gap_ms: int, tokens_per_event: int) -> float:
     """Return the time for prefill between two events whose longest gap is given."""
-    return GAP_BUDGET_FRACTION * gap_ms - tokens_per_event * DECODE_STEP_MS
+    return max(GAP_BUDGET_FRACTION * gap_ms - tokens_per_event * DECODE_STEP_MS, 0.0)
 
 
 def _urgency(ticket: Ticket, now_ms: int) -> tuple[int, bool, int]:
--- a/src/copperrun/placement/controller.py
+++ b/src/copperrun/placement/controller.py
@@ -369,11 +369,18 @@
                 pressure,
                 self.capacity_rps,
                 pause_prompts,
+                self.address,
             ):
                 if continuing[move.model]:
                     yield move
         yield from plan_moves(
-            spec, views, demand, pressure, self.capacity_rps, pause_prompts
+            spec,
+            views,
+            demand,
+            pressure,
+            self.capacity_rps,
+            pause_prompts,
+            self.address,
         )
 
     async def _advance_move(
--- a/src/copperrun/placement/moves.py
+++ b/src/copperrun/placement/moves.py
@@ -127,6 +127,7 @@
     pressure: float,
     capacity_rps: float,
     pause_prompts: float | None = None,
+    own: str = "",
 ) -> Iterator[Move]:
     """Yield the moves worth making now, the best first.
 
@@ -138,14 +139,22 @@
         capacity_rps: Requests per second that one engine can serve.
         pause_prompts: Typical prompts that an engine can prefill within the pause that
             streams allow; None when they allow any.
+        own: Engine whose moves alone the caller makes. The plan ends once no move of
+            its own is worth making: later moves of others seldom change that, and the
+            next plan sees them.
     """
     planner = _Planner(spec, engines, demand, pressure, capacity_rps, pause_prompts)
+    if own and not planner.has_move(own):
+        return
+    planner.update_engines()
     for _ in range(MAX_MOVES):
         move = planner.best_move()
         if move is None:
             return
         yield move
         planner.apply(move)
+        if own and not planner.has_move(own):
+            return
 
 
 @dataclass
@@ -200,9 +209,23 @@
         self._memory_mb = model_memory_mb(spec)
         total = sum(item.rate for item in demand.values())
         self._mean_rate = max(total / max(len(engines), 1), 0.001)
+
+    def update_engines(self) -> None:
+        """Compute what ``best_move`` needs of each engine."""
         for engine_id in self._available:
             self._update_engine(engine_id)
 
+    def has_move(self, engine_id: str) -> bool:
+        """Return whether any move of one engine is worth making."""
+        if engine_id not in self._available:
+            return False
+        self._update_engine(engine_id)
+        for value, name in self._models_by_value():
+            move = self._evaluate_move(engine_id, self._spec.models[name], value, None)
+            if move is not None and move.gain >= MIN_GAIN_RPS:
+                return True
+        return False
+
     def best_move(self) -> Move | None:
         """Return the move with the greatest gain, or None when none is worth it."""
         best: Move | None = None
--- a/src/copperrun/routing/catalog.py
+++ b/src/copperrun/routing/catalog.py
@@ -169,6 +169,15 @@
     limits: CallerLimits
     accounts: AccountTable | None = None
 
+    def shortest_gap_ms(self, pool: str) -> int:
+        """Return the shortest pause that streams of a pool allow; 0 for no limit."""
+        gaps_ms = [
+            route.target_gap_ms
+            for route in self.routes
+            if route.target_gap_ms and route.leads_to(pool)
+        ]
+        return min(gaps_ms, default=0)
+
 
 class RouteTable:
     """Finds the route of a request by host and longest prefix."""
--- a/src/copperrun/side/placement.py
+++ b/src/copperrun/side/placement.py
@@ -17,7 +17,6 @@
 from copperrun.ports.topics import TopicError
 from copperrun.ports.topics import TopicPosition
 from copperrun.ports.topics import TopicStore
-from copperrun.routing.catalog import Catalog
 from copperrun.routing.servers import ServerRecord
 
 CLAIM_RETRY_DELAY_MS = 1_000
@@ -108,7 +107,14 @@
         self._controller.spec = (
             catalog.pools[pool].engine if pool in catalog.pools else None
         )
-        self._controller.pause_ms = _pause_ms(catalog, pool)
+        gap_ms = catalog.shortest_gap_ms(pool)
+        engine = self._controller.spec
+        if engine is not None and gap_ms:
+            self._controller.pause_ms = pause_prefill_ms(
+                gap_ms, engine.tokens_per_event
+            )
+        else:
+            self._controller.pause_ms = None
         # Earlier starts of an engine may be listed until their records expire.
         newest: dict[str, ServerRecord] = {}
         for item in servers:
@@ -121,20 +127,3 @@
         self._controller.set_servers(
             self._engine_address, listed, list(newest.values())
         )
-
-
-def _pause_ms(catalog: Catalog, pool: str) -> float | None:
-    """Return the time for prefill in the shortest pause that the pool's streams allow.
-
-    Returns:
-        None when no route to the pool limits the pauses.
-    """
-    engine = catalog.pools[pool].engine if pool in catalog.pools else None
-    gaps_ms = [
-        route.target_gap_ms
-        for route in catalog.routes
-        if route.target_gap_ms and route.leads_to(pool)
-    ]
-    if engine is None or not gaps_ms:
-        return None
-    return max(pause_prefill_ms(min(gaps_ms), engine.tokens_per_event), 0.0)
--- a/testing/test_forwarding_tables.py
+++ b/testing/test_forwarding_tables.py
@@ -256,3 +256,17 @@
     assert_that(found.held, Equals({}))
     found.apply_report(ServerReport(100, {"m": frozenset()}, 1, 0, {}))
     assert_that(found.held, Equals({"m": frozenset()}))
+
+
+def test_the_shortest_pause_of_a_pool_is_that_of_the_routes_that_lead_to_it():
+    share = (PoolShare("llm", 1.0),)
+    routes = [
+        route(target_gap_ms=400, shares=share),
+        route(target_gap_ms=300, shares=share),
+        route(target_gap_ms=0, shares=share),
+        route(target_gap_ms=100, shares=(PoolShare("llm", 0.0), PoolShare("b", 1.0))),
+    ]
+    catalog = Catalog(1, routes, {}, CallerLimits())
+    assert_that(catalog.shortest_gap_ms("llm"), Equals(300))
+    assert_that(catalog.shortest_gap_ms("b"), Equals(100))
+    assert_that(catalog.shortest_gap_ms("pay"), Equals(0))
--- a/testing/test_moves.py
+++ b/testing/test_moves.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import random
+
 from factories import model
 from factories import spec
 from testtools.assertions import assert_that
@@ -310,3 +312,43 @@
     assert_that((shares[0], shares[10]), Equals((0.0, 1.0)))
     assert_that(late_fraction(0.5, 6.0), LessThan(late_fraction(0.5, 3.0)))
     assert_that(late_fraction(2.0, 3.0), Equals(1.0))
+
+
+def test_a_plan_for_one_engine_has_the_moves_that_the_whole_plan_has_for_it():
+    # A side planned the moves of all engines three times a second, also while none was
+    # its own: a third of its processor time with 23 engines and 66 models.
+    rng = random.Random(1)
+    expected_count = lost_count = 0
+    for _ in range(100):
+        engines = [
+            engine(str(n), "".join(rng.sample(NAMES, 2)), is_busy=rng.random() < 0.1)
+            for n in range(6)
+        ]
+        demand = {
+            name: ModelDemand(rng.random() * 20, rng.random() * 20)
+            for name in rng.sample(NAMES, 5)
+        }
+        whole = list(plan_moves(SPEC, engines, demand, 0.3, 12.0, 3.0))
+        for item in engines:
+            plan = plan_moves(SPEC, engines, demand, 0.3, 12.0, 3.0, item.id)
+            moves = list(plan)
+            assert_that(moves, Equals(whole[: len(moves)]))
+            expected = [move for move in whole if move.engine == item.id]
+            if expected and expected[0] is whole[0]:
+                assert_that(moves[:1], Equals(expected))
+            expected_count += bool(expected)
+            lost_count += bool(expected) and expected[0] not in moves
+    # Left to the next plan: moves that only an eviction by another engine is worth.
+    assert_that(expected_count, GreaterThan(50))
+    assert_that(lost_count, LessThan(0.02 * expected_count))
+
+
+def test_an_engine_without_a_worthwhile_move_plans_nothing():
+    engines = [engine("1", "ab"), engine("2", "cd", is_busy=True)]
+    demand = {"e": ModelDemand(5.0, 5.0, waiting=3)}
+    assert_that(
+        list(plan_moves(SPEC, engines, demand, 0.2, 12.0, None, "2")), Equals([])
+    )
+    assert_that(
+        list(plan_moves(SPEC, engines, demand, 0.2, 12.0, None, "1")), HasLength(1)
+    )
