--- a/src/copperrun/entry/proxy.py
+++ b/src/copperrun/entry/proxy.py
@@ -14,6 +14,7 @@
 from copperrun.admission.memory import MemoryShare
 from copperrun.entry.accounts import authenticate
 from copperrun.entry.accounts import outdated_keys
+from copperrun.entry.allotments import AllotmentGate
 from copperrun.entry.continuations import Continuations
 from copperrun.membership.archive import CrashArchive
 from copperrun.membership.exchange import CrashExchange
@@ -30,6 +31,7 @@
 from copperrun.ports.admission import PeerEngine
 from copperrun.ports.backends import BackendCall
 from copperrun.ports.backends import Backends
+from copperrun.ports.costs import Costs
 from copperrun.ports.crashes import CrashRelays
 from copperrun.ports.metrics import Metrics
 from copperrun.ports.origins import Keeper
@@ -43,6 +45,7 @@
 from copperrun.routing.catalog import Catalog
 from copperrun.routing.catalog import Route
 from copperrun.routing.crashes import CrashLog
+from copperrun.routing.estimates import with_estimate
 from copperrun.routing.origins import OriginTable
 from copperrun.routing.origins import StreamOrigin
 from copperrun.routing.quarantine import MAX_STAGGER_MS
@@ -115,6 +118,7 @@
         keepers: OriginKeepers,
         store: TopicStore,
         crashes_topic: str,
+        gate: AllotmentGate,
         retry_bounds: RetryBounds,
         timers: Timers,
         metrics: Metrics,
@@ -123,7 +127,9 @@
         is_first_start: bool = False,
         key_max_age_ms: int = 0,
         engines_crash_when_full: bool = False,
+        costs: Costs | None = None,
     ) -> None:
+        self._gate = gate
         self._key_max_age_ms = key_max_age_ms
         self.lifecycle = Lifecycle(location.instance)
         self.servers = ServerTable(timers)
@@ -140,6 +146,7 @@
         )
         self._budgets: dict[str, RetryWindow] = {}
         self._entry_count = INITIAL_ENTRY_COUNT
+        self._costs = costs
         self._memory_share: MemoryShare | None = None
         if engines_crash_when_full:
             self._memory_share = MemoryShare(INITIAL_ENTRY_COUNT)
@@ -165,6 +172,7 @@
             budget_for=self._budget_for,
             record_origin=self._origins.record,
             memory_share=self._memory_share,
+            costs=costs,
         )
 
     @property
@@ -200,6 +208,7 @@
             refresh.cancel()
             self._exchange.close()
             self._origins.close()
+            self._gate.close()
             for task in self._report_tasks.values():
                 task.cancel()
 
@@ -250,7 +259,16 @@
             await responder.refuse(_not_ready())
             return
         request = RoutedRequest(call, route, pool, now, now + limit_ms, origin, account)
-        await self._relay.handle(request, responder)
+        credit = await self._gate.admit(request, catalog.version)
+        if isinstance(credit, Refusal):
+            self._metrics.record_refusal(route.host, route.name, credit)
+            await responder.refuse(credit)
+            return
+        if self._costs is not None:
+            request = with_estimate(request, self._costs)
+        may_have_run = await self._relay.handle(request, responder)
+        if not may_have_run:
+            self._gate.give_back(credit)
 
     def _authenticate(
         self, call: BackendCall, route: Route, accounts: AccountTable
@@ -299,6 +317,7 @@
             or [Keeper(host, "") for host in self._peer_hosts]
         )
         engines = {server.id for server in records}
+        self._gate.set_engines(records)
         for server_id in self._report_tasks.keys() - engines:
             self._report_tasks.pop(server_id).cancel()
         for server_id in engines - self._report_tasks.keys():
--- a/src/copperrun/platform/settings.py
+++ b/src/copperrun/platform/settings.py
@@ -11,11 +11,13 @@
 
 import yaml
 
+from copperrun.admission.uses import QuotaBounds
 from copperrun.entry.proxy import ProcessLocation
 from copperrun.placement.loads import LoadRateLimit
 from copperrun.routing.retries import RetryBounds
 
 SETTINGS_PATH_VARIABLE = "COPPERRUN_BOOT"
+MB_BYTES = 10**6
 _RULES = "contracts"  # names of the platform's rules in force
 _FULL_ENGINES_CRASH = "pressure"
 LOAD_LIMIT_SLACK = 3  # loads allowed per window in addition to the rate
@@ -56,6 +58,8 @@
             keys are no longer accepted; 0 when the last confirmed ones go on.
         engines_crash_when_full: Whether an engine crashes once its requests need more
             than its memory.
+        quota: How closely limits of client accounts hold.
+        memory_bytes: Memory of the machine; 0 when not stated.
     """
 
     place: ProcessLocation
@@ -76,6 +80,8 @@
     is_first_start: bool
     key_max_age_ms: int = 0
     engines_crash_when_full: bool = False
+    quota: QuotaBounds = QuotaBounds()
+    memory_bytes: int = 0
 
 
 class SettingsFile:
@@ -183,6 +189,8 @@
         fields.get("bootstrap") is True,
         _key_max_age_ms(bounds),
         _FULL_ENGINES_CRASH in _get({_RULES: fields.get(_RULES) or []}, _RULES, list),
+        _quota(bounds),
+        _memory_bytes(fields),
     )
 
 
@@ -192,6 +200,16 @@
     return int(_get(bounds, "revoke-ms", float))
 
 
+def _quota(bounds: Mapping[str, Any]) -> QuotaBounds:
+    quota = QuotaBounds()
+    if "quota-overage" in bounds:
+        quota = quota._replace(overage=_get(bounds, "quota-overage", float))
+    if "quota-window-s" in bounds:
+        window_s = _get(bounds, "quota-window-s", float)
+        quota = quota._replace(window_ms=int(window_s * 1_000))
+    return quota
+
+
 def _get(fields: Mapping[str, Any], name: str, kind: type) -> Any:
     value = fields.get(name)
     if kind is float and isinstance(value, int) and not isinstance(value, bool):
@@ -201,6 +219,13 @@
     return value
 
 
+def _memory_bytes(fields: Mapping[str, Any]) -> int:
+    limits = fields.get("limits")
+    if not isinstance(limits, dict) or limits.get("memory-mb") is None:
+        return 0
+    return int(_get(limits, "memory-mb", float) * MB_BYTES)
+
+
 def _port(listen: Mapping[str, Any], name: str) -> int:
     if name not in listen:
         return 0
--- a/src/copperrun/routing/selector.py
+++ b/src/copperrun/routing/selector.py
@@ -24,11 +24,15 @@
 from copperrun.ports.admission import Granted
 from copperrun.ports.admission import NotHeld
 from copperrun.ports.admission import Overloaded
-from copperrun.ports.admission import PromptPart
-from copperrun.ports.backends import BackendCall
 from copperrun.ports.sides import SideError
 from copperrun.ports.sides import SideErrorReason
 from copperrun.ports.timers import Timers
+from copperrun.routing.alternatives import count_alternatives
+from copperrun.routing.alternatives import leave_to_streams
+from copperrun.routing.estimates import call_work_ms
+from copperrun.routing.estimates import lacks_memory
+from copperrun.routing.estimates import left_ms
+from copperrun.routing.estimates import with_needs
 from copperrun.routing.refusals import QUEUE_FULL_RETRY_AFTER_MS
 from copperrun.routing.refusals import larger_than_engine
 from copperrun.routing.refusals import no_server
@@ -80,7 +84,10 @@
             servers = self.untried_servers(request, progress)
             if not servers:
                 return self._no_server(request, progress)
-            candidates = [self._candidate(server) for server in servers]
+            candidates = [
+                self._candidate(server)._replace(work_ms=call_work_ms(server, request))
+                for server in servers
+            ]
             return servers[choose_plain_server(candidates)]
         while True:
             holder = await self._wait_for_holder(request, progress)
@@ -189,11 +196,11 @@
         self, request: RoutedRequest, progress: Progress
     ) -> Server | None:
         model, adapter = request.call.model, request.call.adapter
-        holders = [
-            s for s in self.untried_servers(request, progress) if model in s.held
-        ]
+        holders = self._holders(request, progress)
         if not holders:
             return None
+        if progress.origin is None:
+            holders = list(leave_to_streams(holders, self._slack_ms(request)))
         ranks = {server.record.id: 0 for server in holders}
         if adapter:
             ordered = sorted(holders, key=lambda s: _adapter_hash(s, model, adapter))
@@ -203,12 +210,32 @@
         candidates = [
             self._candidate(server)._replace(
                 adapter_rank=ranks[server.record.id],
-                is_full=_is_full(server, request.call),
+                is_full=lacks_memory(server, request),
+                work_ms=left_ms(server, request),
             )
             for server in holders
         ]
         return holders[choose_engine(candidates)]
 
+    def _holders(self, request: RoutedRequest, progress: Progress) -> list[Server]:
+        """Return the untried engines that hold the model of a request."""
+        model = request.call.model
+        return [s for s in self._iter_untried(request, progress) if model in s.held]
+
+    def _slack_ms(self, request: RoutedRequest) -> int:
+        """Return the time left until the first event is due; negative when past."""
+        due_ms = request.started_ms + request.route.target_ms
+        return due_ms - self._timers.now_ms()
+
+    def _is_confined(self, request: RoutedRequest, progress: Progress) -> bool:
+        """Return whether a new request could go to engines that this one may not."""
+        return progress.origin is not None and any(
+            request.call.model in server.held
+            and self._servers.is_usable(server)
+            and not self._may_continue(server, progress)
+            for server in self._servers.in_pool(request.pool.name)
+        )
+
     def _expected_load_ms(
         self, request: RoutedRequest, progress: Progress
     ) -> int | None:
@@ -235,24 +262,15 @@
         """
         call = request.call
         now = self._timers.now_ms()
-        target_ms = request.started_ms + request.route.target_ms - now
-        admission_request = AdmissionRequest(
-            request=call.id,
-            model=call.model,
-            adapter=call.adapter,
-            priority=request.rank,
-            tokens=call.prompt_tokens,
-            gap_ms=request.route.target_gap_ms,
-            target_ms=target_ms,
-            remaining_ms=request.first_event_deadline_ms - now,
+        slack_ms = self._slack_ms(request)
+        holders = self._holders(request, progress)
+        continues = self._is_confined(request, progress)
+        admission_request = self._admission_request(request, now)._replace(
+            alternatives=count_alternatives(holders, server, slack_ms),
+            continues=continues,
         )
-        if self._memory_share is not None:
-            admission_request = admission_request._replace(
-                output_tokens=call.output_tokens,
-                parts=tuple(map(PromptPart, call.prompt_parts, call.part_tokens)),
-                body_bytes=len(call.body or b""),
-            )
         server.begin_request()
+        server.waiting_streams += continues
         progress.admission = "waiting"
         progress.admitted_start_ms = 0
         progress.detail = f"waits to be admitted at {server.record.id}"
@@ -263,6 +281,7 @@
                 )
         finally:
             server.end_request()
+            server.waiting_streams -= continues
         progress.admission = type(admission).__name__
         progress.admitted_after_ms = self._timers.now_ms() - now
         match admission:
@@ -298,6 +317,23 @@
                 progress.tried.add(server.record.id)
                 return overloaded(retry_after_ms)
 
+    def _admission_request(
+        self, request: RoutedRequest, now_ms: int
+    ) -> AdmissionRequest:
+        call = request.call
+        req = AdmissionRequest(
+            request=call.id,
+            model=call.model,
+            adapter=call.adapter,
+            priority=request.rank,
+            tokens=call.prompt_tokens,
+            gap_ms=request.route.target_gap_ms,
+            target_ms=self._slack_ms(request),
+            remaining_ms=request.first_event_deadline_ms - now_ms,
+            account=request.account.name if request.account else "",
+        )
+        return with_needs(req, request, counts_memory=self._memory_share is not None)
+
     def _fits_own_share(self, request: RoutedRequest, server: Server) -> bool:
         """Return whether a request fits this entry's share of an engine's memory.
 
@@ -307,7 +343,7 @@
         if self._memory_share is None or engine is None:
             return True
         return self._memory_share.fits(
-            server.inflight_tokens, request.call.memory_tokens, engine.cache_tokens
+            server.work.own_tokens, request.call.memory_tokens, engine.cache_tokens
         )
 
     async def _is_start_sure(self, server: Server, progress: Progress) -> bool:
@@ -402,11 +438,6 @@
     return SideError(SideErrorReason.UNREACHABLE, "the side does not answer")
 
 
-def _is_full(server: Server, call: BackendCall) -> bool:
-    free_tokens = server.free_tokens
-    return free_tokens is not None and call.memory_tokens > free_tokens
-
-
 def _adapter_hash(server: Server, model: str, adapter: str) -> int:
     key = f"{server.record.address}/{model}/{adapter}"
     return int(xxhash.xxh64_intdigest(key.encode()))
