--- a/src/copperrun/side/placement.py
+++ b/src/copperrun/side/placement.py
@@ -6,6 +6,7 @@
 
 from loguru import logger
 
+from copperrun.admission.prefill import pause_prefill_ms
 from copperrun.membership.claims import topic_epoch
 from copperrun.membership.lifecycle import Lifecycle
 from copperrun.membership.lifecycle import State
@@ -106,6 +107,14 @@
         self._controller.spec = (
             catalog.pools[pool].engine if pool in catalog.pools else None
         )
+        gap_ms = catalog.shortest_gap_ms(pool)
+        engine = self._controller.spec
+        if engine is not None and gap_ms:
+            self._controller.pause_ms = pause_prefill_ms(
+                gap_ms, engine.tokens_per_event
+            )
+        else:
+            self._controller.pause_ms = None
         # Earlier starts of an engine may be listed until their records expire.
         newest: dict[str, ServerRecord] = {}
         for item in servers:
