Hold the limits of callers over all entries of copperrun's own interface

Cause: each entry granted an equal share, so that a caller whose requests end at one of N entries got an Nth of its limit. A keeper that had just begun refused requests below the limit for some milliseconds (scenario service_side_drained_while_it_works).

Change: the limiter of client accounts serves both request paths; sides keep the limits, with claims in a stream of the log that count only at the offset they state. While no keeper answers an entry grants its equal share, less what it has used. A request for which units come within a quarter of its target waits for them in its order.

--- a/src/copperrun/adapters/allotments.py
+++ b/src/copperrun/adapters/allotments.py
@@ -13,6 +13,7 @@
 from copperrun.adapters.client import HttpFailureReason
 from copperrun.adapters.sides import side_error
 from copperrun.gen import ttypes
+from copperrun.membership.directory import Directory
 from copperrun.membership.tenures import TenureKeeper
 from copperrun.ports.allotments import CreditGrant
 from copperrun.ports.allotments import CreditRequest
@@ -102,6 +103,17 @@
         return reply.body
 
 
+def open_keepers(client: HttpClient, directory: Directory) -> HttpAllotmentKeepers:
+    """Return calls to sides by their names in the instance list."""
+
+    def resolve_address(name: str) -> str:
+        side = directory.find(name)
+        # Without an address nothing is sent.
+        return side.address if side is not None else ""
+
+    return HttpAllotmentKeepers(client, resolve_address)
+
+
 class AllotmentRoutes:
     """Handlers of a process that may keep allotments."""
 
--- a/src/copperrun/admission/credits.py
+++ b/src/copperrun/admission/credits.py
@@ -39,11 +39,14 @@
 # retry reaches another entry.
 NO_KEEPER_PAUSE_MS = 200
 SILENT_TTL_MS = 2_000  # a keeper that did not answer is passed over
+# Of the time that a request may wait for the keeper, for units that are to come.
+PATIENCE_FRACTION = 0.5
 MAX_SPREAD_MS = 1_000  # between the retries of callers refused at one time
 
 
 class _Waiter(NamedTuple):
     use: AccountUse
+    patience_ms: int  # until when it waits for units that come
     fut: asyncio.Future[Credit | Refusal]
 
 
@@ -98,15 +101,20 @@
             if account.stock.is_low(now) and account.may_ask(use, now):
                 channel.want(account)
             return credit
-        if not account.may_ask(use, now):
+        patience_ms = now + int(PATIENCE_FRACTION * wait_ms)
+        may_ask = account.may_ask(use, now)
+        if not may_ask and account.units_come_ms(use) > patience_ms:
             return account.refuse(use, now)
         if channel.is_silent(now):
             return no_keeper(use)
         fut: asyncio.Future[Credit | Refusal] = (
             asyncio.get_running_loop().create_future()
         )
-        account.waiters.append(_Waiter(use, fut))
-        channel.want(account)
+        account.waiters.append(_Waiter(use, patience_ms, fut))
+        if may_ask:
+            channel.want(account)
+        else:
+            channel.want_later(account)
         try:
             async with self._timers.timeout_ms(wait_ms):
                 return await fut
@@ -153,6 +161,7 @@
     Attributes:
         stock: Units that may be used.
         waiters: Requests that wait for units, in the order in which they came.
+        refused_until_ms: When there will be units again, as the keeper has said.
     """
 
     def __init__(self, use: AccountUse, lapse_ms: int) -> None:
@@ -161,7 +170,7 @@
         self._name = use.account.name
         self._allotment = use.allotment
         self._version = use.version
-        self._refused_until_ms = 0
+        self.refused_until_ms = 0
         self._refused_cost = 0
         self._refused_count = 0
         self._used = 0
@@ -182,7 +191,7 @@
         if use.version <= self._version:
             return
         if use.allotment != self._allotment:
-            self._refused_until_ms = 0
+            self.refused_until_ms = 0
         self._version, self._allotment = use.version, use.allotment
 
     def take(self, use: AccountUse, now_ms: int) -> Credit | None:
@@ -192,7 +201,7 @@
 
     def may_ask(self, use: AccountUse, now_ms: int) -> bool:
         """Whether the keeper may have units now; it has said when it will have."""
-        return now_ms >= self._refused_until_ms or use.cost < self._refused_cost
+        return now_ms >= self.refused_until_ms or use.cost < self._refused_cost
 
     def request(self, now_ms: int) -> _Question:
         """Return what to ask for and the requests that it is for."""
@@ -207,8 +216,17 @@
         )
         return _Question(request, asked)
 
+    def units_come_ms(self, use: AccountUse) -> float:
+        """Return when there may be units for a request, behind those that wait."""
+        before = sum(item.use.cost for item in self.waiters if not item.fut.done())
+        return self.refused_until_ms + before / self._allotment.rate_per_s * 1_000
+
     def apply(self, grant: CreditGrant, asked: Sequence[_Waiter], now_ms: int) -> None:
-        """Give out granted units, and refuse the requests that they don't reach."""
+        """Give out granted units.
+
+        Requests that they don't reach wait if more units come soon enough, and are
+        refused otherwise.
+        """
         self._used, self._used_ms = grant.used, now_ms
         waiting = [waiter for waiter in asked if not waiter.fut.done()]
         for number, waiter in enumerate(waiting):
@@ -220,13 +238,20 @@
                 # What was granted has lapsed on its way.
                 self.fail(waiting[number:])
                 return
-            self._refused_until_ms = now_ms + grant.retry_after_ms
+            self.refused_until_ms = now_ms + grant.retry_after_ms
             self._refused_cost = waiter.use.cost
             self._refused_count = 0
-            for refused in waiting[number:]:
-                refused.fut.set_result(self.refuse(refused.use, now_ms))
+            self._refuse_late(waiting[number:], now_ms)
             return
 
+    def _refuse_late(self, waiting: Sequence[_Waiter], now_ms: int) -> None:
+        come_ms = float(self.refused_until_ms)
+        for waiter in waiting:
+            if come_ms > waiter.patience_ms:
+                waiter.fut.set_result(self.refuse(waiter.use, now_ms))
+            else:
+                come_ms += waiter.use.cost / self._allotment.rate_per_s * 1_000
+
     def fail(self, waiters: Iterable[_Waiter]) -> None:
         """Refuse requests for which no keeper has answered in time."""
         for waiter in waiters:
@@ -240,7 +265,7 @@
         """
         spread_ms = self._refused_count * use.cost / self._allotment.rate_per_s * 1_000
         self._refused_count += 1
-        wait_ms = max(self._refused_until_ms - now_ms, 1)
+        wait_ms = max(self.refused_until_ms - now_ms, 1)
         wait_ms += int(min(spread_ms, MAX_SPREAD_MS))
         limit = self._allotment
         logger.info(
@@ -283,6 +308,7 @@
         self._paused_until_ms = 0
         self._wanted: dict[int, _Account] = {}
         self._task: asyncio.Task[None] | None = None
+        self._later: dict[int, asyncio.Task[None]] = {}
 
     def set_hosts(self, hosts: Iterable[str]) -> None:
         """Set the hosts whose processes may be the keeper."""
@@ -298,19 +324,37 @@
         if self._task is None or self._task.done():
             self._task = asyncio.create_task(self._run())
 
+    def want_later(self, account: _Account) -> None:
+        """Ask for units of an account once it has some, as its keeper has said."""
+        if id(account) not in self._later:
+            task = asyncio.create_task(self._want_at(account))
+            self._later[id(account)] = task
+            task.add_done_callback(lambda _: self._later.pop(id(account), None))
+
+    async def _want_at(self, account: _Account) -> None:
+        while (wait_ms := account.refused_until_ms - self._timers.now_ms()) > 0:
+            await self._timers.sleep_ms(wait_ms)
+        self.want(account)
+
     def close(self) -> None:
         """End the questions."""
-        if self._task is not None:
-            self._task.cancel()
+        for task in (self._task, *self._later.values()):
+            if task is not None:
+                task.cancel()
 
     async def _run(self) -> None:
         while self._wanted:
             accounts = list(self._wanted.values())
             self._wanted.clear()
             await self._exchange(accounts)
+            now = self._timers.now_ms()
             for account in accounts:
-                if any(not waiter.fut.done() for waiter in account.waiters):
+                if all(waiter.fut.done() for waiter in account.waiters):
+                    continue
+                if now >= account.refused_until_ms:
                     self._wanted[id(account)] = account
+                else:
+                    self.want_later(account)
 
     async def _exchange(self, accounts: Sequence[_Account]) -> None:
         sent_ms = self._timers.now_ms()
--- a/src/copperrun/entry/api.py
+++ b/src/copperrun/entry/api.py
@@ -65,7 +65,7 @@
         caller_request = await self._read_request(request, request.path)
         if isinstance(caller_request, web.StreamResponse):
             return caller_request
-        admitted = self._gateway.admit_model(caller_request)
+        admitted = await self._gateway.admit_model(caller_request)
         if isinstance(admitted, Refusal):
             return self._refuse(admitted, caller_request.id)
         if admitted.dispatch_request.template.stream:
@@ -81,7 +81,7 @@
         caller_request = await self._read_request(request, path)
         if isinstance(caller_request, web.StreamResponse):
             return caller_request
-        admitted = self._gateway.admit_service(caller_request, service)
+        admitted = await self._gateway.admit_service(caller_request, service)
         if isinstance(admitted, Refusal):
             return self._refuse(admitted, caller_request.id)
         return await self._respond_whole(admitted)
--- a/src/copperrun/entry/daemon.py
+++ b/src/copperrun/entry/daemon.py
@@ -9,6 +9,7 @@
 import aiohttp
 from aiohttp import web
 
+from copperrun.adapters.allotments import open_keepers
 from copperrun.adapters.client import HttpClient
 from copperrun.adapters.client import open_session
 from copperrun.adapters.configuration_peers import HttpConfigurationPeers
@@ -85,6 +86,7 @@
             timers=self._timers,
             metrics=self._metrics,
             open_peers=partial(HttpConfigurationPeers, internal, settings.instance),
+            open_keepers=partial(open_keepers, internal),
         )
         return EntryProcess(
             settings.instance, ports, default_deadline_ms=settings.default_deadline
--- a/src/copperrun/entry/gateway.py
+++ b/src/copperrun/entry/gateway.py
@@ -8,7 +8,8 @@
 
 from loguru import logger
 
-from copperrun.admission.limits import RateLimiter
+from copperrun.admission.limits import CallerLimiter
+from copperrun.admission.stock import Credit
 from copperrun.configuration.follower import ConfigurationFollower
 from copperrun.configuration.schema import Configuration
 from copperrun.configuration.schema import ServiceClass
@@ -34,6 +35,8 @@
 from copperrun.routing.router import Target
 
 NOT_READY_RETRY_AFTER_MS = 1_000
+# Of a request's target, spent at most on asking for the limit of its caller.
+LIMIT_WAIT_FRACTION = 0.5
 NOT_ADMITTED_RETRY_AFTER_MS = 60_000
 
 
@@ -70,11 +73,13 @@
         arrived_ms: Arrival by the monotonic clock, in milliseconds.
         service_class: Class whose latency targets apply.
         dispatch_request: Request for the dispatcher.
+        credit: What it uses of its caller's limit; None when no keeper granted it.
     """
 
     arrived_ms: int
     service_class: ServiceClass
     dispatch_request: DispatchRequest
+    credit: Credit | None = None
 
 
 class _RequestedDeployment(NamedTuple):
@@ -97,7 +102,7 @@
     def __init__(
         self,
         follower: ConfigurationFollower,
-        limiter: RateLimiter,
+        limiter: CallerLimiter,
         dispatcher: Dispatcher,
         timers: Timers,
         metrics: Metrics,
@@ -127,7 +132,7 @@
                 names += [name, *(f"{name}:{adapter}" for adapter in adapters)]
         return names
 
-    def admit_model(self, request: CallerRequest) -> AdmittedRequest | Refusal:
+    async def admit_model(self, request: CallerRequest) -> AdmittedRequest | Refusal:
         """Authenticate and check a completion request."""
         cfg = self._follower.configuration
         if cfg is None:
@@ -141,9 +146,10 @@
         refusal = check_model(cfg, parsed.deployment, parsed.adapter)
         if refusal is not None:
             return refusal
-        return self._admit(cfg, identity, request, _RequestedDeployment(*parsed))
+        requested = _RequestedDeployment(*parsed)
+        return await self._admit(cfg, identity, request, requested)
 
-    def admit_service(
+    async def admit_service(
         self, request: CallerRequest, service: str
     ) -> AdmittedRequest | Refusal:
         """Authenticate and check a call of a plain service."""
@@ -161,7 +167,8 @@
             refusal = check_idempotency_key(request.idempotency_key)
             if refusal is not None:
                 return refusal
-        return self._admit(cfg, identity, request, _RequestedDeployment(service))
+        requested = _RequestedDeployment(service)
+        return await self._admit(cfg, identity, request, requested)
 
     async def submit(self, admitted: AdmittedRequest) -> Answer | Refusal:
         """Dispatch a request; return its whole answer or a refusal."""
@@ -210,7 +217,7 @@
     def record_refusal(
         self, request_id: str, refusal: Refusal, admitted: AdmittedRequest | None = None
     ) -> None:
-        """Log and count a refusal."""
+        """Log and count a refusal; a request that has not run uses nothing."""
         tenant = service_class = caller = "-"
         revision = self._follower.revision
         if admitted is not None:
@@ -218,6 +225,8 @@
             tenant, service_class = template.tenant, template.service_class
             caller, revision = template.caller, template.revision
         self._metrics.record_refusal(tenant, service_class, refusal)
+        if admitted is not None and admitted.credit and refusal.ran is Ran.NO:
+            self._limiter.give_back(admitted.credit)
         if admitted is not None and not is_caller_error(refusal):
             self._metrics.record_missed(tenant, service_class)
         logger.info(
@@ -230,7 +239,7 @@
             ran=refusal.ran.value,
         )
 
-    def _admit(
+    async def _admit(
         self,
         cfg: Configuration,
         identity: Identity,
@@ -241,21 +250,31 @@
         remaining_ms = parse_deadline(request.deadline, self._default_deadline_ms)
         if isinstance(remaining_ms, Refusal):
             return remaining_ms
-        refusal = (
-            authorize(identity, requested.name)
-            or _check_preset(cfg, caller.service_class)
-            or self._limiter.admit(identity.name, caller)
+        refusal = authorize(identity, requested.name) or _check_preset(
+            cfg, caller.service_class
         )
         if refusal is not None:
             return refusal
+        service_class = cfg.classes[caller.service_class]
+        target_ms = min(service_class.first_token, service_class.whole)
+        credit = await self._limiter.admit(
+            identity.name,
+            caller,
+            self._follower.revision,
+            request.id,
+            min(int(LIMIT_WAIT_FRACTION * target_ms), remaining_ms),
+        )
+        if isinstance(credit, Refusal):
+            return credit
         dispatch_request = DispatchRequest(
             request_id=request.id,
             target=Target(requested.name, requested.affinity),
             template=self._build_template(identity, request, requested),
             deadline_ms=request.arrived_ms + remaining_ms,
         )
-        service_class = cfg.classes[caller.service_class]
-        return AdmittedRequest(request.arrived_ms, service_class, dispatch_request)
+        return AdmittedRequest(
+            request.arrived_ms, service_class, dispatch_request, credit
+        )
 
     def _build_template(
         self,
--- a/src/copperrun/entry/process.py
+++ b/src/copperrun/entry/process.py
@@ -8,7 +8,9 @@
 from random import Random
 from typing import NamedTuple
 
-from copperrun.admission.limits import RateLimiter
+from copperrun.admission.credits import Credits
+from copperrun.admission.limits import CallerLimiter
+from copperrun.admission.uses import QuotaBounds
 from copperrun.configuration.follower import ConfigurationFollower
 from copperrun.configuration.snapshots import Snapshotter
 from copperrun.entry.gateway import Gateway
@@ -17,6 +19,7 @@
 from copperrun.membership.lifecycle import State
 from copperrun.model import Instance
 from copperrun.model import Role
+from copperrun.ports.allotments import AllotmentKeepers
 from copperrun.ports.configuration_peers import ConfigurationPeers
 from copperrun.ports.instances import Instances
 from copperrun.ports.log import Log
@@ -37,6 +40,7 @@
     timers: Timers
     metrics: Metrics
     open_peers: Callable[[Directory], ConfigurationPeers]
+    open_keepers: Callable[[Directory], AllotmentKeepers]
 
 
 class EntryProcess:
@@ -61,7 +65,9 @@
         )
         self.sides = SideTable(ports.sides, ports.timers)
         router = Router(self.sides, random or Random())
-        limiter = RateLimiter(ports.timers)
+        keepers = ports.open_keepers(self.directory)
+        credits = Credits(keepers, ports.timers, QuotaBounds())
+        limiter = CallerLimiter(credits, ports.timers)
         dispatcher = Dispatcher(
             router, self.sides, ports.sides, ports.timers, ports.metrics
         )
@@ -103,11 +109,13 @@
     def close(self) -> None:
         """Stop following the sides."""
         self.sides.close()
+        self._limiter.close()
 
     def _set_instances(self, instances: Sequence[Instance]) -> None:
         self.sides.set_instances(instances)
         self._router.set_instances(instances)
-        self._limiter.entry_count = max(1, len(self.directory.live(Role.ENTRY)))
+        sides = [side.id for side in self.directory.live(Role.SIDE)]
+        self._limiter.set_instances(sides, len(self.directory.live(Role.ENTRY)))
         own = self.directory.find(self.instance)
         if own is not None and own.leaving:
             self.lifecycle.leave()
--- a/src/copperrun/side/daemon.py
+++ b/src/copperrun/side/daemon.py
@@ -8,6 +8,7 @@
 
 import aiohttp
 
+from copperrun.adapters.allotments import open_keepers
 from copperrun.adapters.client import HttpClient
 from copperrun.adapters.client import open_session
 from copperrun.adapters.configuration_peers import HttpConfigurationPeers
@@ -96,6 +97,7 @@
             timers=self._timers,
             metrics=self._metrics,
             open_peers=partial(HttpConfigurationPeers, internal, settings.instance),
+            open_keepers=partial(open_keepers, internal),
         )
         return SideProcess(identity, ports)
 
--- a/src/copperrun/side/process.py
+++ b/src/copperrun/side/process.py
@@ -16,13 +16,18 @@
 from copperrun.configuration.schema import Configuration
 from copperrun.configuration.schema import Service as ServiceSpec
 from copperrun.idempotency.journal import Journal
+from copperrun.membership.claim_log import Incarnation
 from copperrun.membership.directory import Directory
 from copperrun.membership.lifecycle import State
+from copperrun.membership.log_topics import LogTopics
+from copperrun.membership.tenures import TenureKeeper
 from copperrun.model import Instance
+from copperrun.model import Role
 from copperrun.placement.ledger import Ledger
 from copperrun.placement.orders import OrderExecutor
 from copperrun.placement.pins import PinClient
 from copperrun.placement.reconciler import DeploymentReconciler
+from copperrun.ports.allotments import AllotmentKeepers
 from copperrun.ports.configuration_peers import ConfigurationPeers
 from copperrun.ports.engine import Engine
 from copperrun.ports.instances import Instances
@@ -39,6 +44,7 @@
 from copperrun.side.plain_server import PlainServer
 
 INCARNATION_BITS = 62
+ALLOTMENTS_STREAM = "allotments"
 
 
 @dataclass(frozen=True)
@@ -66,6 +72,7 @@
     timers: Timers
     metrics: Metrics
     open_peers: Callable[[Directory], ConfigurationPeers]
+    open_keepers: Callable[[Directory], AllotmentKeepers]
 
 
 class SideIdentity(NamedTuple):
@@ -97,6 +104,14 @@
         )
         self.queue = AdmissionQueue(ports.timers, slots=1)
         self.ledger = Ledger(0)
+        by = Incarnation(identity.instance, Role.SIDE.value, str(self.incarnation))
+        self.keeper = TenureKeeper(
+            by,
+            LogTopics(ports.log),
+            ALLOTMENTS_STREAM,
+            ports.open_keepers(self.directory),
+            ports.timers,
+        )
         self._ports = ports
         self._server: ModelServer | PlainServer
         self._engine_manager: EngineManager | None = None
@@ -124,10 +139,17 @@
 
     async def run(self) -> None:
         """Serve until cancelled."""
+        try:
+            await self._run()
+        finally:
+            self.keeper.close()
+
+    async def _run(self) -> None:
         async with asyncio.TaskGroup() as tasks:
             tasks.create_task(self.follower.run())
             tasks.create_task(self.directory.run())
             self.directory.subscribe(self._watch_own_instance)
+            self.directory.subscribe(lambda _: self._prepare_keeper())
             if self._engine_manager is not None:
                 await self._engine_manager.initialize()
                 tasks.create_task(self._claim(self._engine_manager))
@@ -197,11 +219,19 @@
             logger.error("pool not in configuration", pool=self.identity.pool)
             return
         self.queue.set_slots(pool.slots)
+        self._prepare_keeper()
         if self._engine_manager is not None:
             self._engine_manager.configure(cfg, revision, pool)
         if isinstance(self._server, PlainServer):
             self._server.set_configuration(cfg, self.identity.pool)
 
+    def _prepare_keeper(self) -> None:
+        """Claim limits that entries will ask this side for."""
+        cfg = self.follower.configuration
+        sides = frozenset(side.id for side in self.directory.live(Role.SIDE))
+        if cfg is not None and self.identity.instance in sides:
+            self.keeper.prepare(cfg.callers, sides)
+
     async def _claim(self, manager: EngineManager) -> None:
         ports = self._ports
         await manager.claim(
--- a/src/copperrun/side/server.py
+++ b/src/copperrun/side/server.py
@@ -9,6 +9,7 @@
 from aiohttp import web
 
 from copperrun.adapters import wire
+from copperrun.adapters.allotments import AllotmentRoutes
 from copperrun.adapters.events import EVENT_STREAM
 from copperrun.adapters.events import Event
 from copperrun.adapters.events import encode_event
@@ -44,6 +45,7 @@
     app.router.add_post(CANCEL_PATH, handlers.cancel)
     app.router.add_get(HELLO_PATH, handlers.hello)
     app.router.add_post(PIN_PATH, handlers.pin)
+    AllotmentRoutes(process.keeper).add_to(app)
     return app
 
 
--- a/testing/installation.py
+++ b/testing/installation.py
@@ -121,6 +121,7 @@
             self.timers,
             NullMetrics(),
             lambda _: self,
+            lambda _: self.sides,
         )
         entry = EntryProcess(
             name, ports, default_deadline_ms=30_000, random=self._random
@@ -183,7 +184,7 @@
         """Send an unrepeatable call through an entry."""
         gateway = self.entries[entry].gateway
         request = self.request(body, path="/payouts", key=key, **fields)
-        admitted = gateway.admit_service(request, "ledger")
+        admitted = await gateway.admit_service(request, "ledger")
         if isinstance(admitted, Refusal):
             return admitted
         return await gateway.submit(admitted)
@@ -193,7 +194,7 @@
     ) -> Answer | Refusal:
         """Send a completion through an entry."""
         gateway = self.entries[entry].gateway
-        admitted = gateway.admit_model(self.request(body, **fields))
+        admitted = await gateway.admit_model(self.request(body, **fields))
         if isinstance(admitted, Refusal):
             return admitted
         return await gateway.submit(admitted)
@@ -203,7 +204,7 @@
     ) -> list[str | Refusal]:
         """Send a streamed completion and return all items received."""
         gateway = self.entries[entry].gateway
-        admitted = gateway.admit_model(self.request(body))
+        admitted = await gateway.admit_model(self.request(body))
         if isinstance(admitted, Refusal):
             return [admitted]
         return [item async for item in gateway.stream(admitted)]
@@ -228,6 +229,7 @@
             self.timers,
             NullMetrics(),
             lambda _: self,
+            lambda _: GatedPort(self.sides, gate),
         )
         process = SideProcess(identity, ports)
         self.sides.processes[name] = process
--- a/testing/network.py
+++ b/testing/network.py
@@ -7,6 +7,7 @@
 from collections.abc import AsyncGenerator
 from collections.abc import AsyncIterator
 from collections.abc import Callable
+from collections.abc import Sequence
 from contextvars import Context
 from contextvars import ContextVar
 from contextvars import copy_context
@@ -26,11 +27,16 @@
 from copperrun.model import Refusal
 from copperrun.model import StreamEnd
 from copperrun.model import StreamStart
+from copperrun.ports.allotments import CreditGrant
+from copperrun.ports.allotments import CreditRequest
+from copperrun.ports.allotments import EndedTenure
+from copperrun.ports.allotments import NotKeeper
 from copperrun.ports.sides import SideError
 from copperrun.ports.sides import SideErrorReason
 from copperrun.ports.sides import SideReply
 from copperrun.ports.sides import SideStatus
 from copperrun.ports.sides import StreamItem
+from copperrun.ports.topics import TopicPosition
 from copperrun.side.agent import Agent
 from copperrun.side.process import SideProcess
 
@@ -236,6 +242,47 @@
             return SideError(SideErrorReason.ANSWER_LOST, "no answer")
         return self.processes[address].status()
 
+    async def request_credits(
+        self,
+        host: str,
+        group: int,
+        version: int,
+        requests: Sequence[CreditRequest],
+        silent: str,
+        timeout_ms: int,
+    ) -> Sequence[CreditGrant] | NotKeeper | SideError:
+        if self._agent(host) is None:
+            return SideError(SideErrorReason.UNREACHABLE, "refused")
+        handler = asyncio.create_task(
+            self._grant(host, group, version, requests, silent),
+            context=self.context_of(host),
+        )
+        try:
+            async with self._timers.timeout_ms(timeout_ms):
+                return await handler
+        except TimeoutError:
+            return SideError(SideErrorReason.ANSWER_LOST, "no answer")
+        except asyncio.CancelledError:
+            if not handler.cancelled() or _is_cancelled():
+                raise
+            return SideError(SideErrorReason.ANSWER_LOST, "closed")
+
+    async def _grant(
+        self, host: str, group: int, version: int, requests: Any, silent: str
+    ) -> Sequence[CreditGrant] | NotKeeper:
+        await self.gates[host].wait()
+        return await self.processes[host].keeper.grant(group, version, requests, silent)
+
+    async def end_tenure(
+        self, host: str, group: int, claimed: TopicPosition, timeout_ms: int
+    ) -> EndedTenure | SideError:
+        if host not in self.processes:
+            return EndedTenure({})
+        if self.faults[host].cut or not self.gates[host].is_open:
+            await self._timers.sleep_ms(timeout_ms)
+            return SideError(SideErrorReason.ANSWER_LOST, "no answer")
+        return self.processes[host].keeper.end_tenure(group, claimed)
+
     async def _deliver(
         self, agent: Agent, attempt: Attempt, faults: LinkFaults
     ) -> Answer | Refusal:
--- a/testing/scenarios.py
+++ b/testing/scenarios.py
@@ -298,7 +298,7 @@
         call.request_id = request.id
 
         async def send() -> None:
-            admitted = gateway.admit_service(request, "ledger")
+            admitted = await gateway.admit_service(request, "ledger")
             if isinstance(admitted, AdmittedRequest):
                 call.items.append(await gateway.submit(admitted))
             else:
@@ -328,7 +328,7 @@
         call.request_id = request.id
 
         async def send() -> None:
-            admitted = gateway.admit_model(request)
+            admitted = await gateway.admit_model(request)
             if isinstance(admitted, Refusal):
                 call.items.append(admitted)
             elif stream:
--- a/testing/test_installation.py
+++ b/testing/test_installation.py
@@ -357,8 +357,10 @@
         installation.instances.mark_leaving("assistant-0")
         await installation.timers.advance(3_000)
         process = installation.sides.processes["assistant-0"]
-        admitted = installation.entries["entry-0"].gateway.admit_model(
-            installation.request(BODY)
+        admitted = await installation.wait(
+            installation.entries["entry-0"].gateway.admit_model(
+                installation.request(BODY)
+            )
         )
         assert isinstance(admitted, AdmittedRequest)
         # An entry that has not learned of it yet still sends.
--- a/testing/test_queue.py
+++ b/testing/test_queue.py
@@ -10,7 +10,7 @@
 from testtools.matchers import Is
 from testtools.matchers import IsInstance
 
-from copperrun.admission.limits import RateLimiter
+from copperrun.admission.limits import EqualShare
 from copperrun.admission.queue import AdmissionQueue
 from copperrun.admission.queue import Slot
 from copperrun.admission.queue import Ticket
@@ -167,9 +167,9 @@
     asyncio.run(scenario())
 
 
-def test_rate_is_shared_among_entries() -> None:
+def test_the_share_of_an_entry_is_its_part_of_the_rate() -> None:
     timers = ManualTimers()
-    limiter = RateLimiter(timers)
+    limiter = EqualShare(timers)
     limiter.entry_count = 2
     caller = Caller("t", "c", requests_per_second=10, burst=4)
     results = [limiter.admit("x", caller) for _ in range(3)]
