Let entries keep allotments where no side answers

Change: only engines whose side answers are asked, and at last the keeper in the entry's own process, which finds the keeper in the claims or becomes it; seeds are not needed. Without sides entries claim groups at times of their own before the first request. A claim is given up when another process claims the group meanwhile; before, processes that began at once took the group from each other.

--- a/src/copperrun/admission/credits.py
+++ b/src/copperrun/admission/credits.py
@@ -62,11 +62,18 @@
         keepers: Calls to the keepers.
         timers: Timer service.
         bounds: How closely limits hold.
+        own_host: Host of this entry if it may be a keeper itself. It is asked where no
+            other host answers: it finds the keeper in the claims, or becomes it.
     """
 
     def __init__(
-        self, keepers: AllotmentKeepers, timers: Timers, bounds: QuotaBounds
+        self,
+        keepers: AllotmentKeepers,
+        timers: Timers,
+        bounds: QuotaBounds,
+        own_host: str = "",
     ) -> None:
+        self._own_host = own_host
         self._keepers = keepers
         self._timers = timers
         self._bounds = bounds
@@ -149,7 +156,7 @@
         channel = self._channels.get(group)
         if channel is None:
             channel = self._channels[group] = _Channel(
-                group, self._keepers, self._timers, self._lapse_ms
+                group, self._keepers, self._timers, self._lapse_ms, self._own_host
             )
             channel.set_hosts(self._hosts)
         return channel
@@ -296,8 +303,14 @@
     """Questions to the keeper of one group, one at a time."""
 
     def __init__(
-        self, group: int, keepers: AllotmentKeepers, timers: Timers, lapse_ms: int
+        self,
+        group: int,
+        keepers: AllotmentKeepers,
+        timers: Timers,
+        lapse_ms: int,
+        own_host: str,
     ) -> None:
+        self._own_host = own_host
         self._group = group
         self._keepers = keepers
         self._timers = timers
@@ -312,7 +325,8 @@
 
     def set_hosts(self, hosts: Iterable[str]) -> None:
         """Set the hosts whose processes may be the keeper."""
-        self._candidates = keeper_order(hosts, self._group)
+        others = [host for host in hosts if host != self._own_host]
+        self._candidates = [*keeper_order(others, self._group), self._own_host]
 
     def is_silent(self, now_ms: int) -> bool:
         """Whether no keeper has answered just now."""
--- a/src/copperrun/entry/allotments.py
+++ b/src/copperrun/entry/allotments.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 from collections.abc import Iterable
-from collections.abc import Sequence
 
 from copperrun.admission.credits import Credits
 from copperrun.admission.stock import Credit
@@ -22,25 +21,22 @@
 
     Args:
         credits: Units of all accounts at this entry.
-        entry_hosts: Hosts of entries.
         metrics: Instruments.
 
     Attributes:
-        entry_hosts: Hosts of entries, which keep the allotments where there are no
-            engines and so no sides; a change counts from the next list of engines on.
+        has_sides: Whether the side of any engine answers.
     """
 
-    def __init__(
-        self, credits: Credits, entry_hosts: Sequence[str], metrics: Metrics
-    ) -> None:
+    def __init__(self, credits: Credits, metrics: Metrics) -> None:
         self._credits = credits
         self._metrics = metrics
-        self.entry_hosts = entry_hosts
+        self.has_sides = False
 
     def set_engines(self, engines: Iterable[ServerRecord]) -> None:
-        """Set the engines whose sides may keep allotments."""
+        """Set the engines whose sides answer; without any, entries keep allotments."""
         hosts = engine_hosts(engines)
-        self._credits.set_hosts(hosts or self.entry_hosts)
+        self.has_sides = bool(hosts)
+        self._credits.set_hosts(hosts)
 
     async def admit(
         self, request: RoutedRequest, version: int
--- a/src/copperrun/entry/proxy.py
+++ b/src/copperrun/entry/proxy.py
@@ -310,13 +310,17 @@
             or [Keeper(host, "") for host in self._peer_hosts]
         )
         engines = {server.id for server in records}
-        self._gate.set_engines(records)
+        self._gate.set_engines(filter(self._has_side, records))
         for server_id in self._report_tasks.keys() - engines:
             self._report_tasks.pop(server_id).cancel()
         for server_id in engines - self._report_tasks.keys():
             task = asyncio.create_task(self._report_demand(server_id))
             self._report_tasks[server_id] = task
 
+    def _has_side(self, record: ServerRecord) -> bool:
+        server = self.servers.find(record.id)
+        return server is None or not server.is_side_unresponsive
+
     def _keeper(self, server: ServerRecord) -> Keeper:
         """Return the side beside a server as a keeper of origins."""
         host = server.address.rpartition(":")[0]
--- a/src/copperrun/membership/claim_log.py
+++ b/src/copperrun/membership/claim_log.py
@@ -144,10 +144,19 @@
         self._on_read()
         return True
 
-    async def append(self, group: int) -> Written | None:
-        """Claim a group; return None when the store has not taken the claim."""
+    async def append(self, group: int, behind: Claim | None) -> Written | None:
+        """Claim a group.
+
+        Args:
+            group: Number of the group.
+            behind: Newest claim that the claimant knows; there must be no other.
+
+        Returns:
+            None when another process has claimed the group meanwhile, or the store has
+            not taken the claim.
+        """
         for _ in range(MAX_TRIES):
-            if not await self.read():
+            if not await self.read() or self.newest(group) != behind:
                 return None
             at = self.position
             self._count += 1
--- a/src/copperrun/membership/tenures.py
+++ b/src/copperrun/membership/tenures.py
@@ -7,16 +7,19 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 from collections.abc import Iterable
 from collections.abc import Mapping
 from collections.abc import Sequence
 
+import xxhash
 from loguru import logger
 
 from copperrun.admission.buckets import Buckets
 from copperrun.admission.groups import group_of
 from copperrun.admission.groups import keeper_order
 from copperrun.membership.claim_log import UNKNOWN
+from copperrun.membership.claim_log import Claim
 from copperrun.membership.claim_log import ClaimLog
 from copperrun.membership.claim_log import Incarnation
 from copperrun.membership.claim_log import Written
@@ -40,6 +43,8 @@
 CALL_TIMEOUT_MS = 200  # to another keeper
 CLAIM_WAIT_MS = 200  # of a question, for the claim that it has caused
 CLAIM_RETRY_DELAY_MS = 500  # after a claim that the store has not taken
+FIRST_TURN_MS = 1_500  # by then an entry knows which sides answer
+TURNS_MS = 5_000  # over which processes try to claim a group that nobody has
 END_RETRY_DELAY_MS = 500  # before a silent former keeper is told again
 
 
@@ -87,6 +92,7 @@
         self._takeovers: dict[int, asyncio.Task[None]] = {}
         self._next_try_ms: dict[int, int] = {}
         self._renewal: asyncio.Task[None] | None = None
+        self._turns: dict[int, asyncio.Task[None]] = {}
         self._duty: tuple[frozenset[int], frozenset[str]] = frozenset(), frozenset()
 
     async def grant(
@@ -136,8 +142,32 @@
             if first == [self._by.host] and group not in self._tenures:
                 self._start_takeover(group, "")
 
+    def prepare_in_turn(
+        self, accounts: Iterable[str], is_wanted: Callable[[], bool]
+    ) -> None:
+        """Claim groups that nobody has claimed, where each process may keep them.
+
+        A hash chooses when each process tries each group, so that they spread.
+
+        Args:
+            accounts: Names of the accounts that have an allotment.
+            is_wanted: Tells at that time whether this process may keep them.
+        """
+        groups = frozenset(map(group_of, accounts))
+        for group in groups - self._turns.keys():
+            task = asyncio.create_task(self._wait_turn(group, is_wanted))
+            self._turns[group] = task
+
+    async def _wait_turn(self, group: int, is_wanted: Callable[[], bool]) -> None:
+        turn = xxhash.xxh64_intdigest(f"{self._by.host}/{group}".encode())
+        await self._timers.sleep_ms(FIRST_TURN_MS + turn % TURNS_MS)
+        if is_wanted():
+            await self._start_takeover(group, "")
+
     def close(self) -> None:
         """End all tasks."""
+        for task in self._turns.values():
+            task.cancel()
         for task in self._takeovers.values():
             task.cancel()
         if self._renewal is not None:
@@ -211,10 +241,11 @@
         tenure = self._tenures.get(group)
         if tenure is not None and tenure.buckets and self._is_confirmed(group):
             return  # the store had not answered for a time
-        if await self._is_kept_elsewhere(group, silent):
+        newest = self._log.newest(group)
+        if await self._is_kept_elsewhere(newest, group, silent):
             return
         self._tenures.pop(group, None)
-        written = await self._log.append(group)
+        written = await self._log.append(group, newest)
         if written is None:
             self._next_try_ms[group] = self._timers.now_ms() + CLAIM_RETRY_DELAY_MS
             return
@@ -239,9 +270,10 @@
             return True
         return await self._log.read()
 
-    async def _is_kept_elsewhere(self, group: int, silent: str) -> bool:
+    async def _is_kept_elsewhere(
+        self, newest: Claim | None, group: int, silent: str
+    ) -> bool:
         """Return whether entries reach another keeper, as far as is known."""
-        newest = self._log.newest(group)
         if newest is None or self._by.replaces(newest.by):
             return False
         if newest.by.host != silent and newest.era == self._log.position.era:
--- a/src/copperrun/platform/daemon.py
+++ b/src/copperrun/platform/daemon.py
@@ -166,6 +166,17 @@
         by = Incarnation(self.cfg.host, role, start)
         return TenureKeeper(by, store, ALLOTMENTS_TOPIC, keepers, self.timers)
 
+    def limited_accounts(self) -> list[str]:
+        """Return the names of the client accounts that have an allotment."""
+        catalog = self.catalog.catalog
+        if catalog is None or catalog.accounts is None:
+            return []
+        return [
+            account.name
+            for account in catalog.accounts.by_name.values()
+            if account.allotment is not None
+        ]
+
     async def listen(
         self, runner: web.AppRunner | web.ServerRunner, *ports: int
     ) -> list[web.TCPSite]:
@@ -262,10 +273,8 @@
             keepers = HttpAllotmentKeepers(client, self.keeper_address)
             start = secrets.token_hex(8)
             keeper = self.build_keeper("entry", start, store, keepers)
-            gate = self._gate = AllotmentGate(
-                Credits(keepers, self.timers, cfg.quota),
-                _seed_hosts(cfg),
-                self.metrics,
+            gate = AllotmentGate(
+                Credits(keepers, self.timers, cfg.quota, cfg.host), self.metrics
             )
             process = self._process = ProxyProcess(
                 cfg.place,
@@ -292,6 +301,7 @@
                 self.timers,
                 lowering_delay_ms=cfg.apply_ms + CALLERS_LEARN_MS,
             )
+            view.subscribe(lambda _: self._prepare_keeper(keeper, gate))
             front = web.ServerRunner(server, shutdown_timeout=0.1)
             app = self.build_internal_app(view)
             app.router.add_get(READINESS_PATH, _readiness_handler(process))
@@ -318,7 +328,12 @@
         super().apply_settings(cfg)
         self._process.update_retry_bounds(cfg.retries)
         self._process.update_peers(_peer_hosts(cfg))
-        self._gate.entry_hosts = _seed_hosts(cfg)
+
+    def _prepare_keeper(self, keeper: TenureKeeper, gate: AllotmentGate) -> None:
+        """Claim allotments before the first request, where there are no sides."""
+        accounts = self.limited_accounts()
+        if accounts:
+            keeper.prepare_in_turn(accounts, lambda: not gate.has_sides)
 
     async def _drain(
         self,
@@ -422,13 +437,9 @@
     ) -> None:
         """Claim allotments before the first request, where there are any."""
         catalog = self.catalog.catalog
-        if catalog is None or catalog.accounts is None:
+        accounts = self.limited_accounts()
+        if catalog is None or not accounts:
             return
-        accounts = [
-            account.name
-            for account in catalog.accounts.by_name.values()
-            if account.allotment is not None
-        ]
         engines = [
             server
             for server in servers
@@ -458,11 +469,6 @@
     return [seed.rpartition(":")[0] for seed in _peer_seeds(cfg)]
 
 
-def _seed_hosts(cfg: PlatformSettings) -> list[str]:
-    """Return the hosts of the seeds; the own one without any."""
-    return [seed.rpartition(":")[0] for seed in cfg.seeds] or [cfg.host]
-
-
 def _readiness_handler(process: ProxyProcess) -> Any:
     async def handle_readiness(request: web.Request) -> web.Response:
         return web.Response(status=200 if process.is_ready else 503)
--- a/testing/mutants.py
+++ b/testing/mutants.py
@@ -688,7 +688,8 @@
         "membership/claim_log.py",
         "at=at.offset",
         "at=None",
-        "test_allotments.py::test_claims_written_at_once_name_those_before_them",
+        "test_allotments.py::test_of_claims_written_at_once_one_counts_and_a_lat"
+        "er_one_names_it",
     ),
     Mutant(
         "quota",
