Check a configuration before it is sent, in both forms

Cause: an operator learned only from refused requests that a route was hidden by another, an account had no key, a time limit was under the aim or a model was larger than its engine; and nothing told what a file would change.

Change: pure checks of the product's configuration (configuration/check.py) and of a catalog of routes and pools in a dialect's words (catalog_check.py), a comparison that never shows keys, and "copperrunctl config check" over them, with line, remedy and exit code. validate and publish run the same checks without the count of servers, so that a configuration may go before its servers: errors are refused, warnings printed.

Ruled out by trial on the examples: a queue bound above the first token's target is how both examples work, so only one above the whole answer's is told; adapters take what weights leave, not adapter_reserve alone, so one is an error only if it doesn't fit beside its model; an allotment's burst below one request leaves a debt and serves it, so it is a warning.

--- a/src/copperrun/configuration/document.py
+++ b/src/copperrun/configuration/document.py
@@ -189,4 +189,9 @@
         and part < len(node.value)
     ):
         return node.value[part], node.value[part].start_mark
+    if isinstance(node, yaml.SequenceNode) and isinstance(part, str):
+        for item in node.value:
+            name, _ = _child(item, "name")
+            if name is not None and name.value == part:
+                return item, item.start_mark
     return None, None
--- a/src/copperrun/ctl/commands.py
+++ b/src/copperrun/ctl/commands.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import sys
 from argparse import Namespace
 from collections import Counter
 from collections.abc import Sequence
@@ -14,6 +15,7 @@
 from copperrun.configuration.document import DocumentError
 from copperrun.configuration.schema import Configuration
 from copperrun.configuration.state import ConfigurationState
+from copperrun.ctl.checking import group_by_section
 from copperrun.ctl.errors import ToolError
 from copperrun.ctl.errors import ToolErrorReason
 from copperrun.ctl.installation import Installation
@@ -22,6 +24,7 @@
 from copperrun.ctl.output import Output
 from copperrun.ctl.output import format_table
 from copperrun.ctl.publishing import describe_change
+from copperrun.ctl.publishing import describe_warnings
 from copperrun.ctl.publishing import load_configuration
 from copperrun.ctl.publishing import plan_preset
 from copperrun.ctl.publishing import plan_publication
@@ -40,6 +43,8 @@
     document = load_configuration(Path(arguments.file))
     if isinstance(document, DocumentError):
         return ToolError(ToolErrorReason.USAGE, str(document))
+    for warning in describe_warnings(document):
+        print(warning, file=sys.stderr)
     output.emit({"valid": True}, [f"{arguments.file}: valid"])
     return None
 
@@ -49,6 +54,8 @@
     document = load_configuration(Path(arguments.file))
     if isinstance(document, DocumentError):
         return ToolError(ToolErrorReason.USAGE, str(document))
+    for warning in describe_warnings(document):
+        print(warning, file=sys.stderr)
     settings = _load_settings(arguments)
     if isinstance(settings, ToolError):
         return settings
@@ -64,7 +71,7 @@
         return state
     objects = state.objects()
     value = {"revision": state.revision, "objects": objects}
-    text = yaml.safe_dump(_group_by_section(objects), sort_keys=True).rstrip()
+    text = yaml.safe_dump(group_by_section(objects), sort_keys=True).rstrip()
     output.emit(value, [f"# revision {state.revision}", text])
     return None
 
@@ -211,19 +218,6 @@
     return None
 
 
-def _group_by_section(objects: dict[str, object]) -> dict[str, object]:
-    document: dict[str, object] = {}
-    for key, value in objects.items():
-        section, _, name = key.partition("/")
-        if not name:
-            document[section] = value
-            continue
-        members = document.setdefault(section, {})
-        if isinstance(members, dict):
-            members[name] = value
-    return document
-
-
 def _status_row(report: InstanceReport) -> tuple[object, ...]:
     instance, status = report
     if status is None:
--- a/src/copperrun/ctl/main.py
+++ b/src/copperrun/ctl/main.py
@@ -12,6 +12,7 @@
 
 from copperrun.adapters.logs import configure_logs
 from copperrun.adapters.timers import SystemTimers
+from copperrun.ctl import checking
 from copperrun.ctl import commands
 from copperrun.ctl import timeline
 from copperrun.ctl.errors import ToolError
@@ -80,6 +81,21 @@
     _add_publication_flags(use)
     use.set_defaults(run=commands.use_preset)
 
+    config = subparsers.add_parser("config", help="look at configuration files")
+    actions = config.add_subparsers(dest="action", required=True)
+    check = actions.add_parser(
+        "check",
+        help="print the problems of a configuration file, and what it would change",
+    )
+    check.add_argument("file")
+    check.add_argument(
+        "--against",
+        metavar="ADDRESS|FILE",
+        help="HOST:PORT of the platform's log or store, or another file",
+    )
+    check.add_argument("--format", choices=("text", "json"), default="text")
+    check.set_defaults(run=checking.check)
+
 
 def _add_instance_commands(subparsers: argparse._SubParsersAction) -> None:
     status = subparsers.add_parser("status", help="print every instance's status")
--- a/src/copperrun/ctl/publishing.py
+++ b/src/copperrun/ctl/publishing.py
@@ -11,6 +11,8 @@
 from copperrun.configuration.changes import difference
 from copperrun.configuration.changes import encode_record
 from copperrun.configuration.changes import objects_by_key
+from copperrun.configuration.check import Severity
+from copperrun.configuration.check import check_configuration
 from copperrun.configuration.document import Document
 from copperrun.configuration.document import DocumentError
 from copperrun.configuration.document import load_document
@@ -57,7 +59,21 @@
         return DocumentError(
             tuple(document.problem(item.location, item.detail) for item in problems)
         )
-    return document
+    errors = [
+        document.problem(item.place, f"{item.text}; {item.remedy}")
+        for item in check_configuration(document.value)
+        if item.severity is Severity.ERROR
+    ]
+    return DocumentError(tuple(errors)) if errors else document
+
+
+def describe_warnings(document: Document[Configuration]) -> tuple[str, ...]:
+    """Return one line for each part that has no effect or costs requests."""
+    return tuple(
+        str(document.problem(item.place, f"warning: {item.text}; {item.remedy}"))
+        for item in check_configuration(document.value)
+        if item.severity is Severity.WARNING
+    )
 
 
 def describe_change(old: ConfigurationState, change: Change) -> tuple[str, ...]:
--- a/src/copperrun/platform/records.py
+++ b/src/copperrun/platform/records.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+from collections.abc import Iterator
 from collections.abc import Mapping
 from typing import Any
 
@@ -43,6 +44,23 @@
         return f"configuration is malformed: {exc!r}"
 
 
+def find_malformed(fields: Mapping[str, Any]) -> Iterator[tuple[str, int, str]]:
+    """Return section, position and fault of what cannot be decoded."""
+    for section, decode in (
+        ("routes", _route),
+        ("services", _pool),
+        ("tenants", decode_account),
+    ):
+        items = fields.get(section)
+        for index, item in enumerate(items if isinstance(items, list) else ()):
+            try:
+                decode(item)
+            except KeyError as exc:
+                yield section, index, f"required key {exc} is missing"
+            except _MALFORMED as exc:
+                yield section, index, str(exc)
+
+
 def decode_server(server_id: str, value: bytes) -> ServerRecord | str:
     """Decode a server's registry entry; a string says why it cannot be used."""
     try:
@@ -176,10 +194,11 @@
     """Decode the client accounts; without such a list callers need no keys."""
     if items is None:
         return None
-    return AccountTable([_account(item) for item in items])
+    return AccountTable([decode_account(item) for item in items])
 
 
-def _account(item: Mapping[str, Any]) -> ClientAccount:
+def decode_account(item: Mapping[str, Any]) -> ClientAccount:
+    """Decode a client account; raise ``TypeError`` and the like if it is malformed."""
     return ClientAccount(
         _string(item["name"]),  # the wire's word for an account is a tenant
         frozenset(digest_key(_string(key)) for key in item.get("api-keys") or ()),
--- a/testing/mutants.py
+++ b/testing/mutants.py
@@ -793,6 +793,20 @@
         "pass\n\n    @asynccontextmanager",
         "test_readers.py::test_bodies_count_until_their_requests_end",
     ),
+    Mutant(
+        "config check",
+        "configuration/comparison.py",
+        "if any(word in field for word in secrets):",
+        "if False:",
+        "test_check.py::test_differences_are_told_without_keys",
+    ),
+    Mutant(
+        "config check",
+        "ctl/publishing.py",
+        "return DocumentError(tuple(errors)) if errors else document",
+        "return document",
+        "test_check.py::test_the_same_checks_run_when_a_configuration_is_published",
+    ),
 )
 
 
