Bound answers and uploads apart, and count what closing connections hold

Cause: one bound for both let large bodies end the answers of others, and left 9.5 MB for bodies on a machine of 152 MB, each counted twice: two bodies of 4 MB at a time would have been refused. The HTTP library forgets the transport of a connection that it closes, while that may hold unread bytes.

Change: an eighth of the memory for answers and an eighth for uploads; the connection keeps the transport until it is lost.

The tests of buffers, readers and the listener pass.

--- a/src/copperrun/admission/buffers.py
+++ b/src/copperrun/admission/buffers.py
@@ -12,11 +12,10 @@
 from typing import NamedTuple
 from typing import TypeVar
 
-MEMORY_FRACTION = 1 / 8  # of a machine's memory, for what is held for callers
-ANSWER_FRACTION = 1 / 64  # of the whole, for one answer
+MEMORY_FRACTION = 1 / 8  # of a machine's memory for answers, and as much for uploads
+ANSWER_FRACTION = 1 / 64  # of all answers, for one answer
 MIN_ANSWER_BYTES = 64 << 10
-UPLOAD_FRACTION = 0.5  # of the whole, for all uploads
-NEAR_FRACTION = 7 / 8  # of the whole; from here on stalled callers give way
+NEAR_FRACTION = 7 / 8  # of a bound; from here on stalled callers give way
 STALLED_MS = 1_000  # without reading; a caller that reads gives way only at the bound
 # Without reading at the bound of an answer; a server cuts off after some seconds.
 UNREAD_MS = 2_000
@@ -32,24 +31,21 @@
     """Bounds in bytes.
 
     Attributes:
-        total: For all answers and uploads.
+        answers: For all answers.
         answer: For one answer; the entry reads its server no further beyond it.
         uploads: For all uploads.
     """
 
-    total: int
+    answers: int
     answer: int
     uploads: int
 
     @classmethod
     def from_memory(cls, memory_bytes: int) -> BufferBounds:
         """Return the bounds for a machine."""
-        total = int(memory_bytes * MEMORY_FRACTION)
-        return cls(
-            total,
-            max(int(total * ANSWER_FRACTION), MIN_ANSWER_BYTES),
-            int(total * UPLOAD_FRACTION),
-        )
+        whole = int(memory_bytes * MEMORY_FRACTION)
+        one = max(int(whole * ANSWER_FRACTION), MIN_ANSWER_BYTES)
+        return cls(whole, one, whole)
 
 
 class Measure(NamedTuple):
@@ -112,7 +108,7 @@
     @property
     def is_near_bound(self) -> bool:
         """Whether stalled callers have to give way."""
-        return self.held_bytes > self.bounds.total * NEAR_FRACTION
+        return self._answer_bytes > self.bounds.answers * NEAR_FRACTION
 
     def record(self, reader: Reader, measure: Measure, now_ms: int) -> None:
         """Record what is held for a caller."""
@@ -159,7 +155,7 @@
                 break  # those after it have read later
             self.forget(reader)
             losers.append(reader)
-        if self.held_bytes <= self.bounds.total:
+        if self._answer_bytes <= self.bounds.answers:
             return losers
         for reader in self.readers:
             if not self.is_near_bound:
@@ -198,11 +194,7 @@
 
     def fits_upload(self, size: int) -> bool:
         """Return whether an upload of ``size`` bytes may be taken."""
-        size *= UPLOAD_COPIES
-        return (
-            self.upload_bytes + size <= self.bounds.uploads
-            and self.held_bytes + size <= self.bounds.total
-        )
+        return self.upload_bytes + size * UPLOAD_COPIES <= self.bounds.uploads
 
     def take_upload(self, upload: Upload, size: int) -> bool:
         """Grant ``size`` further bytes of an upload, or return False."""
--- a/src/copperrun/platform/connections.py
+++ b/src/copperrun/platform/connections.py
@@ -59,6 +59,7 @@
         "_head_since_ms",
         "_idle_since_ms",
         "_idle_timeout_ms",
+        "_sending",
         "_timers",
         "_written_bytes",
     )
@@ -72,6 +73,9 @@
     ) -> None:
         super().__init__(server, **options)
         self._buffers = buffers
+        # aiohttp forgets the transport of a connection that it closes, which may go on
+        # to hold unread bytes.
+        self._sending: asyncio.Transport | None = None
         self._written_bytes = 0
         self._timers = timers
         self._head_since_ms: int | None = None
@@ -98,6 +102,7 @@
         super().connection_made(transport)
         if self._buffers is None or self.transport is None:
             return
+        self._sending = self.transport
         bound = self._buffers.answer_bound
         self.transport.set_write_buffer_limits(high=bound, low=bound // 2)
 
@@ -107,7 +112,12 @@
 
     def end_write(self) -> None:
         """Record what the caller has left unread."""
-        if self._buffers is not None and self._has_unsent_bytes:
+        sending = self._sending
+        if (
+            self._buffers is not None
+            and sending is not None
+            and sending.get_write_buffer_size()
+        ):
             self._buffers.record(self)
 
     def pause_writing(self) -> None:
@@ -117,18 +127,17 @@
 
     def measure(self) -> Measure:
         """Return what is held for the caller."""
-        if self.transport is None:
+        if self._sending is None:
             return Measure(0, self._written_bytes)
-        held = self.transport.get_write_buffer_size()
-        return Measure(held, self._written_bytes)
+        return Measure(self._sending.get_write_buffer_size(), self._written_bytes)
 
     def cut(self) -> None:
         """Reset the connection, so that a partial answer does not look complete."""
-        if self.transport is None:
+        if self._sending is None:
             return
-        sock = self.transport.get_extra_info("socket")
+        sock = self._sending.get_extra_info("socket")
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_AT_CLOSE)
-        self.transport.abort()
+        self._sending.abort()
 
     def data_received(self, data: bytes) -> None:
         """Pass data to the parser and note the begin of a head."""
@@ -143,6 +152,7 @@
         """Log requests that were read and will not be answered."""
         if self._messages:
             logger.info("connection closed with unread requests", detail=repr(exc))
+        self._sending = None
         if self._buffers is not None:
             self._buffers.forget(self)
         super().connection_lost(exc)
