Mend the list of mutants after a merge, and bound gaps by the callers' target

A merge of two lists joined the last mutant of slow readers with the first of the allotments, so that make mutants stopped with a TypeError. Both are whole again.

--- a/testing/mutants.py
+++ b/testing/mutants.py
@@ -792,6 +792,8 @@
         "self._budget.release_upload(upload.size)\n\n    @asynccontextmanager",
         "pass\n\n    @asynccontextmanager",
         "test_readers.py::test_bodies_count_until_their_requests_end",
+    ),
+    Mutant(
         "quota",
         "membership/tenures.py",
         "<= LEASE_MS",
--- a/testing/test_readers.py
+++ b/testing/test_readers.py
@@ -193,7 +193,7 @@
         assert_that(listener.most_held, GreaterThan(bounds.answers // 16))
         assert_that(listener.most_held, LessThan(bounds.answers))
         assert_that(listener.buffers.held_bytes, LessThan(bounds.answers + 1))
-        assert_that(sorted(gaps_ms)[len(gaps_ms) * 9 // 10], LessThan(1_000))
+        assert_that(sorted(gaps_ms)[len(gaps_ms) * 9 // 10], LessThan(300))
         for client in (*stalled, *live):
             client.close()
 
