--- a/testing/allotment_fleet.py
+++ b/testing/allotment_fleet.py
@@ -103,7 +103,8 @@
         ports = ProcessPorts(fleet, self)
         identity = Incarnation(host, "side", str(start))
         self.keeper = TenureKeeper(identity, ports, TOPIC, ports, self.timers)
-        self.credits = Credits(ports, self.timers, BOUNDS)
+        own_host = "" if fleet.hosts else host
+        self.credits = Credits(ports, self.timers, BOUNDS, own_host)
         self.credits.set_hosts(fleet.hosts)
 
     def kill(self) -> None:
@@ -237,6 +238,8 @@
 class Fleet:
     """Keepers, entries, the store and the network between them.
 
+    Without keepers on hosts of their own, the entries are keepers.
+
     Attributes:
         limits: Allotment of every account, by version of the configuration.
         uses: Units used by requests that ran.
@@ -268,6 +271,9 @@
         for number in range(entries):
             self.entries.append(self._start(f"10.0.1.{number}"))
             self.entries[-1].version = 1
+        if not keepers:
+            # Entries keep allotments themselves.
+            self.keepers = {entry.host: entry for entry in self.entries}
 
     def _start(self, host: str) -> Process:
         self._starts += 1
@@ -277,7 +283,11 @@
         """Start a keeper, again if it has ended."""
         if host in self.keepers and self.keepers[host].is_alive:
             return
+        before = self.keepers.get(host)
         self.keepers[host] = self._start(host)
+        if before in self.entries:
+            self.entries[self.entries.index(before)] = self.keepers[host]
+            self.keepers[host].version = max(self.limits)
 
     def delay_ms(self) -> float:
         return self.rng.uniform(*self.latency_ms)
--- a/testing/mutants.py
+++ b/testing/mutants.py
@@ -681,7 +681,8 @@
         "membership/tenures.py",
         "self._timers.now_ms() + LEASE_MS + LEASE_MARGIN_MS",
         "self._timers.now_ms()",
-        "test_allotments.py::test_no_fault_makes_the_use_in_a_window_pass_the_limit",
+        "test_allotments.py::test_a_keeper_without_the_store_stops_before_anoth"
+        "er_one_begins",
     ),
     Mutant(
         "quota",
--- a/testing/test_allotments.py
+++ b/testing/test_allotments.py
@@ -82,7 +82,7 @@
             expected = per_step * 0.1 if is_low else per_step
             for _ in range(int(expected) + (rng.random() < expected % 1)):
                 entry = rng.choice(running.entries)
-                if not entry.timers.is_frozen:
+                if entry.is_alive and not entry.timers.is_frozen:
                     runs = rng.random() >= given_back
                     running.send(entry, account, rng.choice(costs), runs=runs)
         faults()
@@ -112,8 +112,9 @@
 
     def _kill(self) -> Callable[[], None]:
         running = self._running
-        count = running.rng.choice((1, 1, len(running.hosts)))
-        hosts = running.rng.sample(running.hosts, count)
+        all_hosts = sorted(running.keepers)
+        count = running.rng.choice((1, 1, len(all_hosts)))
+        hosts = running.rng.sample(all_hosts, count)
         for host in hosts:
             running.keepers[host].timers.thaw()
             running.keepers[host].kill()
@@ -171,8 +172,20 @@
         assert_that(len(running.uses), GreaterThan(0))
 
 
-async def test_the_limit_holds_and_is_served_without_faults():
-    with fleet() as running:
+@pytest.mark.parametrize("seed", range(8))
+async def test_no_fault_makes_the_use_pass_the_limit_where_entries_keep_it(seed):
+    with fleet(seed, keepers=0, entries=4) as running:
+        costs = COSTS if seed % 2 else SMALL_COSTS
+        await play(running, 45, Faults(running), given_back=0.1, costs=costs)
+        for account in ACCOUNTS:
+            used = most_used(running.uses, account, BOUNDS.window_ms)
+            assert_that(used, LessThan(most_allowed() + 1))
+        assert_that(len(running.uses), GreaterThan(0))
+
+
+@pytest.mark.parametrize("keepers", [0, 4])
+async def test_the_limit_holds_and_is_served_without_faults(keepers):
+    with fleet(keepers=keepers) as running:
         await play(running, 40)
         for account in ACCOUNTS:
             used = most_used(running.uses, account, BOUNDS.window_ms)
