Test that a side takes the allowed pause from the routes

Cause: a side that plans with another pause than its peers leaves moves to them. Change: a test of the placement process with a catalog, without a network. Result: tests of claims pass.

--- a/testing/test_claims.py
+++ b/testing/test_claims.py
@@ -5,17 +5,26 @@
 import asyncio
 from types import SimpleNamespace
 
+from factories import model
+from factories import pool
+from factories import route
+from factories import spec
 from hypothesis import given
 from hypothesis import strategies as st
 from testtools.assertions import assert_that
 from testtools.matchers import Equals
+from testtools.matchers import Is
 from testtools.matchers import LessThan
 
+from copperrun.admission.prefill import pause_prefill_ms
 from copperrun.embedded.clock import ManualTimers
 from copperrun.membership.claims import FIRST_EPOCH
 from copperrun.membership.claims import topic_epoch
 from copperrun.membership.health import StoreHealth
 from copperrun.ports.topics import TopicPosition
+from copperrun.routing.catalog import CallerLimits
+from copperrun.routing.catalog import Catalog
+from copperrun.routing.catalog import PoolShare
 from copperrun.side.placement import PlacementProcess
 
 POSITIONS = st.builds(
@@ -104,3 +113,24 @@
     assert_that(claims.claimants, Equals(["side-0"]))
     assert_that(side.controller.epoch, Equals(epoch))
     side.task.cancel()
+
+
+def test_a_side_takes_the_allowed_pause_from_the_routes_to_its_pool():
+    # The side of an idle engine has no requests to learn it from, and must plan the
+    # same moves as the others.
+    timers = ManualTimers()
+    view = View(timers)
+    engine = spec(model("m"))
+    routes = [route(target_gap_ms=300, shares=(PoolShare("p", 1.0),))]
+    pools = {"p": pool("p", engine)}
+    view.catalog = SimpleNamespace(catalog=Catalog(1, routes, pools, CallerLimits()))
+    controller = SimpleNamespace(spec=None, pause_ms=None, set_servers=lambda *_: None)
+    process = PlacementProcess(
+        "side-0", "10.0.0.1:80", "p", view, Claims(), "s", controller, None, timers
+    )
+    process._update_servers([])
+    expected = pause_prefill_ms(300, engine.tokens_per_event)
+    assert_that(controller.pause_ms, Equals(expected))
+    view.catalog.catalog = Catalog(2, [], pools, CallerLimits())
+    process._update_servers([])
+    assert_that(controller.pause_ms, Is(None))
