--- a/src/copperrun/platform/daemon.py
+++ b/src/copperrun/platform/daemon.py
@@ -167,7 +167,14 @@
         self, role: str, start: str, store: TopicStore, keepers: AllotmentKeepers
     ) -> TenureKeeper:
         by = Incarnation(self.cfg.host, role, start)
-        return TenureKeeper(by, store, ALLOTMENTS_TOPIC, keepers, self.timers)
+        return TenureKeeper(
+            by,
+            store,
+            ALLOTMENTS_TOPIC,
+            keepers,
+            self.timers,
+            is_first_start=self.cfg.is_first_start,
+        )
 
     async def listen(
         self, runner: web.AppRunner | web.ServerRunner, *ports: int
@@ -266,7 +273,9 @@
             start = secrets.token_hex(8)
             keeper = self.build_keeper("entry", start, store, keepers)
             gate = self._gate = AllotmentGate(
-                Credits(keepers, self.timers, cfg.quota), _seed_hosts(cfg)
+                Credits(keepers, self.timers, cfg.quota),
+                _seed_hosts(cfg),
+                self.metrics,
             )
             # How large requests grow decides what an engine may hold there.
             costs = LearnedCosts() if cfg.engines_crash_when_full else None
