--- a/testing/soak.py
+++ b/testing/soak.py
@@ -13,6 +13,8 @@
 import subprocess
 import sys
 import tempfile
+from collections.abc import Awaitable
+from collections.abc import Callable
 from functools import partial
 from pathlib import Path
 from random import Random
@@ -608,18 +610,14 @@
         return violations, soak.outcomes
 
 
-def main(argv: list[str]) -> None:
-    """Run the seeds one after another."""
+SeedRunner = Callable[[int, float], Awaitable[tuple[list[str], dict[str, int]]]]
+
+
+def run_seeds(run: SeedRunner) -> None:
+    """Run the seeds of the command line one after another; exit with their outcome."""
     failed = 0
     for seed in range(_SEED.value, _SEED.value + _SEEDS.value):
-        violations, outcomes = asyncio.run(
-            run_seed(
-                seed,
-                _SECONDS.value,
-                fall_backs=_FALL_BACKS.value,
-                bad_part=_BAD_PART.value,
-            )
-        )
+        violations, outcomes = asyncio.run(run(seed, _SECONDS.value))
         print(f"seed {seed}: {outcomes}", flush=True)
         for line in violations[:10]:
             print(f"  VIOLATED: {line}", flush=True)
@@ -628,5 +626,10 @@
     sys.exit(1 if failed else 0)
 
 
+def main(argv: list[str]) -> None:
+    """Run the seeds with the chosen kinds of faults."""
+    run_seeds(partial(run_seed, fall_backs=_FALL_BACKS.value, bad_part=_BAD_PART.value))
+
+
 if __name__ == "__main__":
     app.run(main)
--- a/testing/soak_accounts.py
+++ b/testing/soak_accounts.py
@@ -5,8 +5,6 @@
 
 from __future__ import annotations
 
-import asyncio
-import sys
 import tempfile
 from collections.abc import Mapping
 from pathlib import Path
@@ -14,11 +12,11 @@
 
 import aiohttp
 from absl import app
-from absl import flags
 from platform_engine import PlatformEngine
 from soak import TIMERS
 from soak import InstanceProcess
 from soak import Soak
+from soak import run_seeds
 
 WINDOW_S = 2.0
 OVERAGE = 0.1
@@ -154,16 +152,8 @@
 
 
 def main(argv: list[str]) -> None:
-    """Run the seeds one after another."""
-    failed = 0
-    for seed in range(flags.FLAGS.seed, flags.FLAGS.seed + flags.FLAGS.seeds):
-        violations, outcomes = asyncio.run(run_seed(seed, flags.FLAGS.seconds))
-        print(f"seed {seed}: {outcomes}", flush=True)
-        for line in violations[:10]:
-            print(f"  VIOLATED: {line}", flush=True)
-        failed += bool(violations)
-    print(f"{flags.FLAGS.seeds - failed} of {flags.FLAGS.seeds} seeds kept all")
-    sys.exit(1 if failed else 0)
+    """Run the seeds of the command line."""
+    run_seeds(run_seed)
 
 
 if __name__ == "__main__":
--- a/testing/soak_versions.py
+++ b/testing/soak_versions.py
@@ -7,7 +7,6 @@
 
 import asyncio
 import re
-import sys
 import tempfile
 from collections import Counter
 from itertools import cycle
@@ -17,12 +16,12 @@
 
 import aiohttp
 from absl import app
-from absl import flags
 from platform_engine import PlatformEngine
 from soak import MODELS
 from soak import TIMERS
 from soak import InstanceProcess
 from soak import Soak
+from soak import run_seeds
 
 EVENTS = 40
 VERSIONS = ("v1", "v2")
@@ -209,16 +208,8 @@
 
 
 def main(argv: list[str]) -> None:
-    """Run the seeds one after another."""
-    failed = 0
-    for seed in range(flags.FLAGS.seed, flags.FLAGS.seed + flags.FLAGS.seeds):
-        violations, outcomes = asyncio.run(run_seed(seed, flags.FLAGS.seconds))
-        print(f"seed {seed}: {outcomes}", flush=True)
-        for line in violations[:10]:
-            print(f"  VIOLATED: {line}", flush=True)
-        failed += bool(violations)
-    print(f"{flags.FLAGS.seeds - failed} of {flags.FLAGS.seeds} seeds kept all")
-    sys.exit(1 if failed else 0)
+    """Run the seeds of the command line."""
+    run_seeds(run_seed)
 
 
 if __name__ == "__main__":
