--- a/src/copperrun/platform/daemon.py
+++ b/src/copperrun/platform/daemon.py
@@ -101,8 +101,11 @@
 class _BaseRole:
     """Parts shared by both roles."""
 
-    def __init__(self, settings_file: SettingsFile) -> None:
+    def __init__(
+        self, settings_file: SettingsFile, *, learns_costs: bool = False
+    ) -> None:
         self.settings_file = settings_file
+        self.learns_costs = learns_costs
         self.cfg = settings_file.cfg
         self.timers = SystemTimers()
         self.metrics = MetricsOnDemand()
@@ -286,8 +289,7 @@
             gate = AllotmentGate(
                 Credits(keepers, self.timers, cfg.quota, cfg.host), self.metrics
             )
-            # How large requests grow decides what an engine may hold there.
-            costs = LearnedCosts() if cfg.engines_crash_when_full else None
+            costs = LearnedCosts() if self.learns_costs else None
             process = self._process = ProxyProcess(
                 cfg.place,
                 view,
--- a/src/copperrun/platform/program.py
+++ b/src/copperrun/platform/program.py
@@ -18,13 +18,15 @@
 
 EXIT_FAILED = 1
 EXIT_USAGE = 2
+LEARN_COSTS = "--learn-costs"
+COMMANDS = (("entry",), ("entry", LEARN_COSTS), ("side",))
 ROLES: dict[str, type[EntryRole | SideRole]] = {"entry": EntryRole, "side": SideRole}
 
 
 def main(argv: list[str]) -> None:
     """Run the role named on the command line."""
-    if len(argv) != 2 or argv[1] not in ROLES:
-        _fail(f"usage: python -m copperrun.platform {'|'.join(ROLES)}")
+    if tuple(argv[1:]) not in COMMANDS:
+        _fail(f"usage: python -m copperrun.platform entry [{LEARN_COSTS}] | side")
     path = settings_path()
     if isinstance(path, SettingsError):
         _fail(f"copperrun: {path.detail}")
@@ -35,7 +37,8 @@
     writer = configure_logs("info", instance, sys.stdout.fileno(), SystemTimers())
     tune_collector()
     try:
-        asyncio.run(ROLES[argv[1]](SettingsFile(path, cfg)).run())
+        role = ROLES[argv[1]](SettingsFile(path, cfg), learns_costs=LEARN_COSTS in argv)
+        asyncio.run(role.run())
     except OSError as exc:
         # The usual cause is a port in use; a traceback would not help.
         _fail(f"copperrun: {exc.strerror or exc}", EXIT_FAILED)
--- a/src/copperrun/routing/costs.py
+++ b/src/copperrun/routing/costs.py
@@ -31,7 +31,7 @@
 LIKELY_QUANTILE = 0.98
 DEFAULT_LIMIT_TOKENS = 4_096  # of requests that state none
 DEFAULT_CALL_MS = 50.0
-MIN_HINT_SAMPLES = 16.0  # before hints count
+MIN_HINT_SAMPLES = 16.0  # before hints may be dropped
 MAX_WEIGHT = 1e12
 MAX_IDLE = 20 * IDLE_HALF_LIFE  # after which hardly anything is left
 MIN_SHARE = 1e-9
@@ -100,13 +100,31 @@
 
 
 _NOTHING = (0.0,) * BUCKETS  # nothing is known
+# Callers' hints are right at the median: half of the answers are expected within a
+# factor of 1.4, nine of ten within four.
+_AROUND_HINT = (0.02, 0.05, 0.10, 0.15, 0.34, 0.15, 0.10, 0.05, 0.02)
+_FIRST_RATIOS = tuple(
+    _AROUND_HINT[bucket - RATIO_CENTER + 4] if abs(bucket - RATIO_CENTER) <= 4 else 0.0
+    for bucket in range(BUCKETS)
+)
 
 
 class Learner:
-    """Distributions by kind, from the widest group to the narrowest."""
+    """Distributions by kind, from the widest group to the narrowest.
 
-    def __init__(self) -> None:
+    Args:
+        prior: Share of each bucket before there are samples.
+        prior_samples: Samples that it counts like.
+    """
+
+    def __init__(
+        self,
+        prior: Sequence[float] = _NOTHING,
+        prior_samples: float = PRIOR_SAMPLES,
+    ) -> None:
         self.sample = 0
+        self._prior = prior
+        self._prior_samples = prior_samples
         self._groups: dict[tuple[str, str, str], Histogram] = {}
         self._estimates: dict[CostKind, Distribution] = {}
 
@@ -139,14 +157,14 @@
             return known.shares
         if len(self._estimates) >= MAX_ESTIMATES:
             self._estimates.clear()
-        shares: Sequence[float] = _NOTHING
+        shares = self._prior
         for key in _groups_of(kind):
             group = self._groups.get(key)
             if group is None:
                 continue
             samples = group.samples(self.sample)
             if key == _ALL:
-                samples *= WIDER_SAMPLES / PRIOR_SAMPLES
+                samples *= WIDER_SAMPLES / self._prior_samples
             shares = group.blend(shares, samples)
         self._estimates[kind] = Distribution(shares, self.sample)
         return shares
@@ -173,7 +191,7 @@
 
     def __init__(self) -> None:
         self._outputs = Learner()
-        self._ratios = Learner()
+        self._ratios = Learner(_FIRST_RATIOS, WIDER_SAMPLES)
         self._calls = Learner()
         # Mean error of estimates by route, in doublings: without and with hints.
         self._errors: dict[str, tuple[float, float]] = {}
@@ -217,7 +235,7 @@
 
     def _trusts_hints(self, kind: CostKind) -> bool:
         if self._ratios.samples(kind) < MIN_HINT_SAMPLES:
-            return False
+            return True
         without, with_hints = self._errors.get(kind.route, (0.0, 0.0))
         return with_hints < without
 
--- a/testing/test_costs.py
+++ b/testing/test_costs.py
@@ -116,6 +116,14 @@
     assert_that(rests, Equals(sorted(rests, reverse=True)))
 
 
+def test_first_hints_are_believed_until_they_prove_wrong():
+    costs = LearnedCosts()
+    for hint in (30, 300):
+        between(expected(costs, DRAFT, hint=hint), 0.8 * hint, 2 * hint)
+    learn(costs, DRAFT, 200, 60, lambda n: 3_000 if n % 2 else 5)
+    between(expected(costs, DRAFT, hint=3_000), 120, 350)
+
+
 def test_right_hints_are_used_and_steady_lies_corrected():
     for lie in (1, 10, 0.1):
         costs = LearnedCosts()
--- a/testing/test_platform_process.py
+++ b/testing/test_platform_process.py
@@ -43,6 +43,8 @@
         (run(bad, "entry"), "zone"),
         (run(bad), "usage"),
         (run(bad, "other"), "usage"),
+        (run(bad, "side", "--learn-costs"), "usage"),
+        (run(bad, "entry", "--learn-costs"), "zone"),
     ):
         assert_that(result.returncode, Equals(2))
         assert_that(result.stderr, Contains(named))
