--- a/src/copperrun/admission/memory.py
+++ b/src/copperrun/admission/memory.py
@@ -16,6 +16,8 @@
 
 # Output of a request that states no maximum and of whose kind nothing is learned.
 UNSTATED_OUTPUT_TOKENS = 512
+# Multiple of the likely output that is claimed: outputs of a kind may grow together.
+OUTPUT_MARGIN = 2
 # A claim that the engine's report does not list for this long is of a lost request.
 CLAIM_TTL_MS = 3_000
 SUM_TTL_MS = 100  # for which a sum is used again; the engine's report is as old
@@ -29,7 +31,7 @@
         own_tokens: Prompt tokens that it shares with no other request.
         parts: Tokens of each shared part, by the parts up to it and its model.
         output_tokens: Tokens that it is likely to generate at most.
-        output_limit: Most tokens that it may generate.
+        output_limit: Most tokens that it may generate; 0 when not stated.
         body_bytes: Bytes that wait at the engine until it begins.
     """
 
@@ -45,6 +47,13 @@
         """Tokens that it needs in an empty engine."""
         return self.own_tokens + sum(self.parts.values()) + self.output_tokens
 
+    @property
+    def least_tokens(self) -> int:
+        """Tokens without which it can't run: all of them if its output is bounded."""
+        return (
+            self.tokens if self.output_limit else self.tokens - self.output_tokens + 1
+        )
+
 
 class EngineRun(NamedTuple):
     """One running request as the engine reports it.
@@ -68,12 +77,14 @@
         used: Tokens that cannot yield.
         reserved: Tokens kept for requests or copies to come, which ``used`` leaves out.
         runs: Running requests; None when the engine does not list them.
+        running: Count of running requests.
     """
 
     total: int
     used: int
     reserved: int = 0
     runs: tuple[EngineRun, ...] | None = None
+    running: int = 0
 
 
 @dataclass
@@ -93,8 +104,10 @@
 
 def need_of(req: AdmissionRequest) -> MemoryNeed:
     """Return what a request needs."""
-    limit = req.output_tokens or max(req.likely_output, UNSTATED_OUTPUT_TOKENS)
-    output = min(limit, req.likely_output or limit)
+    most = req.output_tokens or UNSTATED_OUTPUT_TOKENS
+    output = OUTPUT_MARGIN * req.likely_output or most
+    if req.output_tokens:
+        output = min(output, most)
     parts: dict[int, int] = {}
     shared = 0
     # The same part holds other tokens after another beginning.
@@ -105,7 +118,9 @@
         shared += tokens
         parts[key] = tokens
     own_tokens = max(req.tokens - shared, 0)
-    return MemoryNeed(req.request, own_tokens, parts, output, limit, req.body_bytes)
+    return MemoryNeed(
+        req.request, own_tokens, parts, output, req.output_tokens, req.body_bytes
+    )
 
 
 def can_ever_fit(prompt_tokens: int, output_tokens: int, capacity: int) -> bool:
@@ -212,7 +227,7 @@
         if not self.capacity:
             return True
         if self._is_empty():
-            return need.tokens <= self.capacity
+            return need.least_tokens <= self.capacity
         if not self._queue_has_room(need):
             return False
         return self._committed(now_ms) + self._added_tokens(need) <= self.capacity
@@ -285,7 +300,7 @@
         if report is None:
             return self._claimed
         if report.runs is None:
-            return max(self._claimed + report.reserved, report.used)
+            return self._sum_without_runs(report)
         runs = {
             run.request: run for run in report.runs if run.request not in self._released
         }
@@ -309,6 +324,18 @@
         measured = max(report.used - sum(self._released.values()), 0) + growth
         return max(self._claimed - lost + unknown, measured) + report.reserved
 
+    def _sum_without_runs(self, report: MemoryReport) -> int:
+        """Return the tokens in use or claimed, by an engine's counts alone."""
+        begun = sum(claim.has_begun for claim in self._claims.values())
+        strangers = max(report.running - begun, 0)
+        if not strangers:
+            return max(self._claimed, report.used) + report.reserved
+        growth = strangers * self._largest_output + sum(
+            claim.need.output_tokens + (0 if claim.has_begun else claim.need.own_tokens)
+            for claim in self._claims.values()
+        )
+        return max(self._claimed, report.used + growth) + report.reserved
+
     def _generated(self, run: EngineRun) -> int:
         return run.events * self.tokens_per_event
 
@@ -326,8 +353,10 @@
 def _expected_growth(need: MemoryNeed, generated: int) -> int:
     """Return the tokens that a request may still generate.
 
-    One that outlived its estimate may go on to its limit.
+    One that outlived its estimate may go on to its limit, or for long without one.
     """
     if generated < need.output_tokens:
         return need.output_tokens - generated
+    if not need.output_limit:
+        return max(generated, UNSTATED_OUTPUT_TOKENS)
     return max(need.output_limit - generated, 0)
--- a/src/copperrun/platform/daemon.py
+++ b/src/copperrun/platform/daemon.py
@@ -28,6 +28,7 @@
 from copperrun.adapters.origins import HttpOriginKeepers
 from copperrun.adapters.origins import OriginRoutes
 from copperrun.adapters.timers import SystemTimers
+from copperrun.admission.buffers import BufferBounds
 from copperrun.admission.credits import Credits
 from copperrun.admission.memory import EngineMemory
 from copperrun.configuration.catalog import CurrentCatalog
@@ -53,6 +54,7 @@
 from copperrun.platform.engine_control import HttpEngineControl
 from copperrun.platform.ingress import Ingress
 from copperrun.platform.metrics import MetricsOnDemand
+from copperrun.platform.readers import CallerBuffers
 from copperrun.platform.records import decode_catalog
 from copperrun.platform.records import decode_server
 from copperrun.platform.settings import PlatformSettings
@@ -68,6 +70,7 @@
 from copperrun.ports.allotments import AllotmentKeepers
 from copperrun.ports.topics import TopicStore
 from copperrun.routing.catalog import CallerLimits
+from copperrun.routing.costs import LearnedCosts
 from copperrun.routing.crashes import CrashLog
 from copperrun.routing.origins import OriginTable
 from copperrun.routing.servers import ServerRecord
@@ -164,7 +167,14 @@
         self, role: str, start: str, store: TopicStore, keepers: AllotmentKeepers
     ) -> TenureKeeper:
         by = Incarnation(self.cfg.host, role, start)
-        return TenureKeeper(by, store, ALLOTMENTS_TOPIC, keepers, self.timers)
+        return TenureKeeper(
+            by,
+            store,
+            ALLOTMENTS_TOPIC,
+            keepers,
+            self.timers,
+            is_first_start=self.cfg.is_first_start,
+        )
 
     def limited_accounts(self) -> list[str]:
         """Return the names of the client accounts that have an allotment."""
@@ -276,6 +286,8 @@
             gate = AllotmentGate(
                 Credits(keepers, self.timers, cfg.quota, cfg.host), self.metrics
             )
+            # How large requests grow decides what an engine may hold there.
+            costs = LearnedCosts() if cfg.engines_crash_when_full else None
             process = self._process = ProxyProcess(
                 cfg.place,
                 view,
@@ -293,13 +305,16 @@
                 is_first_start=cfg.is_first_start,
                 key_max_age_ms=cfg.key_max_age_ms,
                 engines_crash_when_full=cfg.engines_crash_when_full,
+                costs=costs,
             )
-            ingress = Ingress(process.handle, self._max_body_bytes)
+            buffers = self._build_buffers()
+            ingress = Ingress(process.handle, self._max_body_bytes, buffers)
             server = CallerServer(
                 ingress.handle,
                 self._limits,
                 self.timers,
                 lowering_delay_ms=cfg.apply_ms + CALLERS_LEARN_MS,
+                buffers=buffers,
             )
             view.subscribe(lambda _: self._prepare_keeper(keeper, gate))
             front = web.ServerRunner(server, shutdown_timeout=0.1)
@@ -366,6 +381,12 @@
             await self.timers.sleep_ms(DRAIN_POLL_INTERVAL_MS)
         process.lifecycle.finish()
 
+    def _build_buffers(self) -> CallerBuffers | None:
+        if not self.cfg.memory_bytes:
+            return None
+        bounds = BufferBounds.from_memory(self.cfg.memory_bytes)
+        return CallerBuffers(bounds, self.timers, self.metrics)
+
     def _limits(self) -> CallerLimits | None:
         catalog = self.catalog.catalog
         return catalog.limits if catalog is not None else None
--- a/testing/mutants.py
+++ b/testing/mutants.py
@@ -36,6 +36,27 @@
 
 
 MUTANTS = (
+    Mutant(
+        "learned costs",
+        "routing/scoring.py",
+        "min(max(work / mean_ms, count / max_weight), count * max_weight)",
+        "work / mean_ms",
+        "test_costs.py::test_a_choice_by_wrong_work_is_never_worse_than_its_bound",
+    ),
+    Mutant(
+        "learned costs",
+        "routing/costs.py",
+        "return with_hints < without",
+        "return True",
+        "test_costs.py::test_hints_that_lie_at_random_by_ten_are_not_used",
+    ),
+    Mutant(
+        "learned costs",
+        "routing/costs.py",
+        "2 ** (idle / IDLE_HALF_LIFE) / SAMPLE_DECAY",
+        "1.0",
+        "test_costs.py::test_a_route_whose_cost_jumps_tenfold_is_known_after_60_answers",
+    ),
     Mutant(
         "engine memory",
         "admission/memory.py",
@@ -523,6 +544,66 @@
         "test_answers.py::test_a_raised_idle_timeout_applies_to_new_and_open"
         "_connections",
     ),
+    Mutant(
+        "fair: turns",
+        "admission/tickets.py",
+        "            lead_ms += prefill_ms(ticket)\n",
+        "",
+        "test_fairness.py::test_the_expected_wait_of_a_newcomer_leaves_out_most_of_a_l"
+        "ong_queue",
+    ),
+    Mutant(
+        "fair: lead",
+        "admission/fairness.py",
+        "starts_ms[share] += prefill_ms",
+        "pass",
+        "test_fairness.py::test_an_account_that_was_served_longer_has_a_lead_while_others"
+        "_wait",
+    ),
+    Mutant(
+        "fair: saved up",
+        "admission/fairness.py",
+        "return max(self._starts_ms.get(share, 0.0), least_ms)",
+        "return self._starts_ms.get(share, 0.0)",
+        "test_fairness.py::test_an_account_saves_nothing_up_while_it_sends_nothing",
+    ),
+    Mutant(
+        "fair: starved",
+        "admission/tickets.py",
+        "STARVED_RANK if ticket.account in starved else ticket.priority",
+        "ticket.priority",
+        "test_fairness.py::test_no_account_is_served_less_than_a_quarter_as_often_as_all",
+    ),
+    Mutant(
+        "place: order",
+        "admission/tickets.py",
+        "groups.setdefault((rank, not ticket.continues), [])",
+        "groups.setdefault((rank, False), [])",
+        "test_yielding.py::test_a_stream_that_goes_on_only_here_is_first_of_its_rank",
+    ),
+    Mutant(
+        "place: wait",
+        "admission/prefill.py",
+        "                if not gives_way(other, ticket)\n",
+        "",
+        "test_yielding.py::test_requests_with_other_places_do_not_count_as_ahead_of_a_str"
+        "eam",
+    ),
+    Mutant(
+        "place: yield",
+        "admission/prefill.py",
+        "streams = [item for item in self._waiting.values() if item.continues]",
+        "streams: list[Ticket] = []",
+        "test_yielding.py::test_only_as_many_give_way_as_the_stream_needs_and_the_last_on"
+        "es_first",
+    ),
+    Mutant(
+        "place: leave",
+        "routing/selector.py",
+        "holders = list(leave_to_streams(holders, self._slack_ms(request)))",
+        "pass",
+        "test_yielding.py::test_new_requests_leave_engines_where_streams_wait",
+    ),
     Mutant(
         "origin: attempt",
         "routing/selector.py",
@@ -660,6 +741,58 @@
         "test_installation.py::test_a_side_refuses_to_continue_an_answer_of_wei"
         "ghts_that_it_does_not_hold",
     ),
+    Mutant(
+        "readers",
+        "admission/buffers.py",
+        "return self._answer_bytes > self.bounds.answers * NEAR_FRACTION",
+        "return False",
+        "test_readers.py::test_thousands_of_stalled_readers_cost_a_bounded_sum_and_no_"
+        "neighbour",
+    ),
+    Mutant(
+        "readers",
+        "admission/buffers.py",
+        "if taken > unread.taken:",
+        "if False:",
+        "test_buffers.py::test_a_caller_that_reads_slowly_is_not_taken_for_one_that_"
+        "stalls",
+    ),
+    Mutant(
+        "readers",
+        "platform/connections.py",
+        "self.transport.set_write_buffer_limits(high=bound, low=bound // 2)",
+        "pass",
+        "test_readers.py::test_a_server_is_read_on_while_the_caller_stalls",
+    ),
+    Mutant(
+        "readers",
+        "platform/readers.py",
+        'self._cut(budget.unread_too_long(unread_limit_ms, now_ms), "unread")',
+        "pass",
+        "test_readers.py::test_an_answer_at_its_bound_that_nobody_reads_ends_and_is_"
+        "not_resumed",
+    ),
+    Mutant(
+        "uploads",
+        "platform/readers.py",
+        "async with self.timers.timeout_ms(limit_ms) as scope:",
+        "async with self.timers.timeout_ms(60_000) as scope:",
+        "test_readers.py::test_an_upload_that_trickles_past_its_time_gets_408",
+    ),
+    Mutant(
+        "uploads",
+        "platform/readers.py",
+        "self._end_slow_uploads(size) and self._budget.fits_upload(size)",
+        "False",
+        "test_readers.py::test_thousands_of_trickling_uploads_leave_room_for_others",
+    ),
+    Mutant(
+        "uploads",
+        "platform/readers.py",
+        "self._budget.release_upload(upload.size)\n\n    @asynccontextmanager",
+        "pass\n\n    @asynccontextmanager",
+        "test_readers.py::test_bodies_count_until_their_requests_end",
+    ),
     Mutant(
         "quota",
         "membership/tenures.py",
@@ -750,6 +883,20 @@
         "self.level += elapsed_ms / 5000 * self.rate_per_s",
         "test_allotments.py::test_the_limit_holds_and_is_served_without_faults",
     ),
+    Mutant(
+        "config check",
+        "configuration/comparison.py",
+        "if any(word in field for word in secrets):",
+        "if False:",
+        "test_check.py::test_differences_are_told_without_keys",
+    ),
+    Mutant(
+        "config check",
+        "ctl/publishing.py",
+        "return DocumentError(tuple(errors)) if errors else document",
+        "return document",
+        "test_check.py::test_the_same_checks_run_when_a_configuration_is_published",
+    ),
 )
 
 
