Give up connections to sides that are not made within 400 ms

Cause: after a power loss of all machines, entries that came back first sent the first packets of connections to sides whose machines were still down.

Change: calls to sides have a limit of their own for a new connection; what was not sent is tried again as after a refused connection.

--- a/src/copperrun/adapters/admission.py
+++ b/src/copperrun/adapters/admission.py
@@ -46,6 +46,9 @@
 VIEW_TIMEOUT_MS = 600  # a process that starts waits for the answers
 PROGRESS_BATCH_MS = 5  # events within this time share one message
 NOTIFY_TIMEOUT_MS = 1_000
+# The system sends a lost first packet of a connection again after 1 s, then 3 s. After
+# a power loss many machines come back within a second.
+CONNECT_TIMEOUT_MS = 400
 
 AddressResolver = Callable[[ServerRecord], str]
 
@@ -167,6 +170,7 @@
             f"http://{self._resolve_address(server)}{path}",
             body=wire.encode(message),
             timeout_ms=timeout_ms,
+            connect_ms=CONNECT_TIMEOUT_MS,
         )
         if isinstance(reply, HttpFailure):
             return side_error(reply)
--- a/src/copperrun/adapters/client.py
+++ b/src/copperrun/adapters/client.py
@@ -148,13 +148,23 @@
         body: bytes | None = None,
         headers: Mapping[str, str] | None = None,
         timeout_ms: int | None = None,
+        connect_ms: int | None = None,
     ) -> HttpReply | HttpFailure:
-        """Send a request and read the complete response."""
+        """Send a request and read the complete response.
+
+        Args:
+            method: HTTP method.
+            url: Absolute URL.
+            body: Body of the request.
+            headers: Headers beside those of all requests.
+            timeout_ms: Time for all of it; None for no limit.
+            connect_ms: Time for a new connection; None for the system's limit.
+        """
         if timeout_ms is None:
-            return await self._send_and_read(method, url, body, headers)
+            return await self._send_and_read(method, url, body, headers, connect_ms)
         try:
             async with self._timers.timeout_ms(timeout_ms):
-                return await self._send_and_read(method, url, body, headers)
+                return await self._send_and_read(method, url, body, headers, connect_ms)
         except TimeoutError:
             detail = f"{method} {url}: no response within {timeout_ms} ms"
             return HttpFailure(HttpFailureReason.ANSWER_LOST, detail)
@@ -181,12 +191,19 @@
         *,
         body: bytes | None = None,
         headers: Mapping[str, str] | None = None,
+        connect_ms: int | None = None,
     ) -> aiohttp.ClientResponse | HttpFailure:
         """Send a request and return the response with its body unread."""
         try:
             return await self._session.request(
-                method, _parse_url(url), data=body, headers=self._merge_headers(headers)
+                method,
+                _parse_url(url),
+                data=body,
+                headers=self._merge_headers(headers),
+                timeout=_timeout(connect_ms),
             )
+        except aiohttp.ConnectionTimeoutError as exc:
+            return HttpFailure(HttpFailureReason.NOT_SENT, f"{method} {url}: {exc}")
         except aiohttp.ClientConnectorError as exc:
             is_refused = isinstance(exc.os_error, ConnectionRefusedError)
             detail = f"{method} {url}: {exc}"
@@ -200,8 +217,11 @@
         url: str,
         body: bytes | None,
         headers: Mapping[str, str] | None,
+        connect_ms: int | None,
     ) -> HttpReply | HttpFailure:
-        response = await self.open(method, url, body=body, headers=headers)
+        response = await self.open(
+            method, url, body=body, headers=headers, connect_ms=connect_ms
+        )
         if isinstance(response, HttpFailure):
             return response
         try:
@@ -217,6 +237,12 @@
         return {**self._headers, **headers}
 
 
+@lru_cache
+def _timeout(connect_ms: int | None) -> aiohttp.ClientTimeout:
+    seconds = None if connect_ms is None else connect_ms / 1000
+    return aiohttp.ClientTimeout(total=None, sock_connect=seconds)
+
+
 @lru_cache(maxsize=MAX_CONNECTIONS)
 def _parse_url(url: str) -> URL:
     """Parse a URL once; requests use few distinct URLs."""
