Place copies by requests in time only where callers leave before a load ends

Change: both rules (a model that no caller asked for evicts nothing; further copies by requests in time) hold where the pool's longest load from the store takes longer than a caller of some streaming route to it waits. Elsewhere moves are worth what they were.

--- a/src/copperrun/placement/controller.py
+++ b/src/copperrun/placement/controller.py
@@ -88,7 +88,8 @@
         active: Models with running requests.
         capacity_rps: Requests per second that the engine can prefill when fully used.
         pause_ms: Time for prefill within the pause that streams of the pool allow; None
-            when they allow any. All sides know it alike, also those of idle engines.
+            when they allow any, or when callers wait for a load. All sides know it
+            alike, also those of idle engines.
 
     Each order carries the number of orders that the engine must have accepted before
     it, so an unanswered order has no effect once a later one has been accepted.
--- a/src/copperrun/placement/moves.py
+++ b/src/copperrun/placement/moves.py
@@ -4,7 +4,7 @@
 model stays unless a load gains clearly more than its victims are worth: a first copy
 serves requests that no engine serves now, a further copy serves requests beyond the
 capacity of the others, or lets more of them be in time, or takes load off them. A model
-that no caller has asked for evicts nothing. Each side computes the same moves from
+that no caller has asked for then evicts nothing. Each side computes the same moves from
 the same inputs and carries out those of its own engine.
 
 The value of a copy, and so the gain of a move, is in requests per second.
@@ -138,7 +138,7 @@
         pressure: Mean fraction of time that the engines spend on prefill.
         capacity_rps: Requests per second that one engine can serve.
         pause_prompts: Typical prompts that an engine can prefill within the pause that
-            streams allow; None when they allow any.
+            streams allow; None when they allow any, or when callers wait for a load.
         own: Engine whose moves alone the caller makes. The plan ends once no move of
             its own is worth making: later moves of others seldom change that, and the
             next plan sees them.
@@ -297,7 +297,8 @@
         needed_mb = model.size_mb - state.free_mb
         victims: list[tuple[str, float, float]] = []
         if needed_mb > 0:
-            if not self._demand.get(model.name, _NO_DEMAND).is_requested:
+            demand = self._demand.get(model.name, _NO_DEMAND)
+            if self._pause_prompts is not None and not demand.is_requested:
                 return None
             if (
                 value - min((cost for _, _, cost in state.victims), default=0.0)
--- a/src/copperrun/routing/catalog.py
+++ b/src/copperrun/routing/catalog.py
@@ -178,6 +178,20 @@
         ]
         return min(gaps_ms, default=0)
 
+    def must_hold_ready(self, pool: str) -> bool:
+        """Return whether callers of a pool leave before a missing model is loaded.
+
+        Then copies must be there before their requests come.
+        """
+        engine = self.pools[pool].engine if pool in self.pools else None
+        models = engine.models.values() if engine is not None else ()
+        longest_load_ms = max((model.store_load_ms for model in models), default=0)
+        return any(
+            0 < route.caller_timeout_ms < longest_load_ms
+            for route in self.routes
+            if route.streaming and route.leads_to(pool)
+        )
+
 
 class RouteTable:
     """Finds the route of a request by host and longest prefix."""
--- a/src/copperrun/side/placement.py
+++ b/src/copperrun/side/placement.py
@@ -109,7 +109,7 @@
         )
         gap_ms = catalog.shortest_gap_ms(pool)
         engine = self._controller.spec
-        if engine is not None and gap_ms:
+        if engine is not None and gap_ms and catalog.must_hold_ready(pool):
             self._controller.pause_ms = pause_prefill_ms(
                 gap_ms, engine.tokens_per_event
             )
