Let entries wait for sides that start with them before they keep allotments

Change: an entry tries to claim a group that nobody has 6 s after its start at the earliest, in place of 1.5 s. One that is asked for units may claim as before.

--- a/src/copperrun/membership/tenures.py
+++ b/src/copperrun/membership/tenures.py
@@ -43,7 +43,7 @@
 CALL_TIMEOUT_MS = 200  # to another keeper
 CLAIM_WAIT_MS = 200  # of a question, for the claim that it has caused
 CLAIM_RETRY_DELAY_MS = 500  # after a claim that the store has not taken
-FIRST_TURN_MS = 1_500  # by then an entry knows which sides answer
+FIRST_TURN_MS = 6_000  # by then sides that start with an entry answer it
 TURNS_MS = 5_000  # over which processes try to claim a group that nobody has
 END_RETRY_DELAY_MS = 500  # before a silent former keeper is told again
 
