Plan for the whole pool again

What is left on there is that plans end early. Change: sides no longer pass their own engine to the plan.

--- a/src/copperrun/placement/controller.py
+++ b/src/copperrun/placement/controller.py
@@ -370,7 +370,6 @@
                 pressure,
                 self.capacity_rps,
                 pause_prompts,
-                self.address,
             ):
                 if continuing[move.model]:
                     yield move
@@ -381,7 +380,6 @@
             pressure,
             self.capacity_rps,
             pause_prompts,
-            self.address,
         )
 
     async def _advance_move(
