Split the reports to sides from the entry's process

Change: DemandReporter in entry/reports.py, and the location of a process in membership/location.py; no behaviour changes.

--- a/src/copperrun/entry/proxy.py
+++ b/src/copperrun/entry/proxy.py
@@ -3,10 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections import Counter
-from collections.abc import Mapping
 from collections.abc import Sequence
-from typing import NamedTuple
 
 import xxhash
 from loguru import logger
@@ -16,19 +13,20 @@
 from copperrun.entry.accounts import outdated_keys
 from copperrun.entry.allotments import AllotmentGate
 from copperrun.entry.continuations import Continuations
+from copperrun.entry.reports import INITIAL_ENTRY_COUNT
+from copperrun.entry.reports import DemandReporter
 from copperrun.membership.archive import CrashArchive
 from copperrun.membership.exchange import CrashExchange
 from copperrun.membership.keepers import OriginDirectory
 from copperrun.membership.lifecycle import Lifecycle
 from copperrun.membership.lifecycle import State
+from copperrun.membership.location import ProcessLocation
 from copperrun.membership.view import PlatformView
 from copperrun.model import Ran
 from copperrun.model import Refusal
 from copperrun.model import RefusalReason
 from copperrun.placement.demand import DemandMeter
-from copperrun.ports.admission import DemandReport
 from copperrun.ports.admission import EngineSides
-from copperrun.ports.admission import PeerEngine
 from copperrun.ports.backends import BackendCall
 from copperrun.ports.backends import Backends
 from copperrun.ports.costs import Costs
@@ -37,7 +35,6 @@
 from copperrun.ports.origins import Keeper
 from copperrun.ports.origins import OriginKeepers
 from copperrun.ports.responder import Responder
-from copperrun.ports.sides import SideError
 from copperrun.ports.timers import Timers
 from copperrun.ports.topics import TopicStore
 from copperrun.routing.accounts import AccountTable
@@ -54,57 +51,19 @@
 from copperrun.routing.requests import RoutedRequest
 from copperrun.routing.retries import RetryBounds
 from copperrun.routing.retries import RetryWindow
-from copperrun.routing.scoring import Distance
 from copperrun.routing.servers import Server
 from copperrun.routing.servers import ServerRecord
 from copperrun.routing.servers import ServerReport
 from copperrun.routing.servers import ServerTable
 
-# Longest time between two reports to a side: it may hold its reply this long, and the
-# next report follows the reply. An entry reports to every engine of a pool, so the
-# interval grows with their number, up to a bound on the age of what is known of one.
-MIN_REPORT_INTERVAL_MS = 800
-MAX_REPORT_INTERVAL_MS = 2_400
-REPORT_SPACING_MS = 60  # between reports to any two engines of the entry's own region
-# Entries that tell a side the state of all other engines of the pool in one interval.
-RELAYING_ENTRIES = 3
-REPORT_RETRY_DELAY_MS = 300  # before the next report to a side that did not reply
-# Reports of newly missing models are this far apart; each waits as long before it is
-# sent, so that requests that arrive together share a report.
-URGENT_REPORT_INTERVAL_MS = 50
 # Servers whose records lapsed in a store outage are removed some time after it. No
 # record arrives then that would update the list.
 REFRESH_INTERVAL_MS = 500
-INITIAL_ENTRY_COUNT = 8  # until a side reports the number of entries
 NOT_READY_RETRY_AFTER_MS = 1_000
 # An entry that starts waits this long for what others and the store know of crashes.
 CRASHES_TIMEOUT_MS = 500
 
 
-class ProcessLocation(NamedTuple):
-    """Where a process runs.
-
-    Attributes:
-        instance: Name of the instance.
-        zone: Its availability zone.
-        region: Its region.
-        region_by_zone: Region of each zone.
-    """
-
-    instance: str
-    zone: str
-    region: str
-    region_by_zone: Mapping[str, str]
-
-    def distance_to(self, zone: str) -> Distance:
-        """Return the distance class of a zone."""
-        if zone == self.zone:
-            return Distance.ZONE
-        if self.region_by_zone.get(zone) == self.region:
-            return Distance.REGION
-        return Distance.REMOTE
-
-
 class ProxyProcess:
     """Wires the parts of a proxy entry and runs its tasks."""
 
@@ -135,7 +94,6 @@
         self.servers = ServerTable(timers)
         self._location = location
         self._view = view
-        self._sides = sides
         self._retry_bounds = retry_bounds
         self._timers = timers
         self._metrics = metrics
@@ -145,16 +103,20 @@
             self._origins, view, timers, is_first_start=is_first_start
         )
         self._budgets: dict[str, RetryWindow] = {}
-        self._entry_count = INITIAL_ENTRY_COUNT
         self._costs = costs
         self._memory_share: MemoryShare | None = None
         if engines_crash_when_full:
             self._memory_share = MemoryShare(INITIAL_ENTRY_COUNT)
         self._demand = DemandMeter()
-        self._demand.subscribe(self._report_urgently)
-        self._urgent_report_tasks: set[asyncio.Task[None]] = set()
-        self._urgent_report_ms: dict[str, int] = {}
-        self._report_tasks: dict[str, asyncio.Task[None]] = {}
+        self._reporter = DemandReporter(
+            location,
+            self.servers,
+            sides,
+            self._demand,
+            timers,
+            on_report=self._apply_report,
+            on_responsive=self._check_keeper,
+        )
         self.quarantine = Quarantine(
             CrashLog(timers), timers, stagger_ms=_stagger_ms(location.instance)
         )
@@ -209,8 +171,7 @@
             self._exchange.close()
             self._origins.close()
             self._gate.close()
-            for task in self._report_tasks.values():
-                task.cancel()
+            self._reporter.close()
 
     def update_retry_bounds(self, retry_bounds: RetryBounds) -> None:
         """Apply changed bounds on retries."""
@@ -318,11 +279,7 @@
         )
         engines = {server.id for server in records}
         self._gate.set_engines(filter(self._has_side, records))
-        for server_id in self._report_tasks.keys() - engines:
-            self._report_tasks.pop(server_id).cancel()
-        for server_id in engines - self._report_tasks.keys():
-            task = asyncio.create_task(self._report_demand(server_id))
-            self._report_tasks[server_id] = task
+        self._reporter.set_engines(engines)
 
     def _has_side(self, record: ServerRecord) -> bool:
         server = self.servers.find(record.id)
@@ -333,94 +290,16 @@
         host = server.address.rpartition(":")[0]
         return Keeper(host, self._location.region_by_zone.get(server.zone, ""))
 
+    def _check_keeper(self, server: ServerRecord) -> None:
+        self._origins.check(self._keeper(server).host)
+
     async def _refresh(self) -> None:
         self._view.refresh()
 
-    async def _report_demand(self, server_id: str) -> None:
-        """Exchange demand and server reports with one side until cancelled."""
-        reported_totals: Counter[str] = Counter()
-        is_unresponsive = False
-        # Entries start at different reports, so that they take turns.
-        turn = int(
-            xxhash.xxh32_intdigest(f"{self._location.instance}/{server_id}".encode())
-        )
-        while (server := self.servers.find(server_id)) is not None:
-            totals = self._demand.arrival_totals(server.record.pool)
-            demand = DemandReport(
-                self._location.instance,
-                dict(totals - reported_totals),
-                self._demand.waiting_counts(server.record.pool),
-                self._demand.queued_counts(server.record.pool),
-                self._peer_engines(server, turn),
-                self._continuing_counts(server),
-            )
-            turn += 1
-            report = await self._sides.report_demand(
-                server.record, demand, self._report_interval_ms(server)
-            )
-            if isinstance(report, SideError):
-                if not is_unresponsive:
-                    logger.warning(
-                        "side unresponsive", server=server_id, detail=report.detail
-                    )
-                is_unresponsive = True
-                server.is_side_unresponsive = True
-                self.servers.notify_change()
-                await self._timers.sleep_ms(REPORT_RETRY_DELAY_MS)
-                continue
-            if is_unresponsive:
-                logger.info("side responsive again", server=server_id)
-                self._origins.check(self._keeper(server.record).host)
-            is_unresponsive = False
-            server.is_side_unresponsive = False
-            reported_totals = totals
-            self._apply_report(server, report)
-
-    def _continuing_counts(self, server: Server) -> dict[str, int]:
-        record = server.current_record
-        return self._demand.continuing_counts(record.pool, record.software_version)
-
-    def _report_interval_ms(self, server: Server) -> int:
-        """Return the time between two reports to a server's side."""
-        if self._is_remote(server):
-            return MAX_REPORT_INTERVAL_MS
-        pool = self.servers.in_pool(server.record.pool)
-        near = sum(not self._is_remote(other) for other in pool)
-        return min(
-            max(near * REPORT_SPACING_MS, MIN_REPORT_INTERVAL_MS),
-            MAX_REPORT_INTERVAL_MS,
-        )
-
-    def _is_remote(self, server: Server) -> bool:
-        return self._location.distance_to(server.record.zone) is Distance.REMOTE
-
-    def _peer_engines(self, server: Server, turn: int) -> dict[str, PeerEngine]:
-        """Return the pool's other engines, as reported to the server's side.
-
-        Only entries of the side's own region report them, in turns: traffic between
-        regions is expensive, and this part of a report grows with the pool.
-        """
-        if self._is_remote(server):
-            return {}
-        regions = len(set(self._location.region_by_zone.values()))
-        near_entries = self._entry_count // max(regions, 1)
-        if turn % max(near_entries // RELAYING_ENTRIES, 1):
-            return {}
-        return {
-            other.record.address: PeerEngine(
-                frozenset(other.held),
-                frozenset(other.loading),
-                other.utilization,
-                other.active,
-            )
-            for other in self.servers.in_pool(server.record.pool)
-            if other is not server and other.has_fresh_report
-        }
-
     def _apply_report(self, server: Server, report: ServerReport) -> None:
         server.apply_report(report)
         if report.entries:
-            self._entry_count = report.entries
+            self._reporter.entry_count = report.entries
             if self._memory_share is not None:
                 # A side that has just started has heard of few.
                 share = self._memory_share
@@ -429,45 +308,11 @@
                 budget.entries = report.entries
         self.servers.notify_change()
 
-    def _report_urgently(self, pool: str) -> None:
-        """Report a newly missing model without waiting for the next regular report."""
-        now = self._timers.now_ms()
-        if (
-            now - self._urgent_report_ms.get(pool, -URGENT_REPORT_INTERVAL_MS)
-            < URGENT_REPORT_INTERVAL_MS
-        ):
-            return
-        self._urgent_report_ms[pool] = now
-        task = asyncio.create_task(self._send_urgent_reports(pool))
-        self._urgent_report_tasks.add(task)
-        task.add_done_callback(self._urgent_report_tasks.discard)
-
-    async def _send_urgent_reports(self, pool: str) -> None:
-        # Collects the requests that arrive together into one report.
-        await self._timers.sleep_ms(URGENT_REPORT_INTERVAL_MS)
-        demand = DemandReport(
-            self._location.instance, {}, self._demand.waiting_counts(pool), {}, {}
-        )
-        servers = self.servers.in_pool(pool)
-        reports = await asyncio.gather(
-            *(
-                self._sides.report_demand(
-                    server.record,
-                    demand._replace(continuing=self._continuing_counts(server)),
-                    0,
-                )
-                for server in servers
-            )
-        )
-        for server, report in zip(servers, reports, strict=True):
-            if not isinstance(report, SideError):
-                self._apply_report(server, report)
-
     def _budget_for(self, pool: str) -> RetryWindow:
         budget = self._budgets.get(pool)
         if budget is None:
             budget = self._budgets[pool] = RetryWindow(self._timers, self._retry_bounds)
-            budget.entries = self._entry_count
+            budget.entries = self._reporter.entry_count
         return budget
 
 
--- a/src/copperrun/platform/settings.py
+++ b/src/copperrun/platform/settings.py
@@ -12,7 +12,7 @@
 import yaml
 
 from copperrun.admission.uses import QuotaBounds
-from copperrun.entry.proxy import ProcessLocation
+from copperrun.membership.location import ProcessLocation
 from copperrun.placement.loads import LoadRateLimit
 from copperrun.routing.retries import RetryBounds
 
--- a/testing/test_proxy.py
+++ b/testing/test_proxy.py
@@ -25,8 +25,8 @@
 from copperrun.embedded.clock import ManualTimers
 from copperrun.embedded.clock import run_until_idle
 from copperrun.entry.allotments import AllotmentGate
-from copperrun.entry.proxy import ProcessLocation
 from copperrun.entry.proxy import ProxyProcess
+from copperrun.membership.location import ProcessLocation
 from copperrun.ports.admission import DemandReport
 from copperrun.routing.retries import RetryBounds
 from copperrun.routing.servers import ServerRecord
--- a/testing/test_view.py
+++ b/testing/test_view.py
@@ -22,8 +22,8 @@
 from copperrun.embedded.clock import ManualTimers
 from copperrun.embedded.clock import run_until_idle
 from copperrun.entry.allotments import AllotmentGate
-from copperrun.entry.proxy import ProcessLocation
 from copperrun.entry.proxy import ProxyProcess
+from copperrun.membership.location import ProcessLocation
 from copperrun.membership.registry import Registry
 from copperrun.membership.view import ENTRY_CATALOG_WAIT_FRACTION
 from copperrun.membership.view import ENTRY_SERVERS_POLL_FRACTION
