Quote no key in errors of a malformed configuration

Cause: the error quoted the value that could not be decoded. Bytes that are no text, a key with a lone surrogate and a key that is no text brought the whole configuration or the key into the entry's log. A text in place of the list of keys made each of its characters a key. An infinite number raised an error that was not caught.

Change: keys are checked as a list of texts before they are decoded, errors of decoding text leave the text out, and rates and bursts must be finite.

--- a/src/copperrun/platform/records.py
+++ b/src/copperrun/platform/records.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import math
 from collections.abc import Iterator
 from collections.abc import Mapping
 from typing import Any
@@ -23,7 +24,7 @@
 from copperrun.routing.servers import HeldModel
 from copperrun.routing.servers import ServerRecord
 
-_MALFORMED = (ValueError, KeyError, TypeError, AttributeError)
+_MALFORMED = (ValueError, KeyError, TypeError, AttributeError, OverflowError)
 MAX_VERSION_CHARACTERS = 64
 
 _LEAVING_BY_STATE = {"ready": False, "draining": True}
@@ -41,7 +42,7 @@
             _accounts(fields.get("tenants")),
         )
     except _MALFORMED as exc:
-        return f"configuration is malformed: {exc!r}"
+        return f"configuration is malformed: {_describe(exc)}"
 
 
 def find_malformed(fields: Mapping[str, Any]) -> Iterator[tuple[str, int, str]]:
@@ -201,20 +202,36 @@
     """Decode a client account; raise ``TypeError`` and the like if it is malformed."""
     return ClientAccount(
         _string(item["name"]),  # the wire's word for an account is a tenant
-        frozenset(digest_key(_string(key)) for key in item.get("api-keys") or ()),
+        _key_digests(item.get("api-keys")),
         _number(item.get("priority", 0)),
         _allotment(item),
     )
 
 
+def _key_digests(keys: Any) -> frozenset[bytes]:
+    """Return the digests of an account's keys; an error quotes none of them."""
+    if not isinstance(keys or [], list):
+        raise TypeError("api-keys: expected a list of keys")
+    if not all(isinstance(key, str) and key for key in keys or ()):
+        raise TypeError("api-keys: expected each key to be a non-empty string")
+    return frozenset(map(digest_key, keys or ()))
+
+
+def _describe(exc: Exception) -> str:
+    """Return an error without the text that it could not decode: that has keys."""
+    if isinstance(exc, UnicodeError):
+        return f"{type(exc).__name__}: {exc}"
+    return repr(exc)
+
+
 def _allotment(item: Mapping[str, Any]) -> Allotment | None:
-    rate_per_s = float(item.get("rate-per-s") or 0.0)
+    rate_per_s = _finite(item.get("rate-per-s") or 0.0)
     if rate_per_s <= 0:
         return None
     unit = AllotmentUnit(item.get("unit") or AllotmentUnit.REQUESTS.value)
     return Allotment(
         rate_per_s,
-        float(item.get("burst") or 0.0),
+        _finite(item.get("burst") or 0.0),
         unit,
         max(_number(item.get("plain-tokens", 1)), 1),
     )
@@ -236,6 +253,13 @@
     return int(value)
 
 
+def _finite(value: Any) -> float:
+    number = float(value)
+    if not math.isfinite(number):
+        raise ValueError(f"expected a finite number, got {number}")
+    return number
+
+
 def _string(value: Any) -> str:
     if not isinstance(value, str) or not value:
         raise TypeError(f"expected a non-empty string, got {value!r}")
--- a/testing/test_platform_records.py
+++ b/testing/test_platform_records.py
@@ -14,6 +14,7 @@
 from testtools.matchers import Contains
 from testtools.matchers import Equals
 from testtools.matchers import IsInstance
+from testtools.matchers import Not
 
 from copperrun.admission.memory import EngineRun
 from copperrun.admission.memory import MemoryReport
@@ -21,6 +22,7 @@
 from copperrun.platform.engine_control import _decode_status
 from copperrun.platform.records import decode_catalog
 from copperrun.platform.records import decode_server
+from copperrun.platform.records import find_malformed
 from copperrun.platform.settings import SETTINGS_PATH_VARIABLE
 from copperrun.platform.settings import PlatformSettings
 from copperrun.platform.settings import SettingsError
@@ -346,3 +348,33 @@
     assert isinstance(catalog, Catalog)
     paths = [pool.health_path for pool in catalog.pools.values()]
     assert_that(paths, Equals(["/", "/health", "/"]))
+
+
+SECRET = "k7b2ex5wa5xwyhks8nbk"
+
+
+@pytest.mark.parametrize(
+    "keys", [[f"{SECRET}\ud800"], [{SECRET: 1}], [[SECRET]], {SECRET: 1}, SECRET]
+)
+def test_an_error_of_malformed_keys_quotes_none_of_them(keys: Any) -> None:
+    fields = configuration(tenants=[{"name": "north", "api-keys": keys}])
+    decoded = decode_catalog(json.dumps(fields).encode())
+    assert_that(decoded, IsInstance(str))
+    assert_that(decoded, Not(Contains(SECRET)))
+    for _, _, text in find_malformed(fields):
+        assert_that(text, Not(Contains(SECRET)))
+
+
+def test_an_error_of_bytes_that_are_no_text_quotes_no_key() -> None:
+    fields = configuration(tenants=[{"name": "north", "api-keys": [SECRET]}])
+    decoded = decode_catalog(json.dumps(fields).encode() + b"\xff")
+    assert_that(decoded, IsInstance(str))
+    assert_that(decoded, Not(Contains(SECRET)))
+
+
+@pytest.mark.parametrize("name", ["rate-per-s", "burst", "priority"])
+@pytest.mark.parametrize("value", ["Infinity", "NaN", "1e999"])
+def test_a_number_that_is_not_finite_is_malformed(name: str, value: str) -> None:
+    item = {"name": "north", "api-keys": [], "rate-per-s": 5, name: "HERE"}
+    text = json.dumps(configuration(tenants=[item])).replace('"HERE"', value)
+    assert_that(decode_catalog(text.encode()), IsInstance(str))
