Release of a shared part what was claimed of it

Cause: callers may state different tokens of one part. The claim of the first counted, but what the last one to end had stated was taken off, so that the sum of claims drifted for as long as the side ran: up, until a full engine took no more than one request, or below what is in use.

Change: the most that is stated of a part counts until its last request ends.

--- a/src/copperrun/admission/memory.py
+++ b/src/copperrun/admission/memory.py
@@ -169,7 +169,7 @@
         self.tokens_per_event = 1
         self.queue_bytes = 0
         self._claims: dict[str, _Claim] = {}
-        # Tokens of each claimed part and the count of its claims.
+        # Most tokens stated of each claimed part, and the count of its claims.
         self._parts: dict[int, tuple[int, int]] = {}
         self._claimed = 0
         self._queued_bytes = 0
@@ -240,8 +240,8 @@
         self._claimed += self._added_tokens(need)
         self._queued_bytes += need.body_bytes
         for key, tokens in need.parts.items():
-            _, count = self._parts.get(key, (tokens, 0))
-            self._parts[key] = tokens, count + 1
+            most_tokens, count = self._parts.get(key, (0, 0))
+            self._parts[key] = max(tokens, most_tokens), count + 1
         self._largest_output = max(self._largest_output, need.output_tokens)
 
     def record_begun(self, claim_id: str) -> None:
@@ -258,10 +258,10 @@
             return
         self._sum = None
         need = claim.need
-        for key, tokens in need.parts.items():
-            first_tokens, count = self._parts.pop(key)
+        for key in need.parts:
+            tokens, count = self._parts.pop(key)
             if count > 1:
-                self._parts[key] = first_tokens, count - 1
+                self._parts[key] = tokens, count - 1
             else:
                 self._claimed -= tokens
         self._claimed -= need.own_tokens + need.output_tokens
@@ -284,8 +284,10 @@
 
     def _added_tokens(self, need: MemoryNeed) -> int:
         """Return the tokens that a request adds to those of the claims."""
+        # Callers may state other tokens of the same part; the most count.
         new_parts = sum(
-            tokens for key, tokens in need.parts.items() if key not in self._parts
+            max(tokens - self._parts.get(key, (0, 0))[0], 0)
+            for key, tokens in need.parts.items()
         )
         return need.own_tokens + new_parts + need.output_tokens
 
--- a/testing/test_memory.py
+++ b/testing/test_memory.py
@@ -4,6 +4,7 @@
 
 from random import Random
 
+import pytest
 from factories import engine
 from test_admission import Bench
 from test_admission import admission_request
@@ -74,6 +75,20 @@
     assert_that(counted.claimed, Equals(0))
 
 
+@pytest.mark.parametrize("stated", [(300, 100), (100, 300), (0, 300), (300, 300)])
+@pytest.mark.parametrize("last", [0, 1])
+def test_a_part_of_which_callers_state_other_tokens_is_released_whole(stated, last):
+    counted = memory()
+    for number, tokens in enumerate(stated):
+        parts = (PromptPart("a1", tokens),)
+        assert claim(counted, str(number), tokens=500, parts=parts)
+    own_tokens = sum(500 - tokens + 100 for tokens in stated)
+    assert_that(counted.claimed, Equals(own_tokens + max(stated)))
+    counted.release(str(1 - last))
+    counted.release(str(last))
+    assert_that(counted.claimed, Equals(0))
+
+
 def test_parts_are_shared_only_after_the_same_beginning_and_by_one_adapter():
     counted = memory()
     for name, changes in (
