End each of several attempts with one id at a side

Cause: a side kept one granted request for each caller's id. A second attempt with the id replaced the first, whose claim on the engine's memory and whose adapter were never released: not when both had ended, nor after the time for requests of entries that died.

Change: granted attempts with one id are kept in their order; a reported end ends the first, and each expires by itself.

--- a/src/copperrun/side/admission.py
+++ b/src/copperrun/side/admission.py
@@ -68,7 +68,8 @@
         self._waiters: dict[str, asyncio.Future[bool]] = {}
         self._spec: EngineSpec | None = None
         self._ticket_count = 0
-        self._admitted: dict[str, _AdmittedRequest] = {}
+        # By the caller's id, which several attempts may have, the first one in front.
+        self._admitted: dict[str, list[_AdmittedRequest]] = {}
         self._prepared: set[str] = set()
 
     async def admit(self, req: AdmissionRequest) -> Admission:
@@ -100,13 +101,16 @@
         """Record the first events and the ends of admitted requests."""
         now_ms = self._timers.now_ms()
         for request_id in started:
-            admitted = self._admitted.get(request_id)
-            if admitted is not None:
-                self._queue.record_first_event(admitted.ticket_id, now_ms)
+            attempts = self._admitted.get(request_id)
+            if attempts:
+                self._queue.record_first_event(attempts[-1].ticket_id, now_ms)
         for request_id in ended:
-            admitted = self._admitted.pop(request_id, None)
-            self._work.end(request_id)
-            if admitted is not None:
+            attempts = self._admitted.pop(request_id, [])
+            if len(attempts) > 1:
+                self._admitted[request_id] = attempts[1:]
+            else:
+                self._work.end(request_id)
+            for admitted in attempts[:1]:
                 self._queue.remove(admitted.ticket_id)
                 self._placement.end_use(admitted.ticket_id)
         self._update_active_models()
@@ -125,9 +129,8 @@
             return Overloaded(self._queue.backlog_ms())
         if not self._placement.holds(req.model):
             return NotHeld()
-        self._admitted[req.request] = _AdmittedRequest(
-            ticket.id, req.model, self._timers.now_ms()
-        )
+        admitted = _AdmittedRequest(ticket.id, req.model, self._timers.now_ms())
+        self._admitted.setdefault(req.request, []).append(admitted)
         self._work.begin(req)
         self._update_active_models()
         return self._placement.grant()
@@ -211,19 +214,22 @@
         Requests of an entry that died are removed after ``USE_TTL_MS``.
         """
         oldest = self._timers.now_ms() - USE_TTL_MS
-        for request, admitted in self._admitted.items():
-            if admitted.admitted_ms > oldest:
+        for request, attempts in list(self._admitted.items()):
+            if attempts[0].admitted_ms > oldest:
                 continue
-            self._work.end(request)
+            left = [item for item in attempts if item.admitted_ms > oldest]
             if self._memory is not None:
-                self._memory.release(admitted.ticket_id)
-        self._admitted = {
-            request: admitted
-            for request, admitted in self._admitted.items()
-            if admitted.admitted_ms > oldest
-        }
+                for admitted in attempts[: len(attempts) - len(left)]:
+                    self._memory.release(admitted.ticket_id)
+            if left:
+                self._admitted[request] = left
+            else:
+                del self._admitted[request]
+                self._work.end(request)
         self._placement.active = frozenset(
-            admitted.model for admitted in self._admitted.values()
+            admitted.model
+            for attempts in self._admitted.values()
+            for admitted in attempts
         )
 
     def _build_ticket(self, req: AdmissionRequest, now_ms: int) -> Ticket:
--- a/testing/test_memory.py
+++ b/testing/test_memory.py
@@ -25,6 +25,7 @@
 from copperrun.admission.memory import can_ever_fit
 from copperrun.admission.memory import need_of
 from copperrun.model import RefusalReason
+from copperrun.placement.adapter_slots import USE_TTL_MS
 from copperrun.ports.admission import Granted
 from copperrun.ports.admission import PromptPart
 from copperrun.ports.sides import SideError
@@ -307,6 +308,26 @@
     tasks[7].cancel()
 
 
+@pytest.mark.parametrize("is_reported", [True, False])
+async def test_two_attempts_with_one_id_both_release_their_claims(is_reported):
+    bench = MemoryBench()
+    await bench.start()
+    for _ in range(2):
+        bench.admit(admission_request("r", output_tokens=100))
+        await bench.timers.advance(200)
+        bench.admission.record_progress(["r"], [])
+    assert_that(bench.memory.claimed, Equals(2 * 1_600))
+    if is_reported:
+        bench.admission.record_progress([], ["r"])
+        assert_that(bench.memory.claimed, Equals(1_600))
+        bench.admission.record_progress([], ["r"])
+    else:
+        await bench.timers.advance(USE_TTL_MS)
+        bench.admission.report()
+    assert_that(bench.memory.claimed, Equals(0))
+    assert_that(bench.admission._admitted, Equals({}))
+
+
 async def test_without_the_bound_memory_holds_no_request_back():
     bench = Bench()
     await bench.start()
