State waits of allotments within what the wire can carry

Cause: a low rate with a large burst gave a wait above 31 bits, and a huge burst units above 63. The answer could not be encoded, so entries took the keeper for silent and refused all accounts of its group (503) as often as the one account asked.

Change: the wait and the units used are bounded by their wire types.

--- a/src/copperrun/admission/buckets.py
+++ b/src/copperrun/admission/buckets.py
@@ -15,6 +15,8 @@
 # Units ahead are granted above this part of the burst only, so that one entry's
 # forecast does not take what another's request needs.
 PLENTY_FRACTION = 0.5
+MAX_WAIT_MS = 2**31 - 1  # that a grant on the wire can state
+MAX_USED_UNITS = 2**63 - 1  # likewise
 MAX_BUCKETS = 10_000  # of one group; full ones are dropped beyond it
 
 
@@ -42,7 +44,8 @@
     def wait_ms(self, cost: int) -> int:
         """Return the time until a request may be granted."""
         missing = min(cost, self.burst) - self.level
-        return int(max(missing, 0.0) / self.rate_per_s * 1000) + 1
+        wait_ms = max(missing, 0.0) / self.rate_per_s * 1000
+        return int(min(wait_ms, MAX_WAIT_MS - 1)) + 1
 
 
 class Buckets:
@@ -85,7 +88,7 @@
             ahead = max(min(request.ahead, int(plenty)), 0)
             bucket.level -= ahead
             units += ahead
-        used = max(int(bucket.burst - bucket.level), 0)
+        used = min(max(int(bucket.burst - bucket.level), 0), MAX_USED_UNITS)
         return CreditGrant(request.account, units, retry_after_ms, used)
 
     def levels(self, now_ms: int) -> dict[str, float]:
--- a/testing/test_allotments_http.py
+++ b/testing/test_allotments_http.py
@@ -25,11 +25,14 @@
 from testtools.matchers import IsInstance
 from testtools.matchers import Not
 
+from copperrun.adapters import wire
 from copperrun.adapters.allotments import AllotmentRoutes
 from copperrun.adapters.allotments import HttpAllotmentKeepers
 from copperrun.adapters.client import HttpClient
 from copperrun.adapters.client import open_session
 from copperrun.adapters.timers import SystemTimers
+from copperrun.admission.buckets import Buckets
+from copperrun.gen import ttypes
 from copperrun.membership.claim_log import ClaimLog
 from copperrun.membership.claim_log import Incarnation
 from copperrun.membership.tenures import TenureKeeper
@@ -256,3 +259,16 @@
     await engine.close()
     assert_that(statuses[-3:].count(200), GreaterThan(0))
     assert_that(statuses[-1], Equals(429))
+
+
+@pytest.mark.parametrize(
+    ("rate_per_s", "burst"), [(0.001, 1e6), (1e-320, 1e6), (1_000.0, 1e30)]
+)
+def test_each_limit_gives_an_answer_that_can_be_encoded(rate_per_s, burst):
+    buckets = Buckets(0, {}, is_full=False)
+    request = CreditRequest("north", rate_per_s, burst, [50_000], 0)
+    grant = buckets.grant(1, request, 1)
+    encoded = wire.encode(ttypes.CreditReply([ttypes.CreditGrant(*grant)]))
+    decoded = wire.decode(ttypes.CreditReply, encoded)
+    assert_that(decoded.grants[0].units, Equals(0))
+    assert_that(decoded.grants[0].retry_after_ms, GreaterThan(48_000))
