Grant nothing once a keeper ends as planned

Cause: a process that ends closes its listeners first, so that its successor finds connections refused and takes it for ended, while open connections were still granted units under its lease. A keeper could also claim a group again after it was closed.

Change: a closed keeper has no tenures and answers that it does not keep the group.

--- a/src/copperrun/membership/tenures.py
+++ b/src/copperrun/membership/tenures.py
@@ -97,6 +97,7 @@
         self._renewal: asyncio.Task[None] | None = None
         self._turns: dict[int, asyncio.Task[None]] = {}
         self._duty: tuple[frozenset[int], frozenset[str]] = frozenset(), frozenset()
+        self._is_closed = False
 
     async def grant(
         self, group: int, version: int, requests: Sequence[CreditRequest], silent: str
@@ -109,6 +110,8 @@
             requests: What the entry asks for.
             silent: Host of a keeper that did not answer the entry.
         """
+        if self._is_closed:
+            return NotKeeper("")
         if not requests:
             return [] if self._is_confirmed(group) else NotKeeper("")
         grants = self._grant(group, version, requests)
@@ -168,7 +171,9 @@
             await self._start_takeover(group, "")
 
     def close(self) -> None:
-        """End all tasks."""
+        """End all tenures and tasks; a refused connection tells others of it."""
+        self._is_closed = True
+        self._tenures.clear()
         for task in self._turns.values():
             task.cancel()
         for task in self._takeovers.values():
--- a/testing/test_allotments.py
+++ b/testing/test_allotments.py
@@ -32,6 +32,7 @@
 from copperrun.model import RefusalReason
 from copperrun.ports.allotments import CreditGrant
 from copperrun.ports.allotments import CreditRequest
+from copperrun.ports.allotments import NotKeeper
 
 LIMIT = tokens(1_000, 2_000)
 COSTS = (50, 200, 900, 1_600)
@@ -294,6 +295,23 @@
         assert_that(used, GreaterThan(0.5 * most_allowed()))
 
 
+async def test_a_keeper_that_ends_grants_and_claims_nothing_more():
+    # Others take its refused connections for its end; those that it has are open yet.
+    with fleet(keepers=1, entries=1) as running:
+        (keeper,) = running.keepers.values()
+        group = group_of("north")
+        running.send(running.entries[0], "north", 50)
+        await running.timers.advance(1_000)
+        puts = running.store.puts
+        keeper.keeper.close()
+        for _ in range(2):
+            asked = keeper.keeper.grant(group, 1, [ask(50)], "")
+            task = asyncio.create_task(asked)
+            await running.timers.advance(1_000)
+            assert_that(task.result(), Equals(NotKeeper("")))
+        assert_that(running.store.puts, Equals(puts))
+
+
 async def test_of_claims_written_at_once_one_counts_and_a_later_one_names_it():
     timers = ManualTimers()
     store = MemoryTopicStore(timers)
