Keep units that are granted as a caller leaves

Cause: a request that was cancelled or out of time in the moment in which it got its units took them along though it never ran, so that an account below its limit had less.

Change: they go back to the stock; a request whose units came at the end of its wait goes on.

--- a/src/copperrun/admission/credits.py
+++ b/src/copperrun/admission/credits.py
@@ -126,7 +126,12 @@
             async with self._timers.timeout_ms(wait_ms):
                 return await fut
         except TimeoutError:
-            return no_keeper(use)
+            # The answer may have come at that very moment.
+            return no_keeper(use) if fut.cancelled() else fut.result()
+        except asyncio.CancelledError:
+            if not fut.cancelled() and isinstance(credit := fut.result(), Credit):
+                self.give_back(credit)
+            raise
 
     def give_back(self, credit: Credit) -> None:
         """Take back the units of a request that has not run and will not."""
--- a/testing/test_allotments.py
+++ b/testing/test_allotments.py
@@ -23,6 +23,7 @@
 from copperrun.admission.groups import group_of
 from copperrun.admission.groups import keeper_order
 from copperrun.admission.stock import CreditStock
+from copperrun.admission.uses import AccountUse
 from copperrun.embedded.clock import ManualTimers
 from copperrun.membership.claim_log import UNKNOWN
 from copperrun.membership.claim_log import ClaimLog
@@ -33,6 +34,7 @@
 from copperrun.ports.allotments import CreditGrant
 from copperrun.ports.allotments import CreditRequest
 from copperrun.ports.allotments import NotKeeper
+from copperrun.routing.accounts import ClientAccount
 
 LIMIT = tokens(1_000, 2_000)
 COSTS = (50, 200, 900, 1_600)
@@ -295,6 +297,23 @@
         assert_that(used, GreaterThan(0.5 * most_allowed()))
 
 
+async def test_units_granted_as_the_caller_leaves_stay_for_the_next_one():
+    with fleet(keepers=1, entries=1) as running:
+        credits = running.entries[0].credits
+        use = AccountUse(
+            ClientAccount("north", frozenset(), 0, LIMIT), LIMIT, 1, 50, "r"
+        )
+        leaving = asyncio.create_task(credits.acquire(use, 300))
+        await running.timers.advance(0)
+        account, now = credits._accounts["north"], running.timers.now_ms()
+        account.stock.add(50, now + 800, now)
+        account.apply(CreditGrant("north", 50, 0, 50), list(account.waiters), now)
+        assert_that(account.stock.available(now), Equals(0))
+        leaving.cancel()
+        await asyncio.gather(leaving, return_exceptions=True)
+        assert_that(account.stock.available(now), Equals(50))
+
+
 async def test_a_keeper_that_ends_grants_and_claims_nothing_more():
     # Others take its refused connections for its end; those that it has are open yet.
     with fleet(keepers=1, entries=1) as running:
