Give units back when a caller leaves before its request is sent

Cause: units went back only when the relay returned. A caller that left while its request waited for an engine ended it by cancellation, and its units were lost, so that accounts below their limit were refused.

Change: the entry hands the relay the request's progress and reads from it whether a server may have run it, also after a cancellation.

Result: the case at an entry got 429 before, it gets 200 now; a relay states that a request may have run once it has been sent.

--- a/src/copperrun/entry/proxy.py
+++ b/src/copperrun/entry/proxy.py
@@ -51,6 +51,7 @@
 from copperrun.routing.quarantine import MAX_STAGGER_MS
 from copperrun.routing.quarantine import Quarantine
 from copperrun.routing.relay import Relay
+from copperrun.routing.requests import Progress
 from copperrun.routing.requests import RoutedRequest
 from copperrun.routing.retries import RetryBounds
 from copperrun.routing.retries import RetryWindow
@@ -266,9 +267,13 @@
             return
         if self._costs is not None:
             request = with_estimate(request, self._costs)
-        may_have_run = await self._relay.handle(request, responder)
-        if not may_have_run:
-            self._gate.give_back(credit)
+        progress = Progress(call.resume_after)
+        try:
+            await self._relay.handle(request, responder, progress)
+        finally:
+            # Also when the caller has left while it waited.
+            if not progress.may_have_run:
+                self._gate.give_back(credit)
 
     def _authenticate(
         self, call: BackendCall, route: Route, accounts: AccountTable
--- a/src/copperrun/routing/relay.py
+++ b/src/copperrun/routing/relay.py
@@ -98,13 +98,23 @@
                 continue
             scope.reschedule(asyncio.get_running_loop().time())
 
-    async def handle(self, request: RoutedRequest, responder: Responder) -> bool:
+    async def handle(
+        self,
+        request: RoutedRequest,
+        responder: Responder,
+        progress: Progress | None = None,
+    ) -> bool:
         """Answer or refuse a request before its deadline.
 
+        Args:
+            request: The request.
+            responder: Takes the answer.
+            progress: Told how it went, also if the caller leaves.
+
         Returns:
             Whether a server may have run it.
         """
-        progress = Progress(request.call.resume_after)
+        progress = progress or Progress(request.call.resume_after)
         progress.origin = request.origin
         self._budget_for(request.pool.name).record_request()
         if not self._blocked_ms(request):
--- a/testing/test_allotments_http.py
+++ b/testing/test_allotments_http.py
@@ -124,6 +124,40 @@
     assert_that((refused, served), Equals((503, 200)))
 
 
+class WaitingRelay:
+    """A relay at which requests wait until their callers leave."""
+
+    def __init__(self) -> None:
+        self.has_begun = asyncio.Event()
+        self.has_ended = asyncio.Event()
+
+    async def handle(self, *_: object) -> bool:
+        self.has_begun.set()
+        try:
+            return await asyncio.get_running_loop().create_future()
+        finally:
+            self.has_ended.set()
+
+
+async def test_a_caller_that_leaves_before_its_request_is_sent_uses_no_units(tmp_path):
+    server = ScriptedServer()
+    entry = await start_entry(tmp_path, server, limited(200))
+    process = entry.role._process
+    relay, process._relay = process._relay, WaitingRelay()
+    client = await Client.open(entry.port)
+    client.send(REQUEST.format(headers=f"Authorization: Token {KEY}"))
+    waiting = process._relay
+    async with TIMERS.timeout_ms(TIMEOUT_MS):
+        await waiting.has_begun.wait()
+        client.close()
+        await waiting.has_ended.wait()
+    process._relay = relay
+    status, _ = await ask(entry)
+    await entry.close()
+    await server.close()
+    assert_that(status, Equals(200))
+
+
 async def test_accounts_without_allotments_leave_the_store_alone(tmp_path):
     server = ScriptedServer()
     entry = await start_entry(tmp_path, server, account())
--- a/testing/test_relay.py
+++ b/testing/test_relay.py
@@ -7,6 +7,7 @@
 from collections.abc import Sequence
 from typing import NamedTuple
 
+import pytest
 from factories import engine
 from factories import model
 from factories import pool
@@ -46,6 +47,7 @@
 from copperrun.routing.quarantine import MIN_CRASHES
 from copperrun.routing.quarantine import Quarantine
 from copperrun.routing.relay import Relay
+from copperrun.routing.requests import Progress
 from copperrun.routing.requests import RoutedRequest
 from copperrun.routing.retries import RetryBounds
 from copperrun.routing.retries import RetryWindow
@@ -248,7 +250,10 @@
         )
 
     def begin(
-        self, kind: object = SAFE, **changes: object
+        self,
+        kind: object = SAFE,
+        progress: Progress | None = None,
+        **changes: object,
     ) -> tuple[Caller, asyncio.Task]:
         caller = Caller()
         plain = BackendCall("id-1", "POST", "h.example", "/a/b?c", [], b"body", 3_000)
@@ -262,7 +267,9 @@
             now,
             now + kind.timeout_ms,
         )
-        return caller, asyncio.create_task(self.relay.handle(request, caller))
+        return caller, asyncio.create_task(
+            self.relay.handle(request, caller, *filter(None, [progress]))
+        )
 
     async def handle(self, kind: object = SAFE, **changes: object) -> Caller:
         caller, task = self.begin(kind, **changes)
@@ -519,6 +526,22 @@
     assert_that(caller.refusal.ran, Is(Ran.NO))
 
 
+@pytest.mark.parametrize(("leaves_ms", "may_have_run"), [(500, False), (2_500, True)])
+async def test_a_request_whose_caller_leaves_before_it_is_sent_has_not_run(
+    leaves_ms, may_have_run
+):
+    bench = Bench(engine("a", ["m"]))
+    bench.sides.delay_ms = 2_000
+    bench.backends.plans = {"a": [Plan(delay_ms=5_000, parts=events(1, 3))]}
+    progress = Progress("")
+    _, task = bench.begin(STREAM, progress, model="m")
+    await bench.timers.advance(leaves_ms)
+    assert_that(bench.backends.calls, HasLength(int(may_have_run)))
+    task.cancel()
+    await asyncio.gather(task, return_exceptions=True)
+    assert_that(progress.may_have_run, Is(may_have_run))
+
+
 async def test_an_unresponsive_side_does_not_delay_requests():
     # Requests to a frozen side waited for its admission until their callers
     # disconnected.
