Name granted units apart from those in stock

Cause: the type check found one name for two types, in the change that keeps units granted as a caller leaves.

Change: another name.

Result: mypy finds no issue.

--- a/src/copperrun/admission/credits.py
+++ b/src/copperrun/admission/credits.py
@@ -129,8 +129,8 @@
             # The answer may have come at that very moment.
             return no_keeper(use) if fut.cancelled() else fut.result()
         except asyncio.CancelledError:
-            if not fut.cancelled() and isinstance(credit := fut.result(), Credit):
-                self.give_back(credit)
+            if not fut.cancelled() and isinstance(granted := fut.result(), Credit):
+                self.give_back(granted)
             raise
 
     def give_back(self, credit: Credit) -> None:
