--- a/testing/test_allotments_http.py
+++ b/testing/test_allotments_http.py
@@ -25,11 +25,14 @@
 from testtools.matchers import IsInstance
 from testtools.matchers import Not
 
+from copperrun.adapters import wire
 from copperrun.adapters.allotments import AllotmentRoutes
 from copperrun.adapters.allotments import HttpAllotmentKeepers
 from copperrun.adapters.client import HttpClient
 from copperrun.adapters.client import open_session
 from copperrun.adapters.timers import SystemTimers
+from copperrun.admission.buckets import Buckets
+from copperrun.gen import ttypes
 from copperrun.membership.claim_log import ClaimLog
 from copperrun.membership.claim_log import Incarnation
 from copperrun.membership.tenures import TenureKeeper
@@ -121,6 +124,40 @@
     assert_that((refused, served), Equals((503, 200)))
 
 
+class WaitingRelay:
+    """A relay at which requests wait until their callers leave."""
+
+    def __init__(self) -> None:
+        self.has_begun = asyncio.Event()
+        self.has_ended = asyncio.Event()
+
+    async def handle(self, *_: object) -> bool:
+        self.has_begun.set()
+        try:
+            return await asyncio.get_running_loop().create_future()
+        finally:
+            self.has_ended.set()
+
+
+async def test_a_caller_that_leaves_before_its_request_is_sent_uses_no_units(tmp_path):
+    server = ScriptedServer()
+    entry = await start_entry(tmp_path, server, limited(200))
+    process = entry.role._process
+    relay, process._relay = process._relay, WaitingRelay()
+    client = await Client.open(entry.port)
+    client.send(REQUEST.format(headers=f"Authorization: Token {KEY}"))
+    waiting = process._relay
+    async with TIMERS.timeout_ms(TIMEOUT_MS):
+        await waiting.has_begun.wait()
+        client.close()
+        await waiting.has_ended.wait()
+    process._relay = relay
+    status, _ = await ask(entry)
+    await entry.close()
+    await server.close()
+    assert_that(status, Equals(200))
+
+
 async def test_accounts_without_allotments_leave_the_store_alone(tmp_path):
     server = ScriptedServer()
     entry = await start_entry(tmp_path, server, account())
@@ -256,3 +293,16 @@
     await engine.close()
     assert_that(statuses[-3:].count(200), GreaterThan(0))
     assert_that(statuses[-1], Equals(429))
+
+
+@pytest.mark.parametrize(
+    ("rate_per_s", "burst"), [(0.001, 1e6), (1e-320, 1e6), (1_000.0, 1e30)]
+)
+def test_each_limit_gives_an_answer_that_can_be_encoded(rate_per_s, burst):
+    buckets = Buckets(0, {}, is_full=False)
+    request = CreditRequest("north", rate_per_s, burst, [50_000], 0)
+    grant = buckets.grant(1, request, 1)
+    encoded = wire.encode(ttypes.CreditReply([ttypes.CreditGrant(*grant)]))
+    decoded = wire.decode(ttypes.CreditReply, encoded)
+    assert_that(decoded.grants[0].units, Equals(0))
+    assert_that(decoded.grants[0].retry_after_ms, GreaterThan(48_000))
--- a/testing/test_memory.py
+++ b/testing/test_memory.py
@@ -4,6 +4,7 @@
 
 from random import Random
 
+import pytest
 from factories import engine
 from test_admission import Bench
 from test_admission import admission_request
@@ -24,6 +25,7 @@
 from copperrun.admission.memory import can_ever_fit
 from copperrun.admission.memory import need_of
 from copperrun.model import RefusalReason
+from copperrun.placement.adapter_slots import USE_TTL_MS
 from copperrun.ports.admission import Granted
 from copperrun.ports.admission import PromptPart
 from copperrun.ports.sides import SideError
@@ -74,6 +76,20 @@
     assert_that(counted.claimed, Equals(0))
 
 
+@pytest.mark.parametrize("stated", [(300, 100), (100, 300), (0, 300), (300, 300)])
+@pytest.mark.parametrize("last", [0, 1])
+def test_a_part_of_which_callers_state_other_tokens_is_released_whole(stated, last):
+    counted = memory()
+    for number, tokens in enumerate(stated):
+        parts = (PromptPart("a1", tokens),)
+        assert claim(counted, str(number), tokens=500, parts=parts)
+    own_tokens = sum(500 - tokens + 100 for tokens in stated)
+    assert_that(counted.claimed, Equals(own_tokens + max(stated)))
+    counted.release(str(1 - last))
+    counted.release(str(last))
+    assert_that(counted.claimed, Equals(0))
+
+
 def test_parts_are_shared_only_after_the_same_beginning_and_by_one_adapter():
     counted = memory()
     for name, changes in (
@@ -292,6 +308,26 @@
     tasks[7].cancel()
 
 
+@pytest.mark.parametrize("is_reported", [True, False])
+async def test_two_attempts_with_one_id_both_release_their_claims(is_reported):
+    bench = MemoryBench()
+    await bench.start()
+    for _ in range(2):
+        bench.admit(admission_request("r", output_tokens=100))
+        await bench.timers.advance(200)
+        bench.admission.record_progress(["r"], [])
+    assert_that(bench.memory.claimed, Equals(2 * 1_600))
+    if is_reported:
+        bench.admission.record_progress([], ["r"])
+        assert_that(bench.memory.claimed, Equals(1_600))
+        bench.admission.record_progress([], ["r"])
+    else:
+        await bench.timers.advance(USE_TTL_MS)
+        bench.admission.report()
+    assert_that(bench.memory.claimed, Equals(0))
+    assert_that(bench.admission._admitted, Equals({}))
+
+
 async def test_without_the_bound_memory_holds_no_request_back():
     bench = Bench()
     await bench.start()
