Give status checks connections of their own, and end those that speak unasked

Cause: aiohttp keeps what arrives on an idle connection and gives it to the next request as its answer. After a lost answer, the status check went over the connections of requests, took a late second answer for its own and gave the connection back; its true answer came there afterwards and was believed, as it had no id.

Change: connections are of a class of ours that closes when bytes come while it is idle. A status check and a question for an engine's start use a connection that nothing else uses. Neither can take the other's answer then, whatever is late.

--- a/src/copperrun/adapters/client.py
+++ b/src/copperrun/adapters/client.py
@@ -15,14 +15,11 @@
 import aiohttp
 from yarl import URL
 
+from copperrun.adapters.connector import ServerConnector
 from copperrun.adapters.timers import SystemTimers
 from copperrun.ports.timers import Timers
 
 MAX_CONNECTIONS = 4_096
-HTTP_KEEPALIVE_S = 30.0
-# A server begins to count when it has sent its answer.
-IDLE_LIMIT_MARGIN_MS = 100
-MAX_IDLE_LIMITS = 10_000  # addresses of servers; they announce theirs again
 TCP_KEEPALIVE_IDLE_S = 2  # with the probes, an unreachable peer is noticed in 4 s
 TCP_KEEPALIVE_INTERVAL_S = 1
 TCP_KEEPALIVE_PROBES = 2
@@ -68,31 +65,6 @@
             return None
 
 
-class ServerConnector(aiohttp.TCPConnector):
-    """Does not use a connection again that its server has announced to close."""
-
-    def __init__(self, timers: Timers, **options: Any) -> None:
-        super().__init__(keepalive_timeout=HTTP_KEEPALIVE_S, **options)
-        self._timers = timers
-        self._idle_limit_ms: dict[tuple[str, int | None], int] = {}
-
-    def record_idle_limit(self, host: str, port: int | None, limit_ms: int) -> None:
-        """Record for how long a server keeps connections open that are idle."""
-        if len(self._idle_limit_ms) >= MAX_IDLE_LIMITS:
-            self._idle_limit_ms.clear()
-        self._idle_limit_ms[host, port] = limit_ms - IDLE_LIMIT_MARGIN_MS
-
-    async def _get(self, key: Any, traces: Any) -> Any:
-        limit_ms = self._idle_limit_ms.get((key.host, key.port))
-        idle = self._conns.get(key)
-        if limit_ms is not None and idle:
-            # aiohttp has one limit for all servers; the oldest connection goes first.
-            oldest_s = (self._timers.now_ms() - limit_ms) / 1000
-            while idle and idle[0][1] < oldest_s:
-                idle.popleft()[0].close()
-        return await super()._get(key, traces)
-
-
 def open_session() -> aiohttp.ClientSession:
     """Return a session without total time limits; callers set their own."""
     session = aiohttp.ClientSession(
--- /dev/null
+++ b/src/copperrun/adapters/connector.py
@@ -0,0 +1,117 @@
+"""Connections to servers, and which of them a request may use again."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Iterator
+from contextlib import contextmanager
+from contextvars import ContextVar
+from functools import partial
+from typing import Any
+
+import aiohttp
+from aiohttp.client_proto import ResponseHandler
+from loguru import logger
+
+from copperrun.ports.timers import Timers
+
+HTTP_KEEPALIVE_S = 30.0
+# A server begins to count when it has sent its answer.
+IDLE_LIMIT_MARGIN_MS = 100
+MAX_IDLE_LIMITS = 10_000  # addresses of servers; they announce theirs again
+
+
+class Exchange:
+    """One request and its answer, as far as the choice of a connection goes.
+
+    Attributes:
+        is_separate: Whether it needs a connection that no other request uses.
+    """
+
+    def __init__(self, *, is_separate: bool = False) -> None:
+        self.is_separate = is_separate
+
+
+_CURRENT: ContextVar[Exchange | None] = ContextVar("exchange", default=None)
+
+
+@contextmanager
+def exchanging(exchange: Exchange) -> Iterator[Exchange]:
+    """Choose connections for ``exchange`` in the requests of this block."""
+    token = _CURRENT.set(exchange)
+    try:
+        yield exchange
+    finally:
+        _CURRENT.reset(token)
+
+
+class ServerConnection(ResponseHandler):
+    """A connection that ends when its server sends what no request asked for.
+
+    Attributes:
+        is_idle: Whether it waits for its next request.
+        is_separate: Whether it serves one request only.
+    """
+
+    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
+        super().__init__(loop)
+        self.is_idle = False
+        self.is_separate = False
+
+    def data_received(self, data: bytes) -> None:
+        """Read a part of an answer; close the connection when none is due."""
+        if not self.is_idle or not data:  # aiohttp resumes its parser with no data
+            super().data_received(data)
+            # The answer may have ended within these bytes.
+            if not (self.is_idle and self.should_close):
+                return
+        logger.warning("connection closed: the server sent bytes while it was idle")
+        self.close()
+
+
+class ServerConnector(aiohttp.TCPConnector):
+    """Uses no connection again that may bring another answer than the request's.
+
+    Nor one that its server has announced to close.
+    """
+
+    def __init__(self, timers: Timers, **options: Any) -> None:
+        super().__init__(keepalive_timeout=HTTP_KEEPALIVE_S, **options)
+        # aiohttp has no public setting for the class of its connections.
+        self._factory = partial(ServerConnection, self._loop)  # type: ignore[assignment]
+        self._timers = timers
+        self._idle_limit_ms: dict[tuple[str, int | None], int] = {}
+
+    def record_idle_limit(self, host: str, port: int | None, limit_ms: int) -> None:
+        """Record for how long a server keeps connections open that are idle."""
+        if len(self._idle_limit_ms) >= MAX_IDLE_LIMITS:
+            self._idle_limit_ms.clear()
+        self._idle_limit_ms[host, port] = limit_ms - IDLE_LIMIT_MARGIN_MS
+
+    async def connect(self, req: Any, traces: Any, timeout: Any) -> Any:
+        """Return a connection for the current exchange."""
+        exchange = _CURRENT.get() or Exchange()
+        conn: Any = await super().connect(req, traces, timeout)
+        conn.protocol.is_separate = exchange.is_separate
+        return conn
+
+    async def _get(self, key: Any, traces: Any) -> Any:
+        exchange = _CURRENT.get()
+        if exchange is not None and exchange.is_separate:
+            return None
+        limit_ms = self._idle_limit_ms.get((key.host, key.port))
+        idle = self._conns.get(key)
+        if limit_ms is not None and idle:
+            # aiohttp has one limit for all servers; the oldest connection goes first.
+            oldest_s = (self._timers.now_ms() - limit_ms) / 1000
+            while idle and idle[0][1] < oldest_s:
+                idle.popleft()[0].close()
+        conn: Any = await super()._get(key, traces)
+        if conn is not None:
+            conn.protocol.is_idle = False
+        return conn
+
+    def _release(self, key: Any, protocol: Any, *, should_close: bool = False) -> None:
+        is_separate = protocol.is_separate
+        super()._release(key, protocol, should_close=should_close or is_separate)
+        protocol.is_idle = True
--- a/src/copperrun/platform/backends.py
+++ b/src/copperrun/platform/backends.py
@@ -3,13 +3,17 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
 
 import aiohttp
 from loguru import logger
 from multidict import CIMultiDict
 from yarl import URL
 
-from copperrun.adapters.client import ServerConnector
+from copperrun.adapters.connector import Exchange
+from copperrun.adapters.connector import ServerConnector
+from copperrun.adapters.connector import exchanging
 from copperrun.platform import http_headers
 from copperrun.ports.backends import AnswerHead
 from copperrun.ports.backends import BackendCall
@@ -138,16 +142,9 @@
         A refused connection shows it, and so do an engine's report of a later start
         and another server's id in the answer to a health check.
         """
-        for _ in range(2):  # the first may use an idle connection to the ended start
+        for _ in range(2):  # an ending server may reset the first connection
             try:
-                async with self._session.get(
-                    URL(
-                        f"http://{server.address}{health_path or REPORT_PATH}",
-                        encoded=True,
-                    ),
-                    timeout=aiohttp.ClientTimeout(total=timeout_ms / 1000),
-                    allow_redirects=False,
-                ) as response:
+                async with self._check(server, health_path, timeout_ms) as response:
                     if health_path:
                         answered_by = response.headers.get(http_headers.SERVER_ID, "")
                         return answered_by not in ("", server.id)
@@ -167,11 +164,7 @@
     async def is_running(self, server: ServerRecord, *, timeout_ms: int) -> bool:
         """Return whether a start of an engine surely runs; its report names it."""
         try:
-            async with self._session.get(
-                URL(f"http://{server.address}{REPORT_PATH}", encoded=True),
-                timeout=aiohttp.ClientTimeout(total=timeout_ms / 1000),
-                allow_redirects=False,
-            ) as response:
+            async with self._check(server, REPORT_PATH, timeout_ms) as response:
                 fields = await response.json(content_type=None)
         except (aiohttp.ClientError, OSError, TimeoutError, ValueError) as exc:
             logger.info(
@@ -183,6 +176,24 @@
         born_ms = fields.get("born") if isinstance(fields, dict) else None
         return isinstance(born_ms, int) and born_ms == server.born_ms > 0
 
+    @asynccontextmanager
+    async def _check(
+        self, server: ServerRecord, path: str, timeout_ms: int
+    ) -> AsyncIterator[aiohttp.ClientResponse]:
+        """Ask a server about itself.
+
+        The answer has no id, so the connection must bring no other one: neither a late
+        answer to a request, nor this one to the next request.
+        """
+        with exchanging(Exchange(is_separate=True)):
+            response = await self._session.get(
+                URL(f"http://{server.address}{path or REPORT_PATH}", encoded=True),
+                timeout=aiohttp.ClientTimeout(total=timeout_ms / 1000),
+                allow_redirects=False,
+            )
+        async with response:
+            yield response
+
 
 def _identified_headers(call: BackendCall) -> CIMultiDict[str]:
     """Return the headers to forward, naming the client account where there are any."""
--- /dev/null
+++ b/testing/test_connector.py
@@ -0,0 +1,171 @@
+"""Which connections to servers carry another request, over real sockets."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+
+import pytest
+from factories import server
+from platform_standins import ReceivedRequest
+from platform_standins import ScriptedServer
+from platform_standins import answer_head
+from platform_standins import send_answer
+from testtools.assertions import assert_that
+from testtools.matchers import Equals
+
+from copperrun.adapters.client import open_session
+from copperrun.adapters.timers import SystemTimers
+from copperrun.platform.backends import BackendAnswer
+from copperrun.platform.backends import HttpBackends
+from copperrun.ports.backends import BackendCall
+from copperrun.ports.backends import BackendError
+
+TIMERS = SystemTimers()
+SETTLE_MS = 60  # bytes on loopback have arrived
+REPORT = b'{"born": 1000}'
+REPORT_HEAD = b"HTTP/1.1 200 OK\r\nContent-Length: 14\r\n\r\n"
+
+
+def call(request_id: str) -> BackendCall:
+    headers = [("Host", "h"), ("Request-Id", request_id)] if request_id else []
+    return BackendCall(request_id, "GET", "h", "/x", headers, None, None)
+
+
+class FaultyServer(ScriptedServer):
+    """Writes extra bytes on the connection of its first request.
+
+    Attributes:
+        late: Written after the first answer, on its connection.
+        is_idle_first: Whether they come before the next request is sent; else they
+            come before its answer.
+    """
+
+    def __init__(self, late: bytes, *, is_idle_first: bool) -> None:
+        super().__init__()
+        self.late = late
+        self.is_idle_first = is_idle_first
+        self.first: asyncio.StreamWriter | None = None
+        self.first_answer: bytes | None = None
+        self.script = self._answer
+
+    async def _answer(
+        self, request: ReceivedRequest, writer: asyncio.StreamWriter
+    ) -> bool:
+        if self.first is None:
+            self.first = writer
+            if self.first_answer is not None:
+                writer.write(self.first_answer)
+            else:
+                await send_answer(request, writer)
+            if self.is_idle_first:
+                await TIMERS.sleep_ms(SETTLE_MS / 2)
+                writer.write(self.late)
+            return True
+        if not self.is_idle_first:
+            self.first.write(self.late)
+            await TIMERS.sleep_ms(SETTLE_MS)
+        if request.target == "/x":
+            return await send_answer(request, writer)
+        writer.write(REPORT_HEAD + REPORT)
+        return True
+
+
+@asynccontextmanager
+async def calling(backend: ScriptedServer) -> AsyncIterator[HttpBackends]:
+    await backend.start()
+    async with open_session() as session:
+        try:
+            yield HttpBackends(session)
+        finally:
+            await backend.close()
+
+
+async def send(
+    backends: HttpBackends, backend: ScriptedServer, request_id: str
+) -> tuple[int, bytes] | BackendError:
+    """Send a request and return the status and body of its answer."""
+    answer = await backends.open(
+        server(backend.id, address=backend.address, born_ms=1_000),
+        call(request_id),
+        remaining_ms=2_000,
+        priority=0,
+        resume_after="",
+    )
+    if isinstance(answer, BackendError):
+        return answer
+    return answer.head.status, await read_whole(answer)
+
+
+async def read_whole(answer: BackendAnswer) -> bytes:
+    body = b""
+    while (chunk := await answer.read()) is not None:
+        assert not isinstance(chunk, BackendError)
+        body += chunk
+    return body
+
+
+def copy_of(request_id: str, status: str = "200 OK", *lines: str) -> bytes:
+    head = "\r\n".join(
+        [f"HTTP/1.1 {status}", "Content-Length: 4", *lines]
+        + ([f"Request-Id: {request_id}"] if request_id else [])
+    )
+    return f"{head}\r\n\r\ncopy".encode()
+
+
+# A late second answer was taken for a status check's, and that one's for a request's.
+@pytest.mark.parametrize("health_path", ["/health", ""])
+@pytest.mark.parametrize("is_idle_first", [True, False])
+async def test_a_status_check_shares_no_connection_with_requests(
+    health_path, is_idle_first
+):
+    backend = FaultyServer(copy_of("r1"), is_idle_first=is_idle_first)
+    async with calling(backend) as backends:
+        assert_that(await send(backends, backend, "r1"), Equals((200, b"answer to r1")))
+        record = server(backend.id, address=backend.address, born_ms=1_000)
+        await backends.has_ended(record, health_path=health_path, timeout_ms=500)
+        assert_that(await backends.is_running(record, timeout_ms=500), Equals(True))
+        await TIMERS.sleep_ms(SETTLE_MS)
+        assert_that(await send(backends, backend, "r2"), Equals((200, b"answer to r2")))
+
+
+# Bytes that came while a connection was idle were read as its next answer.
+@pytest.mark.parametrize(
+    "late",
+    [copy_of(""), copy_of("r2"), copy_of("r2")[:40], b"\r\n", b"no answer at all"],
+    ids=["without_id", "of_the_next_id", "cut", "empty_line", "garbage"],
+)
+async def test_a_connection_that_received_bytes_while_idle_is_not_used_again(late):
+    backend = FaultyServer(late, is_idle_first=True)
+    async with calling(backend) as backends:
+        assert_that(await send(backends, backend, "r1"), Equals((200, b"answer to r1")))
+        await TIMERS.sleep_ms(SETTLE_MS)
+        assert_that(await send(backends, backend, "r2"), Equals((200, b"answer to r2")))
+    assert_that(backend.connections, Equals(2))
+
+
+async def test_bytes_that_come_with_the_end_of_an_answer_end_its_connection():
+    async def answer_twice(
+        request: ReceivedRequest, writer: asyncio.StreamWriter
+    ) -> bool:
+        writer.write(answer_head(request, Content_Length="2"))
+        await TIMERS.sleep_ms(SETTLE_MS)
+        writer.write(b"ok" + copy_of("r2"))
+        return True
+
+    backend = ScriptedServer()
+    backend.script = answer_twice
+    async with calling(backend) as backends:
+        assert_that(await send(backends, backend, "r1"), Equals((200, b"ok")))
+        assert_that(await send(backends, backend, "r2"), Equals((200, b"ok")))
+    assert_that(backend.connections, Equals(2))
+
+
+async def test_connections_of_a_sound_server_are_used_again():
+    backend = ScriptedServer()
+    async with calling(backend) as backends:
+        for number in range(20):
+            answer = await send(backends, backend, f"r{number}")
+            assert_that(answer, Equals((200, f"answer to r{number}".encode())))
+    assert_that(backend.connections, Equals(1))
