Believe an answer only where it is surely that of the request

Cause: an answer without id was believed on any connection; an answer with the id of a request says nothing where a caller repeats that id on the same connection; orders, and the calls of copperrun's own interface, have no ids and shared connections.

Change: an answer without id counts only on a connection that has carried nothing else; a connection refuses an id that it has carried and ends after 500 requests, so that it forgets none; what has no id uses a connection of its own.

--- a/src/copperrun/adapters/client.py
+++ b/src/copperrun/adapters/client.py
@@ -15,7 +15,9 @@
 import aiohttp
 from yarl import URL
 
+from copperrun.adapters.connector import Exchange
 from copperrun.adapters.connector import ServerConnector
+from copperrun.adapters.connector import exchanging
 from copperrun.adapters.timers import SystemTimers
 from copperrun.ports.timers import Timers
 
@@ -121,6 +123,7 @@
         headers: Mapping[str, str] | None = None,
         timeout_ms: int | None = None,
         connect_ms: int | None = None,
+        is_separate: bool = False,
     ) -> HttpReply | HttpFailure:
         """Send a request and read the complete response.
 
@@ -131,12 +134,16 @@
             headers: Headers beside those of all requests.
             timeout_ms: Time for all of it; None for no limit.
             connect_ms: Time for a new connection; None for the system's limit.
+            is_separate: Whether it needs a connection of its own: where an answer bears
+                no id, only that tells it from a late copy of an earlier one.
         """
+        exchange = Exchange(is_separate=is_separate)
+        work = self._send_and_read(method, url, body, headers, connect_ms, exchange)
         if timeout_ms is None:
-            return await self._send_and_read(method, url, body, headers, connect_ms)
+            return await work
         try:
             async with self._timers.timeout_ms(timeout_ms):
-                return await self._send_and_read(method, url, body, headers, connect_ms)
+                return await work
         except TimeoutError:
             detail = f"{method} {url}: no response within {timeout_ms} ms"
             return HttpFailure(HttpFailureReason.ANSWER_LOST, detail)
@@ -149,11 +156,17 @@
         *,
         headers: Mapping[str, str] = JSON_HEADERS,
         timeout_ms: int | None = None,
+        is_separate: bool = False,
     ) -> HttpReply | HttpFailure:
         """Send a JSON value and read the complete response."""
         body = None if value is None else json.dumps(value).encode()
         return await self.call(
-            method, url, body=body, headers=headers, timeout_ms=timeout_ms
+            method,
+            url,
+            body=body,
+            headers=headers,
+            timeout_ms=timeout_ms,
+            is_separate=is_separate,
         )
 
     async def open(
@@ -164,16 +177,30 @@
         body: bytes | None = None,
         headers: Mapping[str, str] | None = None,
         connect_ms: int | None = None,
+        is_separate: bool = False,
     ) -> aiohttp.ClientResponse | HttpFailure:
         """Send a request and return the response with its body unread."""
+        exchange = Exchange(is_separate=is_separate)
+        return await self._open(method, url, body, headers, connect_ms, exchange)
+
+    async def _open(
+        self,
+        method: str,
+        url: str,
+        body: bytes | None,
+        headers: Mapping[str, str] | None,
+        connect_ms: int | None,
+        exchange: Exchange,
+    ) -> aiohttp.ClientResponse | HttpFailure:
         try:
-            return await self._session.request(
-                method,
-                _parse_url(url),
-                data=body,
-                headers=self._merge_headers(headers),
-                timeout=_timeout(connect_ms),
-            )
+            with exchanging(exchange):
+                return await self._session.request(
+                    method,
+                    _parse_url(url),
+                    data=body,
+                    headers=self._merge_headers(headers),
+                    timeout=_timeout(connect_ms),
+                )
         except aiohttp.ConnectionTimeoutError as exc:
             return HttpFailure(HttpFailureReason.NOT_SENT, f"{method} {url}: {exc}")
         except aiohttp.ClientConnectorError as exc:
@@ -190,10 +217,9 @@
         body: bytes | None,
         headers: Mapping[str, str] | None,
         connect_ms: int | None,
+        exchange: Exchange,
     ) -> HttpReply | HttpFailure:
-        response = await self.open(
-            method, url, body=body, headers=headers, connect_ms=connect_ms
-        )
+        response = await self._open(method, url, body, headers, connect_ms, exchange)
         if isinstance(response, HttpFailure):
             return response
         try:
--- a/src/copperrun/adapters/connector.py
+++ b/src/copperrun/adapters/connector.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from array import array
 from collections.abc import Iterator
 from contextlib import contextmanager
 from contextvars import ContextVar
@@ -19,17 +20,22 @@
 # A server begins to count when it has sent its answer.
 IDLE_LIMIT_MARGIN_MS = 100
 MAX_IDLE_LIMITS = 10_000  # addresses of servers; they announce theirs again
+MAX_REQUESTS = 500  # of one connection, whose ids it keeps
 
 
 class Exchange:
     """One request and its answer, as far as the choice of a connection goes.
 
     Attributes:
+        request_id: Sent at most once on a connection; empty for a request without id.
         is_separate: Whether it needs a connection that no other request uses.
+        is_reused: Whether its connection has carried other requests before.
     """
 
-    def __init__(self, *, is_separate: bool = False) -> None:
+    def __init__(self, request_id: str = "", *, is_separate: bool = False) -> None:
+        self.request_id = request_id
         self.is_separate = is_separate
+        self.is_reused = False
 
 
 _CURRENT: ContextVar[Exchange | None] = ContextVar("exchange", default=None)
@@ -57,6 +63,28 @@
         super().__init__(loop)
         self.is_idle = False
         self.is_separate = False
+        self._id_hashes = array("q")
+
+    @property
+    def is_reused(self) -> bool:
+        """Whether it has carried more than one request."""
+        return len(self._id_hashes) > 1
+
+    @property
+    def is_used_up(self) -> bool:
+        """Whether it may carry no further request."""
+        return self.is_separate or len(self._id_hashes) >= MAX_REQUESTS
+
+    def carry(self, request_id: str) -> bool:
+        """Record a request to send, unless one with its id has been sent before.
+
+        A late copy of the answer to that one could not be told from its answer.
+        """
+        id_hash = hash(request_id)
+        if request_id and id_hash in self._id_hashes:
+            return False
+        self._id_hashes.append(id_hash)
+        return True
 
     def data_received(self, data: bytes) -> None:
         """Read a part of an answer; close the connection when none is due."""
@@ -91,9 +119,14 @@
     async def connect(self, req: Any, traces: Any, timeout: Any) -> Any:
         """Return a connection for the current exchange."""
         exchange = _CURRENT.get() or Exchange()
-        conn: Any = await super().connect(req, traces, timeout)
-        conn.protocol.is_separate = exchange.is_separate
-        return conn
+        while True:
+            conn = await super().connect(req, traces, timeout)
+            protocol: Any = conn.protocol
+            protocol.is_separate = exchange.is_separate
+            if protocol.carry(exchange.request_id):
+                exchange.is_reused = protocol.is_reused
+                return conn
+            conn.close()
 
     async def _get(self, key: Any, traces: Any) -> Any:
         exchange = _CURRENT.get()
@@ -112,6 +145,6 @@
         return conn
 
     def _release(self, key: Any, protocol: Any, *, should_close: bool = False) -> None:
-        is_separate = protocol.is_separate
-        super()._release(key, protocol, should_close=should_close or is_separate)
+        is_used_up = protocol.is_used_up
+        super()._release(key, protocol, should_close=should_close or is_used_up)
         protocol.is_idle = True
--- a/src/copperrun/adapters/engine.py
+++ b/src/copperrun/adapters/engine.py
@@ -43,6 +43,7 @@
             self._url + call.path,
             body=_engine_body(call, stream=False),
             headers=JSON_HEADERS,
+            is_separate=True,
         )
         if isinstance(reply, HttpFailure):
             return _engine_error(reply)
@@ -57,6 +58,7 @@
             self._url + call.path,
             body=_engine_body(call, stream=True),
             headers=JSON_HEADERS,
+            is_separate=True,
         )
         if isinstance(response, HttpFailure):
             yield _engine_error(response)
@@ -87,6 +89,7 @@
                 "size_bytes": order.size_bytes,
             },
             timeout_ms=ORDER_TIMEOUT_MS,
+            is_separate=True,
         )
         return _parse_state_reply(reply)
 
--- a/src/copperrun/adapters/service.py
+++ b/src/copperrun/adapters/service.py
@@ -26,7 +26,11 @@
         if call.idempotency_key:
             headers["Idempotency-Key"] = call.idempotency_key
         reply = await self._client.call(
-            call.method, self._url + call.path, body=call.body or None, headers=headers
+            call.method,
+            self._url + call.path,
+            body=call.body or None,
+            headers=headers,
+            is_separate=True,
         )
         if isinstance(reply, HttpFailure):
             return _service_error(reply)
--- a/src/copperrun/platform/backends.py
+++ b/src/copperrun/platform/backends.py
@@ -103,15 +103,17 @@
             headers[http_headers.PRIORITY] = str(priority)
         if resume_after:
             headers[http_headers.LAST_EVENT_ID] = resume_after
+        exchange = Exchange(call.id, is_separate=not call.id)
         try:
-            response = await self._session.request(
-                call.method,
-                URL(f"http://{server.address}{call.target}", encoded=True),
-                data=call.body,
-                headers=headers,
-                skip_auto_headers=("Content-Type",),
-                allow_redirects=False,
-            )
+            with exchanging(exchange):
+                response = await self._session.request(
+                    call.method,
+                    URL(f"http://{server.address}{call.target}", encoded=True),
+                    data=call.body,
+                    headers=headers,
+                    skip_auto_headers=("Content-Type",),
+                    allow_redirects=False,
+                )
         except aiohttp.ClientConnectorError as exc:
             return BackendError(BackendErrorReason.NOT_SENT, _describe(exc))
         except aiohttp.ConnectionTimeoutError as exc:
@@ -119,8 +121,8 @@
         except (aiohttp.ClientError, OSError, TimeoutError) as exc:
             is_garbled = isinstance(exc, aiohttp.ClientResponseError)
             return BackendError(BackendErrorReason.LOST, _describe(exc), is_garbled)
-        if response.headers.get(http_headers.REQUEST_ID, call.id) != call.id:
-            # A late answer to an earlier request on the same connection.
+        if not _answers(response, exchange):
+            # Maybe a late answer to an earlier request on the same connection.
             response.close()
             detail = "answer of another request"
             return BackendError(BackendErrorReason.LOST, detail, is_garbled=True)
@@ -195,6 +197,18 @@
             yield response
 
 
+def _answers(response: aiohttp.ClientResponse, exchange: Exchange) -> bool:
+    """Return whether an answer is surely that of the request.
+
+    Servers echo the id, but for refusals of what they could not read. One without an id
+    is believed where its connection has carried nothing else.
+    """
+    request_id = response.headers.get(http_headers.REQUEST_ID)
+    if request_id is None:
+        return not exchange.is_reused
+    return request_id == exchange.request_id
+
+
 def _identified_headers(call: BackendCall) -> CIMultiDict[str]:
     """Return the headers to forward, naming the client account where there are any."""
     if call.account is None:
--- a/src/copperrun/platform/engine_control.py
+++ b/src/copperrun/platform/engine_control.py
@@ -76,6 +76,7 @@
             fields,
             headers=headers,
             timeout_ms=ORDER_TIMEOUT_MS,
+            is_separate=True,
         )
         if isinstance(reply, HttpFailure):
             if reply.reason is HttpFailureReason.NOT_SENT:
--- a/testing/test_connector.py
+++ b/testing/test_connector.py
@@ -14,13 +14,24 @@
 from platform_standins import send_answer
 from testtools.assertions import assert_that
 from testtools.matchers import Equals
+from testtools.matchers import IsInstance
 
+from copperrun.adapters.client import HttpClient
 from copperrun.adapters.client import open_session
+from copperrun.adapters.connector import MAX_REQUESTS
+from copperrun.adapters.engine import HttpEngine
+from copperrun.adapters.service import HttpService
 from copperrun.adapters.timers import SystemTimers
 from copperrun.platform.backends import BackendAnswer
 from copperrun.platform.backends import HttpBackends
+from copperrun.platform.engine_control import HttpEngineControl
 from copperrun.ports.backends import BackendCall
 from copperrun.ports.backends import BackendError
+from copperrun.ports.engine import EngineCall
+from copperrun.ports.engine import OrderKind
+from copperrun.ports.engine_control import EngineOrder
+from copperrun.ports.engine_control import OrderResult
+from copperrun.ports.service import ServiceCall
 
 TIMERS = SystemTimers()
 SETTLE_MS = 60  # bytes on loopback have arrived
@@ -169,3 +180,115 @@
             answer = await send(backends, backend, f"r{number}")
             assert_that(answer, Equals((200, f"answer to r{number}".encode())))
     assert_that(backend.connections, Equals(1))
+
+
+REFUSED = ("503 Service Unavailable", "Not-Executed: 1", "Retry-After: 1")
+
+
+# A refusal that a server wrote twice was told to the caller of a request that ran.
+@pytest.mark.parametrize("is_idle_first", [True, False], ids=["idle", "with_next"])
+@pytest.mark.parametrize("next_id", ["r2", "r1"], ids=["other_id", "same_id"])
+@pytest.mark.parametrize("copied_id", ["", "r1"], ids=["without_id", "with_id"])
+async def test_a_refusal_written_twice_refuses_no_other_request(
+    copied_id, next_id, is_idle_first
+):
+    refusal = copy_of(copied_id, *REFUSED)
+    backend = FaultyServer(refusal, is_idle_first=is_idle_first)
+    backend.first_answer = copy_of("r1", *REFUSED)
+    async with calling(backend) as backends:
+        first = await send(backends, backend, "r1")
+        assert_that(first, Equals((503, b"copy")))
+        await TIMERS.sleep_ms(SETTLE_MS)
+        answer = await send(backends, backend, next_id)
+        if isinstance(answer, BackendError):
+            # It may have run: never refused, and at once.
+            assert_that(is_idle_first, Equals(False))
+            assert_that(answer.is_garbled, Equals(True))
+        else:
+            assert_that(answer, Equals((200, f"answer to {next_id}".encode())))
+
+
+async def test_an_id_is_sent_once_on_a_connection():
+    backend = ScriptedServer()
+    async with calling(backend) as backends:
+        for request_id in ("r1", "r2", "r1", "r2", "r3"):
+            await send(backends, backend, request_id)
+    assert_that(backend.connections, Equals(2))
+
+
+async def test_a_connection_ends_before_it_forgets_an_id():
+    backend = ScriptedServer()
+    async with calling(backend) as backends:
+        for number in range(MAX_REQUESTS + 1):
+            await send(backends, backend, f"r{number}")
+        assert_that(backend.connections, Equals(2))
+        await send(backends, backend, "r0")
+        assert_that(backend.connections, Equals(2))
+
+
+async def test_an_answer_without_id_counts_only_on_a_connection_of_its_own():
+    async def answer_without_id(
+        request: ReceivedRequest, writer: asyncio.StreamWriter
+    ) -> bool:
+        if request.id == "r1":
+            return await send_answer(request, writer)
+        writer.write(copy_of("", "431 Too Large"))
+        return True
+
+    backend = ScriptedServer()
+    backend.script = answer_without_id
+    async with calling(backend) as backends:
+        assert_that(await send(backends, backend, "r2"), Equals((431, b"copy")))
+        assert_that(await send(backends, backend, "r3"), IsInstance(BackendError))
+        assert_that(await send(backends, backend, "r1"), Equals((200, b"answer to r1")))
+        assert_that(await send(backends, backend, "r4"), IsInstance(BackendError))
+
+
+async def test_a_request_without_id_shares_no_connection():
+    backend = ScriptedServer()
+    async with calling(backend) as backends:
+        for _ in range(3):
+            assert_that(await send(backends, backend, ""), Equals((200, b"answer to ")))
+    assert_that(backend.connections, Equals(3))
+
+
+LOAD = EngineOrder(OrderKind.LOAD, "m", "", 1, 0, "i-1")
+ENGINE_CALL = EngineCall("r2", "/v1/completions", "m", "", 0, b"{}")
+SERVICE_CALL = ServiceCall("POST", "/book", "text/plain", "", b"pay 10")
+
+
+# A late copy of one answer was taken for that of an order, a generation or a booking.
+async def test_calls_whose_answers_bear_no_id_use_connections_of_their_own():
+    backend = FaultyServer(copy_of("", "409 Conflict"), is_idle_first=False)
+
+    async def answer(request: ReceivedRequest, writer: asyncio.StreamWriter) -> bool:
+        if request.target == "/report":
+            backend.first = writer
+            writer.write(REPORT_HEAD + REPORT)
+            return True
+        assert backend.first is not None
+        backend.first.write(backend.late)
+        await TIMERS.sleep_ms(SETTLE_MS)
+        writer.write(b"HTTP/1.1 202 Accepted\r\nContent-Length: 2\r\n\r\n{}")
+        return True
+
+    backend.script = answer
+    await backend.start()
+    url = f"http://{backend.address}"
+    async with open_session() as session:
+        client = HttpClient(session, TIMERS)
+        control = HttpEngineControl(client, backend.address, "side-1")
+
+        async def leave_idle_connection() -> None:
+            await client.call("GET", f"{url}/report", timeout_ms=500)
+
+        await leave_idle_connection()
+        reply = await control.order(LOAD)
+        assert_that(reply.result, Equals(OrderResult.ACCEPTED))
+        await leave_idle_connection()
+        generated = await HttpEngine(client, url).complete(ENGINE_CALL)
+        assert_that(generated.status, Equals(202))
+        await leave_idle_connection()
+        booked = await HttpService(client, url).call(SERVICE_CALL)
+        assert_that((booked.status, booked.body), Equals((202, b"{}")))
+    await backend.close()
