Decode what others wrote in one place

Cause: json.loads raises RecursionError for deep nesting. Each decoder caught a list of errors of its own; 6 of 8 that were tried lacked this one, among them decode_server and the report that a side reads. Others were missing, too: a field that the store left out, an era or a Keep-Alive of 5,000 digits, a Retry-After of "inf".

Change: copperrun/decoding.py parses foreign JSON and checks its numbers (64 bits, which the messages between processes have) and texts; it returns an error for whatever cannot be read. All decoders of src but those of the stand-ins go through it.

--- a/src/copperrun/adapters/client.py
+++ b/src/copperrun/adapters/client.py
@@ -19,6 +19,8 @@
 from copperrun.adapters.connector import ServerConnector
 from copperrun.adapters.connector import exchanging
 from copperrun.adapters.timers import SystemTimers
+from copperrun.decoding import DecodeError
+from copperrun.decoding import parse_json
 from copperrun.ports.timers import Timers
 
 MAX_CONNECTIONS = 4_096
@@ -61,10 +63,8 @@
 
     def json(self) -> Any:
         """Return the parsed body, or None when it is not JSON."""
-        try:
-            return json.loads(self.body)
-        except ValueError:
-            return None
+        value = parse_json(self.body)
+        return None if isinstance(value, DecodeError) else value
 
 
 def open_session() -> aiohttp.ClientSession:
--- a/src/copperrun/adapters/engine.py
+++ b/src/copperrun/adapters/engine.py
@@ -16,6 +16,10 @@
 from copperrun.adapters.client import HttpReply
 from copperrun.adapters.events import DONE
 from copperrun.adapters.events import read_events
+from copperrun.decoding import DecodeError
+from copperrun.decoding import decode
+from copperrun.decoding import printable_text
+from copperrun.decoding import whole_number
 from copperrun.model import Answer
 from copperrun.ports.engine import EngineCall
 from copperrun.ports.engine import EngineError
@@ -140,19 +144,24 @@
         return EngineError(EngineErrorReason.STALE_ORDER, _error_detail(reply))
     if reply.status == 409:
         return EngineError(EngineErrorReason.REFUSED, _error_detail(reply))
-    value = reply.json()
-    if reply.status != 200 or not isinstance(value, dict):
+    if reply.status != 200:
         return EngineError(
             EngineErrorReason.ANSWER_LOST, f"engine answered {reply.status}"
         )
-    return _parse_state(value)
+    state = decode(reply.body, _parse_state)
+    if isinstance(state, DecodeError):
+        return EngineError(EngineErrorReason.ANSWER_LOST, f"state: {state.detail}")
+    return state
 
 
 def _parse_state(value: dict[str, Any]) -> EngineState:
     return EngineState(
-        memory_bytes=int(value["memory_bytes"]),
-        resident=tuple((name, int(size)) for name, size in value["resident"]),
-        last_order=OrderNumber(*value["last_order"]),
+        memory_bytes=whole_number(value["memory_bytes"], 0),
+        resident=tuple(
+            (printable_text(name), whole_number(size, 0))
+            for name, size in value["resident"]
+        ),
+        last_order=OrderNumber(*map(whole_number, value["last_order"])),
         busy=bool(value["busy"]),
     )
 
--- a/src/copperrun/adapters/platform.py
+++ b/src/copperrun/adapters/platform.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Sequence
+from typing import Any
 from urllib.parse import quote
 
 from pydantic import TypeAdapter
@@ -11,6 +12,9 @@
 from copperrun.adapters.client import HttpClient
 from copperrun.adapters.client import HttpFailure
 from copperrun.adapters.client import HttpFailureReason
+from copperrun.decoding import DecodeError
+from copperrun.decoding import decode
+from copperrun.decoding import whole_number
 from copperrun.model import Instance
 from copperrun.model import LogRecord
 from copperrun.ports.instances import InstancesError
@@ -46,11 +50,13 @@
             return _log_error(reply)
         if reply.status == 503:
             return LogError(LogErrorReason.UNAVAILABLE, "log answered 503")
-        value = reply.json()
-        if reply.status != 200 or not isinstance(value, dict):
+        if reply.status != 200:
             detail = f"log answered {reply.status} to an append"
             return LogError(LogErrorReason.ANSWER_LOST, detail)
-        return int(value["offset"])
+        offset = decode(reply.body, lambda value: whole_number(value["offset"], 0))
+        if isinstance(offset, DecodeError):
+            return LogError(LogErrorReason.ANSWER_LOST, f"append: {offset.detail}")
+        return offset
 
     async def read(
         self, stream: str, offset: int, *, wait_ms: int = 0
@@ -63,14 +69,13 @@
         )
         if isinstance(reply, HttpFailure):
             return LogError(LogErrorReason.UNAVAILABLE, reply.detail)
-        value = reply.json()
-        if reply.status == 410 and isinstance(value, dict):
-            return LogError(LogErrorReason.TRIMMED, "offset trimmed", value["start"])
-        if reply.status != 200 or not isinstance(value, dict):
+        if reply.status not in (200, 410):
             detail = f"log answered {reply.status} to a read"
             return LogError(LogErrorReason.UNAVAILABLE, detail)
-        records = [LogRecord(number, data) for number, data in value["records"]]
-        return LogPage(records, value["start"], value["end"])
+        page = decode(reply.body, _page if reply.status == 200 else _trimmed)
+        if isinstance(page, DecodeError):
+            return LogError(LogErrorReason.UNAVAILABLE, f"read: {page.detail}")
+        return page
 
     def _stream_url(self, stream: str) -> str:
         return f"{self._url}/streams/{quote(stream)}"
@@ -114,12 +119,29 @@
         )
         if isinstance(reply, HttpFailure):
             return WeightsError(False, reply.detail)
-        value = reply.json()
         if reply.status == 404:
             return WeightsError(True, f"no object {name!r} in the weight store")
-        if reply.status != 200 or not isinstance(value, dict):
+        if reply.status != 200:
             return WeightsError(False, f"weight store answered {reply.status}")
-        return WeightObject(name, int(value["size_bytes"]))
+        size = decode(reply.body, lambda value: whole_number(value["size_bytes"], 0))
+        if isinstance(size, DecodeError):
+            return WeightsError(False, f"weight store: {size.detail}")
+        return WeightObject(name, size)
+
+
+def _page(value: dict[str, Any]) -> LogPage | LogError:
+    records = [
+        LogRecord(whole_number(number, 0), str(data))
+        for number, data in value["records"]
+    ]
+    return LogPage(
+        records, whole_number(value["start"], 0), whole_number(value["end"], 0)
+    )
+
+
+def _trimmed(value: dict[str, Any]) -> LogPage | LogError:
+    start = whole_number(value["start"], 0)
+    return LogError(LogErrorReason.TRIMMED, "offset trimmed", start)
 
 
 def _log_error(failure: HttpFailure) -> LogError:
--- a/src/copperrun/adapters/wire.py
+++ b/src/copperrun/adapters/wire.py
@@ -4,6 +4,7 @@
 
 import json
 from collections.abc import Iterable
+from typing import Any
 from typing import NamedTuple
 from typing import TypeVar
 
@@ -13,6 +14,10 @@
 from thrift.transport.TTransport import TMemoryBuffer
 
 from copperrun import model
+from copperrun.decoding import MALFORMED
+from copperrun.decoding import MAX_DETAIL_CHARACTERS
+from copperrun.decoding import DecodeError
+from copperrun.decoding import decode as decode_json
 from copperrun.gen import ttypes
 from copperrun.ports.sides import SideStatus
 
@@ -23,15 +28,7 @@
 _PROTOCOL_FACTORY = TCompactProtocolAcceleratedFactory(
     string_length_limit=MAX_STRING_BYTES, container_length_limit=MAX_LIST_ITEMS
 )
-_DECODE_ERRORS = (
-    TException,
-    EOFError,
-    TypeError,
-    ValueError,
-    OverflowError,
-    MemoryError,
-    AttributeError,
-)
+_DECODE_ERRORS = (TException, EOFError, MemoryError, *MALFORMED)
 
 T = TypeVar("T")
 
@@ -60,7 +57,7 @@
         struct.read(_PROTOCOL_FACTORY.getProtocol(TMemoryBuffer(data)))  # type: ignore[attr-defined]
         struct.validate()  # type: ignore[attr-defined]
     except _DECODE_ERRORS as exc:
-        return WireError(f"{cls.__name__}: {exc!r}")
+        return WireError(f"{cls.__name__}: {exc!r}"[:MAX_DETAIL_CHARACTERS])
     return struct
 
 
@@ -201,10 +198,10 @@
     Raises:
         ValueError: The text is not an end marker.
     """
-    try:
-        return model.StreamEnd(**json.loads(data))
-    except TypeError as exc:
-        raise ValueError(f"malformed end marker: {exc}") from exc
+    end = decode_json(data, lambda fields: model.StreamEnd(**fields))
+    if isinstance(end, DecodeError):
+        raise ValueError(f"malformed end marker: {end.detail}")
+    return end
 
 
 def refusal_to_json(refusal: model.Refusal) -> str:
@@ -221,17 +218,20 @@
     Raises:
         ValueError: The text is not a refusal.
     """
-    fields = json.loads(data)
-    try:
-        return model.Refusal(
-            reason=model.RefusalReason(fields["reason"]),
-            ran=model.Ran(fields["ran"]),
-            detail=fields["detail"],
-            retry_after_ms=fields["retry_after_ms"],
-            redirect=fields["redirect"],
-        )
-    except (KeyError, TypeError) as exc:
-        raise ValueError(f"malformed refusal: {exc!r}") from exc
+    refusal = decode_json(data, _refusal)
+    if isinstance(refusal, DecodeError):
+        raise ValueError(f"malformed refusal: {refusal.detail}")
+    return refusal
+
+
+def _refusal(fields: dict[str, Any]) -> model.Refusal:
+    return model.Refusal(
+        reason=model.RefusalReason(fields["reason"]),
+        ran=model.Ran(fields["ran"]),
+        detail=fields["detail"],
+        retry_after_ms=fields["retry_after_ms"],
+        redirect=fields["redirect"],
+    )
 
 
 def checksum(parts: Iterable[bytes]) -> int:
--- a/src/copperrun/configuration/changes.py
+++ b/src/copperrun/configuration/changes.py
@@ -14,6 +14,8 @@
 
 from copperrun.configuration.document import describe_validation_error
 from copperrun.configuration.schema import SECTIONS
+from copperrun.decoding import DecodeError
+from copperrun.decoding import parse_json
 
 STREAM = "configuration"
 RECORD_VERSION = 1
@@ -97,9 +99,8 @@
 
 def decode_record(data: str) -> Record:
     """Parse a record of the log."""
-    try:
-        fields = json.loads(data)
-    except (ValueError, RecursionError):
+    fields = parse_json(data)
+    if isinstance(fields, DecodeError):
         return CorruptRecord("not JSON")
     if not isinstance(fields, dict) or not isinstance(fields.get("version"), int):
         return CorruptRecord("not an object with a version")
--- a/src/copperrun/configuration/document.py
+++ b/src/copperrun/configuration/document.py
@@ -13,6 +13,8 @@
 from pydantic import TypeAdapter
 from pydantic import ValidationError
 
+from copperrun.decoding import MALFORMED
+
 T = TypeVar("T")
 Location = Sequence[str | int]
 
@@ -95,7 +97,7 @@
         line = exc.problem_mark.line + 1 if exc.problem_mark else 0
         detail = f"not valid YAML: {exc.problem}"
         return DocumentError((DocumentProblem(source, line, "", detail),))
-    except (yaml.YAMLError, ValueError, RecursionError) as exc:
+    except (yaml.YAMLError, *MALFORMED) as exc:
         return _error(source, None, (), f"not valid YAML: {exc}")
     if not isinstance(raw, dict):
         return _error(source, root, (), "expected a mapping at the top level")
--- a/src/copperrun/configuration/state.py
+++ b/src/copperrun/configuration/state.py
@@ -25,6 +25,7 @@
 from copperrun.configuration.schema import SECTIONS
 from copperrun.configuration.schema import Configuration
 from copperrun.configuration.schema import check_references
+from copperrun.decoding import MALFORMED
 from copperrun.model import LogRecord
 
 NO_REVISION = -1
@@ -231,7 +232,7 @@
             except ValidationError as exc:
                 detail = f"{key}: {describe_validation_error(exc)}"
                 return ApplyResult(ApplyOutcome.INVALID, change.id, detail)
-            except (KeyError, ValueError):
+            except MALFORMED:
                 return ApplyResult(
                     ApplyOutcome.INVALID, change.id, f"{key}: unknown object"
                 )
@@ -302,7 +303,7 @@
         }
     except ValidationError as exc:
         return describe_validation_error(exc)
-    except (KeyError, ValueError) as exc:
+    except MALFORMED as exc:
         return f"unknown object {exc}"
 
 
--- a/src/copperrun/ctl/timeline.py
+++ b/src/copperrun/ctl/timeline.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import argparse
-import json
 import sys
 from collections.abc import Iterable
 from collections.abc import Iterator
@@ -16,6 +15,7 @@
 from copperrun.ctl.errors import ToolError
 from copperrun.ctl.errors import ToolErrorReason
 from copperrun.ctl.output import Output
+from copperrun.decoding import parse_json
 
 STANDARD_INPUT = "-"
 # Changes in what a process knows. They may explain a request that they do not name.
@@ -158,10 +158,7 @@
     start = text.find("{")
     if start < 0:
         return None
-    try:
-        fields = json.loads(text[start:])
-    except ValueError:
-        return None
+    fields = parse_json(text[start:])
     if not isinstance(fields, dict) or "message" not in fields:
         return None
     return LogLine(
--- a/src/copperrun/entry/requests.py
+++ b/src/copperrun/entry/requests.py
@@ -2,13 +2,14 @@
 
 from __future__ import annotations
 
-import json
 from typing import Any
 from typing import NamedTuple
 
 import xxhash
 
 from copperrun.configuration.schema import Configuration
+from copperrun.decoding import DecodeError
+from copperrun.decoding import parse_json
 from copperrun.idempotency.keys import key_time_ms
 from copperrun.model import Ran
 from copperrun.model import Refusal
@@ -39,9 +40,8 @@
 
 def parse_model_request(path: str, body: bytes) -> ModelRequest | Refusal:
     """Parse and validate the body of a completion request."""
-    try:
-        value = json.loads(body)
-    except (ValueError, RecursionError):
+    value = parse_json(body)
+    if isinstance(value, DecodeError):
         return _bad_request("the body is not valid JSON")
     if not isinstance(value, dict):
         return _bad_request("the body is not a JSON object")
--- a/src/copperrun/idempotency/records.py
+++ b/src/copperrun/idempotency/records.py
@@ -7,6 +7,9 @@
 from typing import Any
 from typing import NamedTuple
 
+from copperrun.decoding import MALFORMED
+from copperrun.decoding import describe
+from copperrun.decoding import parse_json
 from copperrun.model import Answer
 
 RECORD_VERSION = 1
@@ -101,18 +104,16 @@
 
 def decode(data: str) -> Record | RecordError:
     """Parse a record."""
-    try:
-        fields = json.loads(data)
-        version = fields.pop("version")
-        kind = fields.pop("kind")
-    except (ValueError, AttributeError, KeyError, TypeError, RecursionError):
+    fields = parse_json(data)
+    if not isinstance(fields, dict) or not {"version", "kind"} <= fields.keys():
         return RecordError(False, "not a JSON object with version and kind")
+    version, kind = fields.pop("version"), fields.pop("kind")
     if version != RECORD_VERSION:
         return RecordError(True, f"record version {version!r}")
     try:
         return _decode_kind(kind, fields)
-    except (KeyError, TypeError, ValueError) as exc:
-        return RecordError(False, f"{kind}: {exc!r}")
+    except MALFORMED as exc:
+        return RecordError(False, f"{kind}: {describe(exc)}")
 
 
 def _decode_kind(kind: str, fields: dict[str, Any]) -> Record | RecordError:
--- a/src/copperrun/membership/archive.py
+++ b/src/copperrun/membership/archive.py
@@ -5,9 +5,14 @@
 import asyncio
 import json
 from collections.abc import Mapping
+from typing import Any
 
 from loguru import logger
 
+from copperrun.decoding import DecodeError
+from copperrun.decoding import decode
+from copperrun.decoding import printable_text
+from copperrun.decoding import whole_number
 from copperrun.ports.timers import Timers
 from copperrun.ports.topics import TopicError
 from copperrun.ports.topics import TopicStore
@@ -100,19 +105,15 @@
 
 
 def _decode(crash: str, value: bytes, now_ms: int) -> CrashRecord | None:
-    try:
-        fields: Mapping[str, object] = json.loads(value)
-        pool, at_ms, parts = fields["pool"], fields["at"], fields["parts"]
-    except (ValueError, KeyError, TypeError) as exc:
-        logger.warning("archived crash skipped", crash=crash, detail=repr(exc))
-        return None
-    if (
-        not isinstance(pool, str)
-        or not isinstance(at_ms, int)
-        or not isinstance(parts, list)
-    ):
-        logger.warning("archived crash skipped", crash=crash, detail="wrong types")
+    record = decode(value, lambda fields: _record(crash, fields, now_ms))
+    if isinstance(record, DecodeError):
+        logger.warning("archived crash skipped", crash=crash, detail=record.detail)
         return None
+    return record
+
+
+def _record(crash: str, fields: Mapping[str, Any], now_ms: int) -> CrashRecord:
     # The clocks of two machines may differ.
-    age_ms = max(now_ms - at_ms, 0)
-    return CrashRecord(crash, pool, age_ms, frozenset(map(str, parts)))
+    age_ms = max(now_ms - whole_number(fields["at"]), 0)
+    parts = frozenset(printable_text(part) for part in list(fields["parts"]))
+    return CrashRecord(crash, printable_text(fields["pool"]), age_ms, parts)
--- a/src/copperrun/membership/claim_log.py
+++ b/src/copperrun/membership/claim_log.py
@@ -9,10 +9,14 @@
 import asyncio
 import json
 from collections.abc import Callable
+from typing import Any
 from typing import NamedTuple
 
 from loguru import logger
 
+from copperrun.decoding import DecodeError
+from copperrun.decoding import decode
+from copperrun.decoding import whole_number
 from copperrun.ports.timers import Timers
 from copperrun.ports.topics import TopicError
 from copperrun.ports.topics import TopicErrorReason
@@ -71,16 +75,17 @@
 
 def decode_claim(value: bytes | None) -> Claim | None:
     """Decode a record; None for one that is missing or not readable."""
-    try:
-        fields = json.loads(value or b"")
-        return Claim(
-            Incarnation(*map(str, fields["by"])),
-            int(fields["number"]),
-            int(fields["era"]),
-            tuple(Incarnation(*map(str, item)) for item in fields["formers"]),
-        )
-    except (ValueError, KeyError, TypeError):
-        return None
+    claim = decode(value or b"", _claim)
+    return None if isinstance(claim, DecodeError) else claim
+
+
+def _claim(fields: dict[str, Any]) -> Claim:
+    return Claim(
+        Incarnation(*map(str, fields["by"])),
+        whole_number(fields["number"]),
+        whole_number(fields["era"]),
+        tuple(Incarnation(*map(str, item)) for item in fields["formers"]),
+    )
 
 
 class Written(NamedTuple):
--- a/src/copperrun/membership/claims.py
+++ b/src/copperrun/membership/claims.py
@@ -7,6 +7,8 @@
 
 from loguru import logger
 
+from copperrun.decoding import DecodeError
+from copperrun.decoding import decode
 from copperrun.ports.log import Log
 from copperrun.ports.log import LogError
 from copperrun.ports.log import LogErrorReason
@@ -92,10 +94,8 @@
 
 
 def _is_claim_of_other_incarnation(data: str, instance: str, incarnation: int) -> bool:
-    try:
-        fields = json.loads(data)
-        same_server = fields["instance"] == instance
-        return same_server and fields["incarnation"] != incarnation
-    except (ValueError, KeyError, TypeError):
+    claim = decode(data, lambda item: (item["instance"], item["incarnation"]))
+    if isinstance(claim, DecodeError):
         # An unreadable record may be a claim of this server.
         return True
+    return bool(claim[0] == instance and claim[1] != incarnation)
--- a/src/copperrun/membership/log_topics.py
+++ b/src/copperrun/membership/log_topics.py
@@ -9,6 +9,8 @@
 import json
 from typing import NamedTuple
 
+from copperrun.decoding import DecodeError
+from copperrun.decoding import decode
 from copperrun.ports.log import Log
 from copperrun.ports.log import LogError
 from copperrun.ports.log import LogErrorReason
@@ -101,11 +103,10 @@
 
 def _decode(data: str, offset: int) -> TopicRecord | None:
     """Decode a record; None for one that does not count."""
-    try:
-        fields = json.loads(data)
-        key, value, at = fields["key"], fields["value"], fields["at"]
-    except (ValueError, KeyError, TypeError):
+    fields = decode(data, lambda item: (item["key"], item["value"], item["at"]))
+    if isinstance(fields, DecodeError):
         return None
+    key, value, at = fields
     if at not in (None, offset) or not isinstance(value, str):
         return None
     return TopicRecord(str(key), value.encode() or None)
--- a/src/copperrun/platform/backends.py
+++ b/src/copperrun/platform/backends.py
@@ -14,6 +14,12 @@
 from copperrun.adapters.connector import Exchange
 from copperrun.adapters.connector import ServerConnector
 from copperrun.adapters.connector import exchanging
+from copperrun.decoding import MALFORMED
+from copperrun.decoding import DecodeError
+from copperrun.decoding import decode
+from copperrun.decoding import digits
+from copperrun.decoding import finite_number
+from copperrun.decoding import whole_number
 from copperrun.platform import http_headers
 from copperrun.ports.backends import AnswerHead
 from copperrun.ports.backends import BackendCall
@@ -23,6 +29,7 @@
 from copperrun.routing.servers import ServerRecord
 
 MAX_DETAIL_CHARACTERS = 300
+MAX_PAUSE_MS = 3_600_000  # that a server may ask for
 REPORT_PATH = "/report"  # of an engine
 
 
@@ -150,33 +157,31 @@
                     if health_path:
                         answered_by = response.headers.get(http_headers.SERVER_ID, "")
                         return answered_by not in ("", server.id)
-                    fields = await response.json(content_type=None)
+                    born_ms = _born_ms(await response.read())
             except aiohttp.ClientConnectorError as exc:
                 return isinstance(exc.os_error, ConnectionRefusedError)
-            except (TimeoutError, ValueError):
+            except TimeoutError:
                 return False
             except (aiohttp.ServerDisconnectedError, OSError):
                 continue
             except aiohttp.ClientError:
                 return False
-            born_ms = fields.get("born") if isinstance(fields, dict) else None
-            return isinstance(born_ms, int) and born_ms > server.born_ms > 0
+            return born_ms > server.born_ms > 0
         return False
 
     async def is_running(self, server: ServerRecord, *, timeout_ms: int) -> bool:
         """Return whether a start of an engine surely runs; its report names it."""
         try:
             async with self._check(server, REPORT_PATH, timeout_ms) as response:
-                fields = await response.json(content_type=None)
-        except (aiohttp.ClientError, OSError, TimeoutError, ValueError) as exc:
+                born_ms = _born_ms(await response.read())
+        except (aiohttp.ClientError, OSError, TimeoutError) as exc:
             logger.info(
                 "start of an engine not confirmed",
                 server=server.id,
                 detail=_describe(exc),
             )
             return False
-        born_ms = fields.get("born") if isinstance(fields, dict) else None
-        return isinstance(born_ms, int) and born_ms == server.born_ms > 0
+        return born_ms == server.born_ms > 0
 
     @asynccontextmanager
     async def _check(
@@ -219,6 +224,12 @@
     return headers
 
 
+def _born_ms(report: bytes) -> int:
+    """Return the start time in an engine's report; 0 if it cannot be read."""
+    born_ms = decode(report, lambda fields: whole_number(fields["born"], 0))
+    return 0 if isinstance(born_ms, DecodeError) else born_ms
+
+
 def _describe(exc: BaseException) -> str:
     """Describe an error; those of the parser quote what the server sent."""
     return repr(exc)[:MAX_DETAIL_CHARACTERS]
@@ -242,13 +253,14 @@
     """Return the idle timeout of a Keep-Alive header in seconds, if it has one."""
     for item in text.split(","):
         name, _, value = item.partition("=")
-        if name.strip().lower() == "timeout" and value.strip().isdecimal():
-            return int(value)
+        if name.strip().lower() == "timeout":
+            return digits(value)
     return None
 
 
 def _retry_after_ms(text: str) -> int:
     try:
-        return int(float(text) * 1000)
-    except ValueError:
+        pause_ms = finite_number(text) * 1000
+    except MALFORMED:
         return 0
+    return int(min(max(pause_ms, 0), MAX_PAUSE_MS))
--- a/src/copperrun/platform/checking.py
+++ b/src/copperrun/platform/checking.py
@@ -16,6 +16,8 @@
 from copperrun.configuration.check import Severity
 from copperrun.configuration.comparison import Outline
 from copperrun.configuration.comparison import outline
+from copperrun.decoding import DecodeError
+from copperrun.decoding import parse_json
 from copperrun.platform.records import decode_account
 from copperrun.platform.records import decode_catalog
 from copperrun.platform.records import decode_server
@@ -135,9 +137,8 @@
     if isinstance(registered, TopicError):
         return registered.detail
     value = configuration.items.get(CATALOG_KEY)
-    try:
-        document = json.loads(value) if value else {}
-    except ValueError:
+    document = parse_json(value) if value else {}
+    if isinstance(document, DecodeError):
         return "the configuration in force is not JSON"
     records = [decode_server(key, item) for key, item in registered.items.items()]
     servers = Counter(
--- a/src/copperrun/platform/engine_control.py
+++ b/src/copperrun/platform/engine_control.py
@@ -12,6 +12,11 @@
 from copperrun.adapters.client import HttpFailureReason
 from copperrun.admission.memory import EngineRun
 from copperrun.admission.memory import MemoryReport
+from copperrun.decoding import MALFORMED
+from copperrun.decoding import DecodeError
+from copperrun.decoding import decode
+from copperrun.decoding import describe
+from copperrun.decoding import whole_number
 from copperrun.placement.adapter_slots import AdapterKey
 from copperrun.platform import http_headers
 from copperrun.platform.records import decode_cached_models
@@ -25,7 +30,6 @@
 STATUS_TIMEOUT_MS = 500
 ORDER_TIMEOUT_MS = 800  # the engine answers before it executes an order
 
-_MALFORMED = (KeyError, TypeError, ValueError, AttributeError, IndexError)
 _RESULTS_BY_STATUS = {
     200: OrderResult.IN_EFFECT,
     202: OrderResult.ACCEPTED,
@@ -49,11 +53,11 @@
         )
         if isinstance(reply, HttpFailure) or reply.status != 200:
             return None
-        try:
-            return _decode_status(reply.json())
-        except _MALFORMED as exc:
-            logger.warning("engine report ignored: malformed", detail=repr(exc))
+        status = decode(reply.body, _decode_status)
+        if isinstance(status, DecodeError):
+            logger.warning("engine report ignored: malformed", detail=status.detail)
             return None
+        return status
 
     async def order(self, order: EngineOrder) -> OrderReply:
         """Send an order."""
@@ -89,13 +93,13 @@
 def _decode_status(fields: Any) -> EngineStatus:
     in_host, on_disk = decode_cached_models(fields)
     return EngineStatus(
-        int(fields.get("born", 0)),
+        whole_number(fields.get("born", 0), 0),
         {model.name: model.adapters for model in decode_held_models(fields["models"])},
         frozenset(_decode_adapter_key(item) for item in fields.get("coming", ())),
         bool(fields["busy"]),
-        int(fields["sequence"]),
-        int(fields["running"]),
-        int(fields["queued"]),
+        whole_number(fields["sequence"], 0),
+        whole_number(fields["running"], 0),
+        whole_number(fields["queued"], 0),
         in_host,
         on_disk,
         _decode_memory(fields),
@@ -108,22 +112,25 @@
         return None
     try:
         return _decode_counts(fields)
-    except _MALFORMED as exc:
-        logger.warning("engine memory ignored: malformed", detail=repr(exc))
+    except MALFORMED as exc:
+        logger.warning("engine memory ignored: malformed", detail=describe(exc))
         return None
 
 
 def _decode_counts(fields: Any) -> MemoryReport:
     runs = fields.get("runs")
     return MemoryReport(
-        int(fields.get("kv-total") or 0),
-        int(fields["kv-used"]),
-        int(fields.get("held") or 0),
+        whole_number(fields.get("kv-total") or 0, 0),
+        whole_number(fields["kv-used"], 0),
+        whole_number(fields.get("held") or 0, 0),
         # Each is its id, the tokens in memory, the events made and the priority.
         None
         if runs is None
-        else tuple(EngineRun(str(run[0]), int(run[1]), int(run[2])) for run in runs),
-        int(fields["running"]),
+        else tuple(
+            EngineRun(str(run[0]), whole_number(run[1], 0), whole_number(run[2], 0))
+            for run in runs
+        ),
+        whole_number(fields["running"], 0),
     )
 
 
--- a/src/copperrun/platform/records.py
+++ b/src/copperrun/platform/records.py
@@ -2,12 +2,16 @@
 
 from __future__ import annotations
 
-import json
-import math
 from collections.abc import Iterator
 from collections.abc import Mapping
 from typing import Any
 
+from copperrun.decoding import MALFORMED
+from copperrun.decoding import DecodeError
+from copperrun.decoding import decode
+from copperrun.decoding import finite_number
+from copperrun.decoding import printable_text
+from copperrun.decoding import whole_number
 from copperrun.routing.accounts import AccountTable
 from copperrun.routing.accounts import Allotment
 from copperrun.routing.accounts import AllotmentUnit
@@ -24,7 +28,6 @@
 from copperrun.routing.servers import HeldModel
 from copperrun.routing.servers import ServerRecord
 
-_MALFORMED = (ValueError, KeyError, TypeError, AttributeError, OverflowError)
 MAX_VERSION_CHARACTERS = 64
 
 _LEAVING_BY_STATE = {"ready": False, "draining": True}
@@ -32,22 +35,15 @@
 
 def decode_catalog(value: bytes) -> Catalog | str:
     """Decode the operator's configuration; a string says why it cannot be used."""
-    try:
-        fields = json.loads(value)
-        return Catalog(
-            _number(fields["version"]),
-            tuple(_route(item) for item in fields["routes"]),
-            {item["name"]: _pool(item) for item in fields["services"]},
-            _limits(fields.get("limits") or {}),
-            _accounts(fields.get("tenants")),
-        )
-    except _MALFORMED as exc:
-        return f"configuration is malformed: {_describe(exc)}"
+    catalog = decode(value, _catalog)
+    if isinstance(catalog, DecodeError):
+        return f"configuration is malformed: {catalog.detail}"
+    return catalog
 
 
 def find_malformed(fields: Mapping[str, Any]) -> Iterator[tuple[str, int, str]]:
     """Return section, position and fault of what cannot be decoded."""
-    for section, decode in (
+    for section, decode_item in (
         ("routes", _route),
         ("services", _pool),
         ("tenants", decode_account),
@@ -55,33 +51,46 @@
         items = fields.get(section)
         for index, item in enumerate(items if isinstance(items, list) else ()):
             try:
-                decode(item)
+                decode_item(item)
             except KeyError as exc:
                 yield section, index, f"required key {exc} is missing"
-            except _MALFORMED as exc:
+            except MALFORMED as exc:
                 yield section, index, str(exc)
 
 
 def decode_server(server_id: str, value: bytes) -> ServerRecord | str:
     """Decode a server's registry entry; a string says why it cannot be used."""
-    try:
-        fields = json.loads(value)
-        leaving = _LEAVING_BY_STATE[fields["state"]]
-        return ServerRecord(
-            server_id,
-            _address(fields["address"]),
-            _string(fields["service"]),  # the wire's word for a pool
-            _string(fields["zone"]),
-            _number(fields["slots"]),
-            # Announces a removal: the server is gone after that time.
-            leaving or "remaining-ms" in fields,
-            _number(fields.get("born", 0)),
-            decode_held_models(fields.get("models", ())),
-            *decode_cached_models(fields),
-            _software_version(fields.get("version")),
-        )
-    except _MALFORMED as exc:
-        return f"entry is malformed: {exc!r}"
+    record = decode(value, lambda fields: _server(server_id, fields))
+    if isinstance(record, DecodeError):
+        return f"entry is malformed: {record.detail}"
+    return record
+
+
+def _server(server_id: str, fields: Mapping[str, Any]) -> ServerRecord:
+    leaving = _LEAVING_BY_STATE[fields["state"]]
+    return ServerRecord(
+        server_id,
+        _address(fields["address"]),
+        _string(fields["service"]),  # the wire's word for a pool
+        _string(fields["zone"]),
+        _number(fields["slots"]),
+        # Announces a removal: the server is gone after that time.
+        leaving or "remaining-ms" in fields,
+        _number(fields.get("born", 0)),
+        decode_held_models(fields.get("models", ())),
+        *decode_cached_models(fields),
+        _software_version(fields.get("version")),
+    )
+
+
+def _catalog(fields: Mapping[str, Any]) -> Catalog:
+    return Catalog(
+        _number(fields["version"]),
+        tuple(_route(item) for item in fields["routes"]),
+        {item["name"]: _pool(item) for item in fields["services"]},
+        _limits(fields.get("limits") or {}),
+        _accounts(fields.get("tenants")),
+    )
 
 
 def decode_held_models(items: Any) -> tuple[HeldModel, ...]:
@@ -217,13 +226,6 @@
     return frozenset(map(digest_key, keys or ()))
 
 
-def _describe(exc: Exception) -> str:
-    """Return an error without the text that it could not decode: that has keys."""
-    if isinstance(exc, UnicodeError):
-        return f"{type(exc).__name__}: {exc}"
-    return repr(exc)
-
-
 def _allotment(item: Mapping[str, Any]) -> Allotment | None:
     rate_per_s = _finite(item.get("rate-per-s") or 0.0)
     if rate_per_s <= 0:
@@ -247,23 +249,9 @@
     )
 
 
-def _number(value: Any) -> int:
-    if isinstance(value, bool) or not isinstance(value, int | float):
-        raise TypeError(f"expected a number, got {value!r}")
-    return int(value)
-
-
-def _finite(value: Any) -> float:
-    number = float(value)
-    if not math.isfinite(number):
-        raise ValueError(f"expected a finite number, got {number}")
-    return number
-
-
-def _string(value: Any) -> str:
-    if not isinstance(value, str) or not value:
-        raise TypeError(f"expected a non-empty string, got {value!r}")
-    return value
+_number = whole_number
+_finite = finite_number
+_string = printable_text
 
 
 def _address(value: Any) -> str:
--- a/src/copperrun/platform/store.py
+++ b/src/copperrun/platform/store.py
@@ -3,14 +3,19 @@
 from __future__ import annotations
 
 import base64
-import binascii
 import struct
+from typing import Any
+from typing import NamedTuple
 from urllib.parse import quote
 
 from copperrun.adapters.client import HttpClient
 from copperrun.adapters.client import HttpFailure
 from copperrun.adapters.client import HttpFailureReason
 from copperrun.adapters.client import HttpReply
+from copperrun.decoding import DecodeError
+from copperrun.decoding import decode
+from copperrun.decoding import digits
+from copperrun.decoding import whole_number
 from copperrun.platform import http_headers
 from copperrun.ports.topics import TopicError
 from copperrun.ports.topics import TopicErrorReason
@@ -50,22 +55,22 @@
             reply = await self._client.call("GET", url, timeout_ms=CALL_TIMEOUT_MS)
             if isinstance(reply, HttpFailure):
                 return TopicError(TopicErrorReason.UNAVAILABLE, reply.detail)
-            page = reply.json()
-            if reply.status != 200 or not isinstance(page, dict):
+            if reply.status != 200:
                 return _unavailable("log-newest", reply)
+            page = decode(reply.body, _decode_page)
+            if isinstance(page, DecodeError):
+                detail = f"log-newest: {page.detail}"
+                return TopicError(TopicErrorReason.UNAVAILABLE, detail)
             # Records may change between pages; the end of the first page makes the
             # caller read such changes again.
-            start = start or TopicPosition(_era(reply), page["end"])
+            start = start or TopicPosition(_era(reply), page.end)
             if start.era != _era(reply):
                 detail = "log-newest: the era changed between two pages"
                 return TopicError(TopicErrorReason.UNAVAILABLE, detail)
-            for item in page["items"]:
-                value = _decode_base64(item["value"])
-                if value is not None:
-                    items[item["key"]] = value
-            if not page.get("has-more") or not page["items"]:
+            items |= page.items
+            if not page.next_after:
                 return TopicSnapshot(items, start.offset, start.era)
-            after = f"&after={quote(page['items'][-1]['key'], safe='')}"
+            after = f"&after={quote(page.next_after, safe='', errors='replace')}"
 
     async def read(
         self, topic: str, offset: int, *, wait_ms: int
@@ -110,16 +115,20 @@
             return TopicError(reason, reply.detail)
         if reply.status == 412:
             return TopicError(TopicErrorReason.CONFLICT, "log-append: other end")
-        answer = reply.json()
-        if reply.status != 200 or not isinstance(answer, dict):
+        if reply.status != 200:
             return _unavailable("log-append", reply)
-        return TopicPosition(_era(reply), int(answer["offset"]))
+        offset = decode(reply.body, lambda answer: whole_number(answer["offset"], 0))
+        if isinstance(offset, DecodeError):
+            # It may have been written.
+            detail = f"log-append: {offset.detail}"
+            return TopicError(TopicErrorReason.ANSWER_LOST, detail)
+        return TopicPosition(_era(reply), offset)
 
 
 def _era(reply: HttpReply) -> int:
     """Return the era of an answer; 0 for a store that states none."""
     text = reply.headers.get(http_headers.STORE_ERA, "")
-    return int(text) if text.isdecimal() else 0
+    return digits(text) or 0
 
 
 def _unavailable(operation: str, reply: HttpReply) -> TopicError:
@@ -128,10 +137,33 @@
     )
 
 
+class _NewestPage(NamedTuple):
+    """Newest records of some keys.
+
+    Attributes:
+        items: Value by key, without those that cannot be decoded.
+        end: Offset after the topic's last record.
+        next_after: Key after which the next page begins; empty when there is none.
+    """
+
+    items: dict[str, bytes]
+    end: int
+    next_after: str
+
+
+def _decode_page(page: Any) -> _NewestPage:
+    listed = [(item["key"], _decode_base64(item["value"])) for item in page["items"]]
+    return _NewestPage(
+        {str(key): value for key, value in listed if value is not None},
+        whole_number(page["end"], 0),
+        str(listed[-1][0]) if page.get("has-more") and listed else "",
+    )
+
+
 def _decode_base64(text: object) -> bytes | None:
     try:
         return base64.b64decode(text) if isinstance(text, str) and text else None
-    except binascii.Error:
+    except ValueError:  # no base64, or no ASCII
         return None
 
 
--- a/src/copperrun/routing/dispatcher.py
+++ b/src/copperrun/routing/dispatcher.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import json
 from collections.abc import AsyncGenerator
 from contextlib import aclosing
 from typing import Any
@@ -12,6 +11,7 @@
 import xxhash
 from loguru import logger
 
+from copperrun.decoding import decode
 from copperrun.model import Answer
 from copperrun.model import Attempt
 from copperrun.model import AttemptId
@@ -360,10 +360,7 @@
 
 
 def _first_choice(payload: str) -> dict[str, Any]:
-    try:
-        choice = json.loads(payload)["choices"][0]
-    except (ValueError, KeyError, IndexError, TypeError):
-        return {}
+    choice = decode(payload, lambda value: value["choices"][0])
     return choice if isinstance(choice, dict) else {}
 
 
--- a/testing/test_platform_http.py
+++ b/testing/test_platform_http.py
@@ -1099,3 +1099,25 @@
         yield errors
     finally:
         logging.getLogger().removeHandler(handler)
+
+
+# A number in a header ended the attempt that read it.
+@pytest.mark.parametrize("value", ["inf", "nan", "1e999", "-1", "9" * 5_000, "²", ""])
+async def test_headers_of_an_answer_with_odd_numbers_are_ignored(value):
+    async def answer(request: ReceivedRequest, writer: asyncio.StreamWriter) -> bool:
+        body = b"answer to r1"
+        head = answer_head(
+            request,
+            Content_Length=str(len(body)),
+            Response_Signature="sig",
+            Keep_Alive=f"timeout={value}",
+            Retry_After=value,
+        )
+        writer.write(head.decode().encode("latin-1") + body)
+        return True
+
+    backend = ScriptedServer()
+    backend.script = answer
+    async with running_entry(SAFE, backend) as entry:
+        status, _, body, _ = await send_get(entry)
+        assert_that((status, body), Equals((200, b"answer to r1")))
--- a/testing/test_platform_records.py
+++ b/testing/test_platform_records.py
@@ -18,6 +18,8 @@
 
 from copperrun.admission.memory import EngineRun
 from copperrun.admission.memory import MemoryReport
+from copperrun.decoding import DecodeError
+from copperrun.decoding import decode
 from copperrun.platform import http_headers
 from copperrun.platform.engine_control import _decode_status
 from copperrun.platform.records import decode_catalog
@@ -28,6 +30,7 @@
 from copperrun.platform.settings import SettingsError
 from copperrun.platform.settings import load_settings
 from copperrun.platform.settings import settings_path
+from copperrun.ports.engine_control import EngineStatus
 from copperrun.routing.catalog import Catalog
 from copperrun.routing.catalog import RetrySafety
 from copperrun.routing.servers import ServerRecord
@@ -378,3 +381,30 @@
     item = {"name": "north", "api-keys": [], "rate-per-s": 5, name: "HERE"}
     text = json.dumps(configuration(tenants=[item])).replace('"HERE"', value)
     assert_that(decode_catalog(text.encode()), IsInstance(str))
+
+
+# A report nested deep ended the side that read it; so did one with an endless number.
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"models": None},
+        {"sequence": 10**300},
+        {"sequence": float("inf")},
+        {"born": 1e300},
+        {"running": "1"},
+        {"models": [{"name": "\ud800"}]},
+    ],
+    ids=str,
+)
+def test_an_engine_report_with_odd_values_is_malformed(change: dict[str, Any]) -> None:
+    report = {
+        "born": 1_790_000_000_000,
+        "models": [{"name": "m", "version": 3, "adapters": []}],
+        "busy": False,
+        "sequence": 2,
+        "running": 1,
+        "queued": 0,
+    }
+    assert_that(decode(json.dumps(report), _decode_status), IsInstance(EngineStatus))
+    odd = json.dumps(report | change)
+    assert_that(decode(odd, _decode_status), IsInstance(DecodeError))
--- a/testing/test_platform_store.py
+++ b/testing/test_platform_store.py
@@ -2,10 +2,16 @@
 
 from __future__ import annotations
 
+import asyncio
+import struct
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 
+import pytest
+from platform_standins import ReceivedRequest
+from platform_standins import ScriptedServer
 from platform_standins import StoreStandIn
+from platform_standins import answer_head
 from testtools.assertions import assert_that
 from testtools.matchers import Equals
 
@@ -117,3 +123,55 @@
         snapshot = await client.read_snapshot("keyed.t")
         store.newest_page = page
     assert isinstance(snapshot, TopicError)
+
+
+# What the store's answers lacked ended their reader.
+@pytest.mark.parametrize(
+    "body",
+    [
+        b"[]",
+        b"{}",
+        b"[" * 100_000,
+        b'{"items": [{"key": "a"}], "end": 1}',
+        b'{"items": [], "end": "1"}',
+        b'{"items": [], "end": 1e300}',
+        b'{"items": 1, "end": 1}',
+    ],
+    ids=lambda body: body[:30].decode(),
+)
+async def test_a_malformed_answer_of_the_store_is_an_outage(body):
+    async def answer(request: ReceivedRequest, writer: asyncio.StreamWriter) -> bool:
+        writer.write(
+            answer_head(request, Content_Length=str(len(body)), Store_Era="9" * 5_000)
+            + body
+        )
+        return True
+
+    server = ScriptedServer()
+    server.script = answer
+    await server.start()
+    async with open_session() as session:
+        store = HttpTopicStore(HttpClient(session, SystemTimers()), server.address)
+        snapshot = await store.read_snapshot("keyed.t")
+        written = await store.put("keyed.t", "k", b"v")
+    await server.close()
+    assert isinstance(snapshot, TopicError)
+    assert_that(snapshot.reason, Equals(TopicErrorReason.UNAVAILABLE))
+    assert isinstance(written, TopicError)
+    assert_that(written.reason, Equals(TopicErrorReason.ANSWER_LOST))
+
+
+async def test_an_era_that_is_no_number_counts_as_none():
+    async def answer(request: ReceivedRequest, writer: asyncio.StreamWriter) -> bool:
+        body = struct.pack(">QQ", 0, 0)
+        writer.write(answer_head(request, Content_Length="16", Store_Era="9" * 5_000))
+        writer.write(body)
+        return True
+
+    server = ScriptedServer()
+    server.script = answer
+    await server.start()
+    async with open_session() as session:
+        store = HttpTopicStore(HttpClient(session, SystemTimers()), server.address)
+        assert_that(await store.read("keyed.t", 0, wait_ms=0), Equals(TopicPage([], 0)))
+    await server.close()
