Use no server that an odd registry entry invents

Cause: any number and address was accepted; a plain server is chosen by the share of its slots in use; a 421 of a plain server was forgotten at once; a side took the last record at its engine's address for its own.

Change: entries out of range are malformed; a server whose address answers as another one is not used for 10 s or until its record names another start; slots count up to the pool's connections; a side follows the record of the start that its engine reports.

--- a/src/copperrun/platform/backends.py
+++ b/src/copperrun/platform/backends.py
@@ -60,6 +60,7 @@
             _retry_after_ms(headers.get(http_headers.RETRY_AFTER, "")),
             headers.get(http_headers.SERVER_LEAVING) == "1",
             not self._is_framed,
+            headers.get(http_headers.SERVER_ID, ""),
         )
 
     async def read(self) -> bytes | BackendError | None:
--- a/src/copperrun/platform/records.py
+++ b/src/copperrun/platform/records.py
@@ -4,11 +4,13 @@
 
 from collections.abc import Iterator
 from collections.abc import Mapping
+from ipaddress import ip_address
 from typing import Any
 
 from copperrun.decoding import MALFORMED
 from copperrun.decoding import DecodeError
 from copperrun.decoding import decode
+from copperrun.decoding import digits
 from copperrun.decoding import finite_number
 from copperrun.decoding import printable_text
 from copperrun.decoding import whole_number
@@ -29,6 +31,10 @@
 from copperrun.routing.servers import ServerRecord
 
 MAX_VERSION_CHARACTERS = 64
+MAX_PORT = 65_535
+# A server runs one request on each of its connections.
+MAX_SLOTS = MAX_PORT
+MAX_MODELS = 1_000  # of one server
 
 _LEAVING_BY_STATE = {"ready": False, "draining": True}
 
@@ -69,14 +75,14 @@
 def _server(server_id: str, fields: Mapping[str, Any]) -> ServerRecord:
     leaving = _LEAVING_BY_STATE[fields["state"]]
     return ServerRecord(
-        server_id,
+        _string(server_id),
         _address(fields["address"]),
         _string(fields["service"]),  # the wire's word for a pool
         _string(fields["zone"]),
-        _number(fields["slots"]),
+        whole_number(fields["slots"], 1, MAX_SLOTS),
         # Announces a removal: the server is gone after that time.
         leaving or "remaining-ms" in fields,
-        _number(fields.get("born", 0)),
+        whole_number(fields.get("born", 0), 0),
         decode_held_models(fields.get("models", ())),
         *decode_cached_models(fields),
         _software_version(fields.get("version")),
@@ -95,6 +101,8 @@
 
 def decode_held_models(items: Any) -> tuple[HeldModel, ...]:
     """Decode the models that a server holds."""
+    if len(items) > MAX_MODELS:
+        raise ValueError(f"expected at most {MAX_MODELS} models, got {len(items)}")
     return tuple(
         HeldModel(
             _string(item["name"]),
@@ -255,7 +263,12 @@
 
 
 def _address(value: Any) -> str:
+    """Return an address as IP:PORT, IPv6 in brackets."""
     host, _, port = _string(value).rpartition(":")
-    if not host or not port.isdigit():
-        raise ValueError(f"expected IP:PORT, got {value!r}")
+    is_bracketed = host.startswith("[") and host.endswith("]")
+    ip = ip_address(host[1:-1] if is_bracketed else host)
+    number = digits(port)
+    if is_bracketed != (ip.version == 6) or number is None:
+        raise ValueError(f"expected IP:PORT, got {value!a}")
+    whole_number(number, 1, MAX_PORT)
     return str(value)
--- a/src/copperrun/ports/backends.py
+++ b/src/copperrun/ports/backends.py
@@ -125,6 +125,7 @@
         retry_after_ms: Delay before a retry that the server asks for; 0 when none.
         leaving: Whether the server says that it is leaving.
         ends_with_connection: Whether the body has neither a length nor chunks.
+        answered_by: Id of the server that answered, where it says so.
     """
 
     status: int
@@ -134,6 +135,7 @@
     retry_after_ms: int = 0
     leaving: bool = False
     ends_with_connection: bool = False
+    answered_by: str = ""
 
 
 class BackendAnswer(Protocol):
--- a/src/copperrun/routing/attempt.py
+++ b/src/copperrun/routing/attempt.py
@@ -203,7 +203,9 @@
         match head.execution:
             case Execution.WRONG_SERVER:
                 call = self._request.call
-                if call.model:
+                if head.answered_by not in ("", self.record.id) or not call.model:
+                    self.server.mark_replaced()
+                else:
                     self.server.mark_not_held(call.model, call.adapter)
                 detail = f"{server_id} does not hold the model, or is another server"
                 return self._record_not_run(head, detail)
--- a/src/copperrun/routing/selector.py
+++ b/src/copperrun/routing/selector.py
@@ -84,8 +84,13 @@
             servers = self.untried_servers(request, progress)
             if not servers:
                 return self._no_server(request, progress)
+            # A server runs no more requests than it takes connections.
+            most = request.pool.max_connections or max(s.record.slots for s in servers)
             candidates = [
-                self._candidate(server)._replace(work_ms=call_work_ms(server, request))
+                self._candidate(server)._replace(
+                    slots=min(server.record.slots, most),
+                    work_ms=call_work_ms(server, request),
+                )
                 for server in servers
             ]
             return servers[choose_plain_server(candidates)]
--- a/src/copperrun/routing/servers.py
+++ b/src/copperrun/routing/servers.py
@@ -18,6 +18,9 @@
 # and therefore gets few of them is tried again.
 FAILURE_HALF_LIFE_MS = 4_000
 CONNECT_BACKOFF_MS = 2_000  # no requests to a server after a failed connection
+# Time for which a server is not used whose address answers as another one; its record
+# lapses in less, unless somebody else wrote it.
+REPLACED_TTL_MS = 10_000
 # Time for which leave notices of servers are kept. A server may be listed as ready long
 # after it said in an answer that it leaves, but not for longer than it takes to leave.
 LEAVE_NOTICE_TTL_MS = 300_000
@@ -139,6 +142,7 @@
         self._failure_rate_ms = 0
         self._backoff_until_ms = 0
         self._pause_until_ms = 0
+        self._replaced_until_ms = 0
         self._reported_born_ms = 0
         self._reported_id = ""
 
@@ -173,6 +177,11 @@
         """Time for which the server wants no requests from this entry."""
         return max(self._pause_until_ms - self._timers.now_ms(), 0)
 
+    @property
+    def is_replaced(self) -> bool:
+        """Whether another server has answered at its address lately."""
+        return self._timers.now_ms() < self._replaced_until_ms
+
     @property
     def has_fresh_report(self) -> bool:
         """Whether the latest report of its side is within its TTL."""
@@ -220,8 +229,17 @@
         until_ms = self._timers.now_ms() + duration_ms
         self._pause_until_ms = max(self._pause_until_ms, until_ms)
 
+    def mark_replaced(self) -> None:
+        """Send no requests to an address at which another server answered."""
+        self._replaced_until_ms = self._timers.now_ms() + REPLACED_TTL_MS
+
     def update_record(self, record: ServerRecord) -> None:
         """Apply a newer registry record."""
+        if (record.address, record.born_ms) != (
+            self.record.address,
+            self.record.born_ms,
+        ):
+            self._replaced_until_ms = 0
         if record.born_ms != self.record.born_ms:
             self.loading = {}
             self._reported_born_ms = 0
@@ -237,6 +255,8 @@
         """
         if report.born_ms < self.record.born_ms:
             return
+        if report.born_ms > self._reported_born_ms:
+            self._replaced_until_ms = 0
         self._reported_born_ms = report.born_ms
         self._reported_id = report.server_id
         self.held = report.held
@@ -321,8 +341,8 @@
     def is_usable(self, server: Server) -> bool:
         """Return whether new requests may be sent to a server.
 
-        It must be listed, not be leaving, not be in backoff and not have asked for a
-        pause.
+        It must be listed and answer at its address, not be leaving, not be in backoff
+        and not have asked for a pause.
         """
         return self.is_serving(server) and not server.is_backing_off
 
@@ -334,6 +354,7 @@
         return (
             self._servers.get(server.record.id) is server
             and not server.pause_ms
+            and not server.is_replaced
             and not self._is_leaving(server)
         )
 
--- a/src/copperrun/side/placement.py
+++ b/src/copperrun/side/placement.py
@@ -102,8 +102,8 @@
         catalog = self._view.catalog.catalog
         if catalog is None:
             return
-        own = [item for item in servers if item.address == self._engine_address]
-        pool = own[-1].pool if own else self._pool
+        own = self._own_record(servers)
+        pool = own.pool if own is not None else self._pool
         self._controller.spec = (
             catalog.pools[pool].engine if pool in catalog.pools else None
         )
@@ -123,7 +123,25 @@
                 previous is None or previous.born_ms < item.born_ms
             ):
                 newest[item.address] = item
-        listed = newest.pop(self._engine_address, None)
-        self._controller.set_servers(
-            self._engine_address, listed, list(newest.values())
+        newest.pop(self._engine_address, None)
+        self._controller.set_servers(self._engine_address, own, list(newest.values()))
+
+    def _own_record(self, servers: list[ServerRecord]) -> ServerRecord | None:
+        """Return the record of the engine's start, or else the likeliest.
+
+        Earlier starts may be listed until their records expire, and others may have
+        written records with the engine's address.
+        """
+        own = [item for item in servers if item.address == self._engine_address]
+        if len(own) < 2:
+            return own[0] if own else None
+        status = self._controller.status
+        born_ms = status.born_ms if status is not None else 0
+        return max(
+            own,
+            key=lambda item: (
+                item.born_ms == born_ms,
+                item.pool == self._pool,
+                item.born_ms,
+            ),
         )
--- a/testing/test_claims.py
+++ b/testing/test_claims.py
@@ -5,9 +5,11 @@
 import asyncio
 from types import SimpleNamespace
 
+import pytest
 from factories import model
 from factories import pool
 from factories import route
+from factories import server
 from factories import spec
 from hypothesis import given
 from hypothesis import strategies as st
@@ -115,6 +117,37 @@
     side.task.cancel()
 
 
+# An entry of another writer at an engine's address took its side off its pool.
+@pytest.mark.parametrize(
+    ("odd", "status_ms"),
+    [
+        ({"pool": "other", "born_ms": 2}, 1),
+        ({"born_ms": 2}, 1),
+        ({"pool": "other", "born_ms": 2}, None),
+    ],
+)
+def test_a_side_follows_the_record_of_the_engine_that_runs(odd, status_ms):
+    timers = ManualTimers()
+    view = View(timers)
+    engine = spec(model("m"))
+    pools = {"p": pool("p", engine), "other": pool("other")}
+    view.catalog = SimpleNamespace(catalog=Catalog(1, [], pools, CallerLimits()))
+    listed = []
+    controller = SimpleNamespace(
+        spec=None,
+        pause_ms=None,
+        status=status_ms and SimpleNamespace(born_ms=status_ms),
+        set_servers=lambda *servers: listed.append(servers[1]),
+    )
+    process = PlacementProcess(
+        "side-0", "10.0.0.1:80", "p", view, Claims(), "s", controller, None, timers
+    )
+    own = server("i-1", address="10.0.0.1:80", pool="p", born_ms=1)
+    process._update_servers([own, own._replace(id="x", **odd)])
+    assert_that(listed, Equals([own]))
+    assert_that(controller.spec, Equals(engine))
+
+
 def test_a_side_takes_the_allowed_pause_from_the_routes_to_its_pool():
     # The side of an idle engine has no requests to learn it from, and must plan the
     # same moves as the others.
--- a/testing/test_platform_records.py
+++ b/testing/test_platform_records.py
@@ -168,6 +168,63 @@
     assert_that(record, IsInstance(str))
 
 
+# Odd entries were used as servers, drew work by their size or ended their readers.
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"slots": 10**300},
+        {"slots": 1e300},
+        {"slots": 65_536},
+        {"slots": 0},
+        {"slots": -5},
+        {"born": 10**30},
+        {"born": -1},
+        {"models": [{"name": "m", "version": 10**40}]},
+        {"models": [{"name": "m"}] * 1_001},
+        {"models": [[]]},
+        {"service": "\ud800"},
+        {"zone": "\ud800"},
+        {"zone": "z\r\nHost: other"},
+        {"address": "10.0.0.1:0"},
+        {"address": "10.0.0.1:65536"},
+        {"address": "10.0.0.1:99999"},
+        {"address": "10.0.0.1:²"},
+        {"address": "10.0.0.1:٣"},
+        {"address": "10.0.0.1:" + "9" * 5_000},
+        {"address": "10.0.0.1:80/x"},
+        {"address": "10.0.0.1 :80"},
+        {"address": " 10.0.0.1:80"},
+        {"address": "a b:80"},
+        {"address": "user@10.0.0.1:80"},
+        {"address": "[::1"},
+        {"address": "[::1:80"},
+        {"address": "::1:80"},
+        {"address": ":80"},
+        {"address": "10.0.0.256:80"},
+        {"address": "\ud800:80"},
+    ],
+    ids=lambda change: ascii(change)[1:40],
+)
+def test_an_entry_with_values_out_of_range_names_no_server(
+    change: dict[str, Any],
+) -> None:
+    record = decode_server("i-1", json.dumps(server_entry(**change)).encode())
+    assert_that(record, IsInstance(str))
+
+
+@pytest.mark.parametrize("server_id", ["", "a\r\nX: 1", "\ud800"])
+def test_an_id_that_no_header_may_hold_names_no_server(server_id: str) -> None:
+    record = decode_server(server_id, json.dumps(server_entry()).encode())
+    assert_that(record, IsInstance(str))
+
+
+@pytest.mark.parametrize("address", ["10.0.0.1:1", "10.0.0.1:65535", "[::1]:80"])
+def test_addresses_of_both_families_are_decoded(address: str) -> None:
+    record = decode_server("i-1", json.dumps(server_entry(address=address)).encode())
+    assert isinstance(record, ServerRecord)
+    assert_that(record.address, Equals(address))
+
+
 @given(st.binary() | JSON.map(lambda value: json.dumps(value).encode()))
 def test_any_bytes_are_decoded_or_refused_with_a_reason(value: bytes) -> None:
     assert isinstance(decode_server("i-1", value), str)
--- a/testing/test_relay.py
+++ b/testing/test_relay.py
@@ -52,6 +52,7 @@
 from copperrun.routing.retries import RetryBounds
 from copperrun.routing.retries import RetryWindow
 from copperrun.routing.scoring import Distance
+from copperrun.routing.servers import REPLACED_TTL_MS
 from copperrun.routing.servers import ServerRecord
 from copperrun.routing.servers import ServerReport
 from copperrun.routing.servers import ServerTable
@@ -87,6 +88,7 @@
     error: BackendError | None = None
     retry_after_ms: int = 0
     leaving: bool = False
+    answered_by: str = ""
 
 
 LOST = Plan(error=BackendError(BackendErrorReason.LOST, "reset"))
@@ -149,6 +151,7 @@
             plan.execution,
             plan.retry_after_ms,
             plan.leaving,
+            answered_by=plan.answered_by,
         )
         self._owner = owner
         self._parts = list(plan.parts)
@@ -569,6 +572,51 @@
     assert_that(held, Equals([{}, {}]))
 
 
+# An entry of another writer, at the address of a sound server, drew work for nothing.
+@pytest.mark.parametrize(
+    ("record", "answered_by"), [(server, ""), (server, "b"), (engine, "b")]
+)
+async def test_a_server_at_whose_address_another_one_answers_is_not_tried_again(
+    record, answered_by
+):
+    other = record("other", ["m"]) if record is engine else record("other")
+    bench = Bench(other)
+    bench.backends.plans["other"] = [
+        Plan(421, Execution.WRONG_SERVER, answered_by=answered_by) for _ in range(3)
+    ]
+    served, model = (STREAM, "m") if record is engine else (SAFE, "")
+    for _ in range(3):
+        caller = await bench.handle(served, model=model)
+        assert caller.refusal is not None
+        assert_that(caller.refusal.ran, Is(Ran.NO))
+    assert_that(bench.backends.calls, HasLength(1))
+    # It counts for some time, and for one start.
+    await bench.timers.advance(REPLACED_TTL_MS)
+    await bench.handle(served, model=model)
+    assert_that(bench.backends.calls, HasLength(2))
+    bench.servers.set_records([other._replace(born_ms=2)])
+    await bench.handle(served, model=model)
+    assert_that(bench.backends.calls, HasLength(3))
+
+
+async def test_the_size_of_a_record_draws_no_more_than_a_server_may_take():
+    huge = server("huge", slots=65_535, address="10.0.0.1:1")
+    sound = server("sound", slots=6, address="10.0.0.1:1")
+    bench = Bench(huge, sound)
+    bench.backends.plans = {
+        "huge": [Plan(421, Execution.WRONG_SERVER)],
+        "sound": [Plan(delay_ms=100)],
+    }
+    served = 0
+    for _ in range(8):
+        begun = [bench.begin(UNSAFE._replace(max_attempts=1)) for _ in range(6)]
+        for caller, task in begun:
+            await run_until(bench.timers, task, 5_000)
+            served += caller.is_complete
+    # At most the first ones that are sent at the same time go astray.
+    assert_that(served, GreaterThan(41))
+
+
 async def test_an_engine_whose_side_does_not_hold_the_model_is_not_called():
     bench = Bench(engine("a", ["m"]))
     bench.sides.admission = lambda record: NotHeld()
