Bound each answer that copperrun reads for itself

Cause: HttpClient, the check for an end and the question for a start read bodies whole; the time of a call was their only bound.

Change: adapters/bodies.py reads such bodies; each reader names the most that it takes, and what is longer is lost. Events of copperrun's own interface are bounded, too.

--- a/src/copperrun/adapters/admission.py
+++ b/src/copperrun/adapters/admission.py
@@ -13,6 +13,7 @@
 from aiohttp import web
 
 from copperrun.adapters import wire
+from copperrun.adapters.bodies import MAX_VIEW_BYTES
 from copperrun.adapters.client import HttpClient
 from copperrun.adapters.client import HttpFailure
 from copperrun.adapters.sides import side_error
@@ -380,7 +381,10 @@
         self, address: str, query: str = ""
     ) -> Mapping[str, TopicSnapshot]:
         reply = await self._client.call(
-            "GET", f"http://{address}{VIEW_PATH}{query}", timeout_ms=VIEW_TIMEOUT_MS
+            "GET",
+            f"http://{address}{VIEW_PATH}{query}",
+            timeout_ms=VIEW_TIMEOUT_MS,
+            max_bytes=MAX_VIEW_BYTES,
         )
         if isinstance(reply, HttpFailure) or reply.status != 200:
             return {}
--- a/src/copperrun/adapters/client.py
+++ b/src/copperrun/adapters/client.py
@@ -6,6 +6,8 @@
 import socket
 import struct
 from collections.abc import Mapping
+from contextlib import AbstractAsyncContextManager
+from contextlib import nullcontext
 from enum import Enum
 from functools import lru_cache
 from types import MappingProxyType
@@ -15,6 +17,8 @@
 import aiohttp
 from yarl import URL
 
+from copperrun.adapters.bodies import MAX_REPLY_BYTES
+from copperrun.adapters.bodies import read_body
 from copperrun.adapters.connector import Exchange
 from copperrun.adapters.connector import ServerConnector
 from copperrun.adapters.connector import exchanging
@@ -124,6 +128,7 @@
         timeout_ms: int | None = None,
         connect_ms: int | None = None,
         is_separate: bool = False,
+        max_bytes: int = MAX_REPLY_BYTES,
     ) -> HttpReply | HttpFailure:
         """Send a request and read the complete response.
 
@@ -136,14 +141,22 @@
             connect_ms: Time for a new connection; None for the system's limit.
             is_separate: Whether it needs a connection of its own: where an answer bears
                 no id, only that tells it from a late copy of an earlier one.
+            max_bytes: Size of the response beyond which it counts as lost.
         """
-        exchange = Exchange(is_separate=is_separate)
-        work = self._send_and_read(method, url, body, headers, connect_ms, exchange)
-        if timeout_ms is None:
-            return await work
+        limit: AbstractAsyncContextManager[Any] = nullcontext()
+        if timeout_ms is not None:
+            limit = self._timers.timeout_ms(timeout_ms)
         try:
-            async with self._timers.timeout_ms(timeout_ms):
-                return await work
+            async with limit:
+                response = await self.open(
+                    method,
+                    url,
+                    body=body,
+                    headers=headers,
+                    connect_ms=connect_ms,
+                    is_separate=is_separate,
+                )
+                return await _read_reply(method, url, response, max_bytes)
         except TimeoutError:
             detail = f"{method} {url}: no response within {timeout_ms} ms"
             return HttpFailure(HttpFailureReason.ANSWER_LOST, detail)
@@ -157,6 +170,7 @@
         headers: Mapping[str, str] = JSON_HEADERS,
         timeout_ms: int | None = None,
         is_separate: bool = False,
+        max_bytes: int = MAX_REPLY_BYTES,
     ) -> HttpReply | HttpFailure:
         """Send a JSON value and read the complete response."""
         body = None if value is None else json.dumps(value).encode()
@@ -167,6 +181,7 @@
             headers=headers,
             timeout_ms=timeout_ms,
             is_separate=is_separate,
+            max_bytes=max_bytes,
         )
 
     async def open(
@@ -180,20 +195,8 @@
         is_separate: bool = False,
     ) -> aiohttp.ClientResponse | HttpFailure:
         """Send a request and return the response with its body unread."""
-        exchange = Exchange(is_separate=is_separate)
-        return await self._open(method, url, body, headers, connect_ms, exchange)
-
-    async def _open(
-        self,
-        method: str,
-        url: str,
-        body: bytes | None,
-        headers: Mapping[str, str] | None,
-        connect_ms: int | None,
-        exchange: Exchange,
-    ) -> aiohttp.ClientResponse | HttpFailure:
         try:
-            with exchanging(exchange):
+            with exchanging(Exchange(is_separate=is_separate)):
                 return await self._session.request(
                     method,
                     _parse_url(url),
@@ -210,31 +213,29 @@
         except (aiohttp.ClientError, OSError) as exc:
             return _answer_lost(method, url, exc)
 
-    async def _send_and_read(
-        self,
-        method: str,
-        url: str,
-        body: bytes | None,
-        headers: Mapping[str, str] | None,
-        connect_ms: int | None,
-        exchange: Exchange,
-    ) -> HttpReply | HttpFailure:
-        response = await self._open(method, url, body, headers, connect_ms, exchange)
-        if isinstance(response, HttpFailure):
-            return response
-        try:
-            async with response:
-                data = await response.read()
-        except (aiohttp.ClientError, OSError) as exc:
-            return _answer_lost(method, url, exc)
-        return HttpReply(response.status, response.content_type, data, response.headers)
-
     def _merge_headers(self, headers: Mapping[str, str] | None) -> Mapping[str, str]:
         if not headers:
             return self._headers
         return {**self._headers, **headers}
 
 
+async def _read_reply(
+    method: str,
+    url: str,
+    response: aiohttp.ClientResponse | HttpFailure,
+    max_bytes: int,
+) -> HttpReply | HttpFailure:
+    """Read the body of a response, if there is one."""
+    if isinstance(response, HttpFailure):
+        return response
+    try:
+        async with response:
+            data = await read_body(response, max_bytes)
+    except (aiohttp.ClientError, OSError) as exc:
+        return _answer_lost(method, url, exc)
+    return HttpReply(response.status, response.content_type, data, response.headers)
+
+
 @lru_cache
 def _timeout(connect_ms: int | None) -> aiohttp.ClientTimeout:
     seconds = None if connect_ms is None else connect_ms / 1000
--- a/src/copperrun/adapters/configuration_peers.py
+++ b/src/copperrun/adapters/configuration_peers.py
@@ -4,6 +4,7 @@
 
 from random import sample
 
+from copperrun.adapters.bodies import MAX_VIEW_BYTES
 from copperrun.adapters.client import HttpClient
 from copperrun.adapters.client import HttpFailure
 from copperrun.adapters.operations import SNAPSHOT_PATH
@@ -35,9 +36,12 @@
 
     async def _fetch(self, address: str) -> Snapshot | None:
         reply = await self._client.call(
-            "GET", f"http://{address}{SNAPSHOT_PATH}", timeout_ms=FETCH_TIMEOUT_MS
+            "GET",
+            f"http://{address}{SNAPSHOT_PATH}",
+            timeout_ms=FETCH_TIMEOUT_MS,
+            max_bytes=MAX_VIEW_BYTES,
         )
         if isinstance(reply, HttpFailure) or reply.status != 200:
             return None
-        record = decode_record(reply.body.decode())
+        record = decode_record(reply.body.decode(errors="replace"))
         return record if isinstance(record, Snapshot) else None
--- a/src/copperrun/adapters/engine.py
+++ b/src/copperrun/adapters/engine.py
@@ -9,6 +9,7 @@
 
 import aiohttp
 
+from copperrun.adapters.bodies import MAX_ANSWER_BYTES
 from copperrun.adapters.client import JSON_HEADERS
 from copperrun.adapters.client import HttpClient
 from copperrun.adapters.client import HttpFailure
@@ -48,6 +49,7 @@
             body=_engine_body(call, stream=False),
             headers=JSON_HEADERS,
             is_separate=True,
+            max_bytes=MAX_ANSWER_BYTES,
         )
         if isinstance(reply, HttpFailure):
             return _engine_error(reply)
--- a/src/copperrun/adapters/events.py
+++ b/src/copperrun/adapters/events.py
@@ -10,6 +10,7 @@
 DONE = "[DONE]"
 EVENT_STREAM = "text/event-stream"
 MAX_LINE_BYTES = 1024 * 1024
+MAX_EVENT_CHARACTERS = 4 * MAX_LINE_BYTES
 
 
 class Event(NamedTuple):
@@ -38,9 +39,11 @@
     """Yield the complete events of a response and drop a truncated last one.
 
     Raises:
-        ValueError: A line is longer than ``MAX_LINE_BYTES``.
+        ValueError: A line is longer than ``MAX_LINE_BYTES``, or an event longer than
+            ``MAX_EVENT_CHARACTERS``.
     """
     data: list[str] = []
+    size = 0
     name = event_id = ""
     async for raw in _read_lines(content):
         line = raw.rstrip(b"\r").decode()
@@ -48,8 +51,12 @@
             if data:
                 yield Event("\n".join(data), name, event_id)
             data = []
+            size = 0
             name = event_id = ""
             continue
+        size += len(line)
+        if size > MAX_EVENT_CHARACTERS:
+            raise ValueError("event exceeds the maximum length")
         field, _, value = line.partition(":")
         value = value.removeprefix(" ")
         match field:
--- a/src/copperrun/adapters/platform.py
+++ b/src/copperrun/adapters/platform.py
@@ -9,6 +9,7 @@
 from pydantic import TypeAdapter
 from pydantic import ValidationError
 
+from copperrun.adapters.bodies import MAX_ANSWER_BYTES
 from copperrun.adapters.client import HttpClient
 from copperrun.adapters.client import HttpFailure
 from copperrun.adapters.client import HttpFailureReason
@@ -66,6 +67,7 @@
             "GET",
             f"{self._stream_url(stream)}?from={offset}&wait_ms={wait_ms}",
             timeout_ms=READ_TIMEOUT_MS + wait_ms,
+            max_bytes=MAX_ANSWER_BYTES,
         )
         if isinstance(reply, HttpFailure):
             return LogError(LogErrorReason.UNAVAILABLE, reply.detail)
--- a/src/copperrun/adapters/service.py
+++ b/src/copperrun/adapters/service.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from copperrun.adapters.bodies import MAX_ANSWER_BYTES
 from copperrun.adapters.client import HttpClient
 from copperrun.adapters.client import HttpFailure
 from copperrun.adapters.client import HttpFailureReason
@@ -31,6 +32,7 @@
             body=call.body or None,
             headers=headers,
             is_separate=True,
+            max_bytes=MAX_ANSWER_BYTES,
         )
         if isinstance(reply, HttpFailure):
             return _service_error(reply)
--- a/src/copperrun/adapters/sides.py
+++ b/src/copperrun/adapters/sides.py
@@ -7,6 +7,8 @@
 import aiohttp
 
 from copperrun.adapters import wire
+from copperrun.adapters.bodies import MAX_ANSWER_BYTES
+from copperrun.adapters.bodies import read_body
 from copperrun.adapters.client import HttpClient
 from copperrun.adapters.client import HttpFailure
 from copperrun.adapters.client import HttpFailureReason
@@ -55,6 +57,7 @@
             f"http://{address}{ATTEMPTS_PATH}",
             body=wire.encode_attempt(attempt),
             headers=_HEADERS,
+            max_bytes=MAX_ANSWER_BYTES,
         )
         if isinstance(reply, HttpFailure):
             return SideReply(side_error(reply))
@@ -177,7 +180,8 @@
     response: aiohttp.ClientResponse, attempt_id: AttemptId
 ) -> AsyncGenerator[StreamItem, None]:
     if response.content_type != EVENT_STREAM:
-        reply = HttpReply(response.status, response.content_type, await response.read())
+        body = await read_body(response, MAX_ANSWER_BYTES)
+        reply = HttpReply(response.status, response.content_type, body)
         outcome = _parse_reply(reply, attempt_id).outcome
         if isinstance(outcome, Answer):
             outcome = SideError(
--- a/src/copperrun/platform/backends.py
+++ b/src/copperrun/platform/backends.py
@@ -11,6 +11,8 @@
 from multidict import CIMultiDict
 from yarl import URL
 
+from copperrun.adapters.bodies import MAX_REPORT_BYTES
+from copperrun.adapters.bodies import read_body
 from copperrun.adapters.connector import Exchange
 from copperrun.adapters.connector import ServerConnector
 from copperrun.adapters.connector import exchanging
@@ -158,7 +160,7 @@
                     if health_path:
                         answered_by = response.headers.get(http_headers.SERVER_ID, "")
                         return answered_by not in ("", server.id)
-                    born_ms = _born_ms(await response.read())
+                    report = await read_body(response, MAX_REPORT_BYTES)
             except aiohttp.ClientConnectorError as exc:
                 return isinstance(exc.os_error, ConnectionRefusedError)
             except TimeoutError:
@@ -167,14 +169,14 @@
                 continue
             except aiohttp.ClientError:
                 return False
-            return born_ms > server.born_ms > 0
+            return _born_ms(report) > server.born_ms > 0
         return False
 
     async def is_running(self, server: ServerRecord, *, timeout_ms: int) -> bool:
         """Return whether a start of an engine surely runs; its report names it."""
         try:
             async with self._check(server, REPORT_PATH, timeout_ms) as response:
-                born_ms = _born_ms(await response.read())
+                report = await read_body(response, MAX_REPORT_BYTES)
         except (aiohttp.ClientError, OSError, TimeoutError) as exc:
             logger.info(
                 "start of an engine not confirmed",
@@ -182,7 +184,7 @@
                 detail=_describe(exc),
             )
             return False
-        return born_ms == server.born_ms > 0
+        return _born_ms(report) == server.born_ms > 0
 
     @asynccontextmanager
     async def _check(
--- a/src/copperrun/platform/engine_control.py
+++ b/src/copperrun/platform/engine_control.py
@@ -6,6 +6,7 @@
 
 from loguru import logger
 
+from copperrun.adapters.bodies import MAX_REPORT_BYTES
 from copperrun.adapters.client import JSON_HEADERS
 from copperrun.adapters.client import HttpClient
 from copperrun.adapters.client import HttpFailure
@@ -49,7 +50,10 @@
     async def status(self) -> EngineStatus | None:
         """Return the engine's status, or None when it cannot be read."""
         reply = await self._client.call(
-            "GET", f"{self._url}/report", timeout_ms=STATUS_TIMEOUT_MS
+            "GET",
+            f"{self._url}/report",
+            timeout_ms=STATUS_TIMEOUT_MS,
+            max_bytes=MAX_REPORT_BYTES,
         )
         if isinstance(reply, HttpFailure) or reply.status != 200:
             return None
@@ -81,6 +85,7 @@
             headers=headers,
             timeout_ms=ORDER_TIMEOUT_MS,
             is_separate=True,
+            max_bytes=MAX_REPORT_BYTES,
         )
         if isinstance(reply, HttpFailure):
             if reply.reason is HttpFailureReason.NOT_SENT:
