Take up no stream on a guess at an entry that was out of step

Cause, by reading and tests: where no keeper that replied knew a stream, it went on at the only version that the entry had seen, although - a keeper that did not reply might have known another origin; - the entry asked the keepers that it knew before its read of the registry showed others; - a server that started during an outage could write no record, so a history over an outage has gaps; - an entry of a first start that got its first records late took its empty past for that of the whole system.

--- a/src/copperrun/entry/continuations.py
+++ b/src/copperrun/entry/continuations.py
@@ -7,6 +7,7 @@
 
 from loguru import logger
 
+from copperrun.membership.keepers import FIND_TIMEOUT_MS
 from copperrun.membership.keepers import FoundOrigin
 from copperrun.membership.keepers import OriginDirectory
 from copperrun.membership.keepers import UnknownOrigin
@@ -79,12 +80,12 @@
     ) -> StreamOrigin | Refusal:
         """Return what began the stream that a call continues; log how it is known."""
         started_ms = self._timers.now_ms()
-        found: FoundOrigin | UnknownOrigin = UnknownOrigin(0)
-        if call.resumes:
-            found = await self._origins.find(call.resumes, limit_ms)
+        found = await self._ask_for_origin(call, limit_ms)
         missing_replies = 0
         if isinstance(found, UnknownOrigin):
             missing_replies = found.missing_replies
+        if isinstance(found, UnknownOrigin) and not missing_replies:
+            # A keeper that did not reply may know another origin.
             found = await self._find_sole_origin(route, limit_ms) or found
         fields: dict[str, object] = {
             "request": call.id,
@@ -112,6 +113,25 @@
         logger.info("stream taken up", **fields)
         return origin
 
+    async def _ask_for_origin(
+        self, call: BackendCall, limit_ms: int
+    ) -> FoundOrigin | UnknownOrigin:
+        """Ask the keepers, and once more if there are others than this entry knew."""
+        if not call.resumes:
+            return UnknownOrigin(0)
+        deadline_ms = self._timers.now_ms() + min(limit_ms, FIND_TIMEOUT_MS)
+        asked = self._origins.hosts
+        found = await self._origins.find(call.resumes, limit_ms)
+        if isinstance(found, FoundOrigin):
+            return found
+        left_ms = deadline_ms - self._timers.now_ms()
+        # After a cut or a pause, this entry may not have heard of new ones yet.
+        is_current = await self._view.confirm_servers(min(left_ms, CONFIRM_TIMEOUT_MS))
+        if not is_current or self._origins.hosts == asked:
+            return found
+        left_ms = deadline_ms - self._timers.now_ms()
+        return await self._origins.find(call.resumes, max(left_ms, 0))
+
     async def _find_sole_origin(
         self, route: Route, limit_ms: int
     ) -> FoundOrigin | None:
--- a/src/copperrun/membership/keepers.py
+++ b/src/copperrun/membership/keepers.py
@@ -89,6 +89,11 @@
         self._rings: Mapping[str, _Ring] = {}
         self._channels: dict[str, _Channel] = {}
 
+    @property
+    def hosts(self) -> Set[str]:
+        """Hosts of the keepers."""
+        return {keeper.host for keeper in self._listed_ms}
+
     def set_keepers(self, keepers: Iterable[Keeper]) -> None:
         """Set the processes that keep origins now; earlier ones stay for a time."""
         now = self._timers.now_ms()
--- a/src/copperrun/membership/software.py
+++ b/src/copperrun/membership/software.py
@@ -7,6 +7,10 @@
 from copperrun.ports.timers import Timers
 from copperrun.routing.servers import ServerRecord
 
+# No server has come, begun a stream and gone within this time after the first start of
+# the whole system.
+FIRST_RECORDS_MS = 3_000
+
 
 class SoftwareHistory:
     """Tells whether all servers of a pool have been of one version for a time.
@@ -18,15 +22,26 @@
 
     def __init__(self, timers: Timers, *, is_first_start: bool) -> None:
         self._timers = timers
+        self._started_ms = timers.now_ms()
         self._covers_all = is_first_start
         self._covered_from_ms: int | None = None
         # Time at which each version was last listed, by pool.
         self._listed_ms: dict[str, dict[str, int]] = {}
 
-    def restart(self) -> None:
-        """Begin anew: servers may have come and gone without being seen."""
-        self._covers_all = self._covers_all and self._covered_from_ms is None
-        self._covered_from_ms = self._timers.now_ms()
+    def restart(self, delay_ms: int = 0) -> None:
+        """Begin anew: servers may have come and gone without being seen.
+
+        Args:
+            delay_ms: Time from now in which they may still do so.
+        """
+        now = self._timers.now_ms()
+        is_first = self._covered_from_ms is None
+        is_early = now - self._started_ms <= FIRST_RECORDS_MS
+        self._covers_all = self._covers_all and is_first and is_early
+        covered_from_ms = now + delay_ms
+        if self._covered_from_ms is not None:
+            covered_from_ms = max(covered_from_ms, self._covered_from_ms)
+        self._covered_from_ms = covered_from_ms
 
     def record(self, servers: Iterable[ServerRecord]) -> None:
         """Record servers that are or were listed."""
--- a/src/copperrun/membership/topic.py
+++ b/src/copperrun/membership/topic.py
@@ -44,6 +44,7 @@
             the same read replaces.
         on_replaced: Called before all records are replaced; there may have been others
             since the previous read.
+        on_recovered: Called when a read succeeds after failed ones.
     """
 
     def __init__(
@@ -66,6 +67,7 @@
         self.read_ms: int | None = None
         self.on_superseded: Callable[[str, bytes], None] = _ignore_superseded
         self.on_replaced: Callable[[], None] = _ignore_replaced
+        self.on_recovered: Callable[[], None] = _ignore_recovery
         self._reads_begun = 0
         self._last_success = 0  # number of the latest read that succeeded
         self._read_soon = asyncio.Event()
@@ -245,6 +247,7 @@
             logger.info("store available again", topic=self.topic, end=self.end)
             self.recovered_ms = self.read_ms
             self._failures = 0
+            self.on_recovered()
             self._health.announce_recovery()
 
     async def _back_off(self, error: TopicError) -> None:
@@ -268,6 +271,10 @@
     """Ignore that all records were replaced."""
 
 
+def _ignore_recovery() -> None:
+    """Ignore that the store can be read again."""
+
+
 def _earlier_era(era: int) -> TopicError:
     detail = f"answer of the earlier era {era}"
     return TopicError(TopicErrorReason.UNAVAILABLE, detail)
--- a/src/copperrun/membership/view.py
+++ b/src/copperrun/membership/view.py
@@ -5,10 +5,12 @@
 import asyncio
 from collections.abc import Callable
 from collections.abc import Mapping
+from functools import partial
 from typing import NamedTuple
 
 from copperrun.configuration.catalog import CurrentCatalog
 from copperrun.membership.health import StoreHealth
+from copperrun.membership.registry import LAPSE_GRACE_MS
 from copperrun.membership.registry import Registry
 from copperrun.membership.software import SoftwareHistory
 from copperrun.membership.topic import TopicFollower
@@ -103,6 +105,8 @@
         self._operator.subscribe(self._update_catalog)
         self._servers.subscribe(self.refresh)
         self._servers.on_replaced = self.software.restart
+        # Servers that started during an outage could write no record.
+        self._servers.on_recovered = partial(self.software.restart, LAPSE_GRACE_MS)
         self._servers.on_superseded = self._record_superseded
 
     @property
