Ask again for a server's start after this process stood still

Cause: an admission that names the listed start counted as sure for as long as it took, and so did the report that confirms a start.

Change: copperrun/pauses.py notices times without a sign of life. After one, an engine is asked again which start it is: before a continuation is sent, before its answer is forwarded, before an origin is recorded.

--- a/src/copperrun/entry/proxy.py
+++ b/src/copperrun/entry/proxy.py
@@ -25,6 +25,8 @@
 from copperrun.model import Ran
 from copperrun.model import Refusal
 from copperrun.model import RefusalReason
+from copperrun.pauses import PULSE_MS
+from copperrun.pauses import PauseDetector
 from copperrun.placement.demand import DemandMeter
 from copperrun.ports.admission import EngineSides
 from copperrun.ports.backends import BackendCall
@@ -123,6 +125,7 @@
         )
         self._exchange = CrashExchange(self.quarantine.log, relays, timers)
         self._archive = CrashArchive(self.quarantine, store, crashes_topic, timers)
+        self._pauses = PauseDetector(timers)
         self._relay = Relay(
             self.servers,
             backends,
@@ -134,6 +137,7 @@
             distance_to=location.distance_to,
             budget_for=self._budget_for,
             record_origin=self._origins.record,
+            pauses=self._pauses,
             memory_share=self._memory_share,
             costs=costs,
         )
@@ -156,6 +160,7 @@
         """Follow the store and the sides until cancelled."""
         self._view.subscribe(self._update_servers)
         refresh = self._timers.subscribe(REFRESH_INTERVAL_MS, self._refresh)
+        pulse = self._timers.subscribe(PULSE_MS, self._pauses.pulse)
         try:
             async with asyncio.TaskGroup() as tasks:
                 tasks.create_task(self._view.run())
@@ -169,6 +174,7 @@
                     self.lifecycle.serve()
         finally:
             refresh.cancel()
+            pulse.cancel()
             self._exchange.close()
             self._origins.close()
             self._gate.close()
--- a/src/copperrun/routing/attempt.py
+++ b/src/copperrun/routing/attempt.py
@@ -5,6 +5,7 @@
 import asyncio
 from typing import NamedTuple
 
+from copperrun.pauses import PauseDetector
 from copperrun.ports.admission import EngineSides
 from copperrun.ports.admission import Granted
 from copperrun.ports.backends import AnswerHead
@@ -25,9 +26,11 @@
 from copperrun.routing.requests import RoutedRequest
 from copperrun.routing.requests import ServerFailure
 from copperrun.routing.servers import Server
+from copperrun.routing.servers import ServerRecord
 from copperrun.routing.servers import ServerTable
 
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})  # mean that a request has not run
+CONFIRM_TIMEOUT_MS = 400  # for an engine's answer to which start it is
 MAX_BUFFERED_BYTES = 1 << 20  # answers up to this size are sent only when complete
 
 
@@ -40,6 +43,7 @@
     timers: Timers
     quarantine: Quarantine
     detector: CrashDetector
+    pauses: PauseDetector
 
 
 class Piece(NamedTuple):
@@ -64,7 +68,6 @@
     Attributes:
         server: Server that it was sent to.
         record: Record of the server's start that it was sent to.
-        is_start_sure: Whether that start surely answers. Plain servers do not tell.
         last_progress_ms: Time of the sending, the head or the latest whole event.
     """
 
@@ -83,10 +86,11 @@
         self._ports = ports
         self.record = server.current_record
         self._is_admitted = progress.admission == Granted.__name__
-        is_at_engine = request.pool.engine is not None and bool(request.call.model)
-        self.is_start_sure = (
-            not is_at_engine or 0 < progress.admitted_start_ms == self.record.born_ms
+        self._is_at_engine = request.pool.engine is not None and bool(
+            request.call.model
         )
+        self._is_admitted_start = 0 < progress.admitted_start_ms == self.record.born_ms
+        self._is_confirmed = False
         self._has_begun = False
         self._is_lost = False
         self._answer: BackendAnswer | None = None
@@ -114,6 +118,25 @@
             )
         )
 
+    @property
+    def is_start_sure(self) -> bool:
+        """Whether the start that it was sent to surely answers.
+
+        Plain servers do not tell.
+        """
+        if not self._is_at_engine:
+            return True
+        return self._is_admitted_start and not self._has_paused
+
+    @property
+    def _has_paused(self) -> bool:
+        """Whether this process has stood still since it asked for the admission.
+
+        The engine may have started again meanwhile, under the id that it had.
+        """
+        asked_ms = self._progress.admission_asked_ms
+        return self._ports.pauses.has_paused_since(asked_ms)
+
     @property
     def origin(self) -> StreamOrigin:
         """Origin of the stream that the answer begins.
@@ -277,6 +300,8 @@
 
     async def _next_events(self, answer: BackendAnswer) -> Piece | AttemptOutcome:
         """Return the next whole events, so that the stream can be resumed."""
+        if not await self._may_come_from_start():
+            return self._fail("the server may have started again")
         while (chunk := await answer.read()) is not None:
             if isinstance(chunk, BackendError):
                 self._is_lost = True
@@ -302,6 +327,20 @@
             return self._fail("the stream ended before its first event")
         return self._finish()
 
+    async def _may_come_from_start(self) -> bool:
+        """Return whether the answer may be that of the start it was sent to.
+
+        An engine that still is that start after the head has arrived sent the head.
+        """
+        if not self._is_confirmed:
+            self._is_confirmed = (
+                self._progress.origin is None
+                or not self._is_at_engine
+                or not self._has_paused
+                or await confirm_start(self._ports.backends, self.record)
+            )
+        return self._is_confirmed
+
     def _may_continue(self) -> bool:
         """Return whether the first events may follow those that the caller has."""
         origin = self._progress.origin
@@ -335,6 +374,11 @@
         return AttemptOutcome.MAYBE_RAN
 
 
+async def confirm_start(backends: Backends, record: ServerRecord) -> bool:
+    """Return whether an engine says that it is still the start of a record."""
+    return await backends.is_running(record, timeout_ms=CONFIRM_TIMEOUT_MS)
+
+
 def _work_ms(request: RoutedRequest, server: Server) -> float:
     """Return the expected work of a request at a server; 0 where it is not learned."""
     if request.output is not None:
--- a/src/copperrun/routing/relay.py
+++ b/src/copperrun/routing/relay.py
@@ -10,6 +10,7 @@
 from copperrun.admission.memory import MemoryShare
 from copperrun.model import Ran
 from copperrun.model import Refusal
+from copperrun.pauses import PauseDetector
 from copperrun.placement.demand import DemandMeter
 from copperrun.ports.admission import EngineSides
 from copperrun.ports.backends import Backends
@@ -20,6 +21,7 @@
 from copperrun.routing.attempt import Attempt
 from copperrun.routing.attempt import AttemptPorts
 from copperrun.routing.attempt import Piece
+from copperrun.routing.attempt import confirm_start
 from copperrun.routing.detection import CrashDetector
 from copperrun.routing.estimates import record_cost
 from copperrun.routing.failover import Failover
@@ -41,7 +43,6 @@
 from copperrun.routing.servers import ServerTable
 
 MIN_ATTEMPT_MS = 20  # remaining time below which no further attempt is started
-CONFIRM_TIMEOUT_MS = 400  # for an engine's answer to which start it is
 SILENT_SERVER = "silent"  # cause of a retry while the server before may still answer
 
 
@@ -61,9 +62,11 @@
         distance_to: Callable[[str], Distance],
         budget_for: Callable[[str], RetryWindow],
         record_origin: Callable[[str, StreamOrigin], None],
+        pauses: PauseDetector | None = None,
         memory_share: MemoryShare | None = None,
         costs: Costs | None = None,
     ) -> None:
+        pauses = pauses or PauseDetector(timers)
         self._selector = ServerSelector(
             servers,
             sides,
@@ -71,6 +74,7 @@
             timers,
             distance_to,
             self._confirm_start,
+            pauses,
             memory_share,
         )
         self._confirmations: set[asyncio.Task[None]] = set()
@@ -83,7 +87,7 @@
         self._quarantine = quarantine
         detector = CrashDetector(backends, quarantine, timers)
         self._ports = AttemptPorts(
-            servers, backends, sides, timers, quarantine, detector
+            servers, backends, sides, timers, quarantine, detector, pauses
         )
         # Requests that wait for a server, with their state, by the scope of their wait.
         self._waiting: dict[asyncio.Timeout, tuple[RoutedRequest, Progress]] = {}
@@ -276,14 +280,14 @@
         self, request: RoutedRequest, attempt: Attempt, progress: Progress
     ) -> None:
         """Record what began the stream if that start still runs."""
-        if await self._confirm_start(attempt.record):
+        asked_ms = self._ports.pauses.observe()
+        is_running = await self._confirm_start(attempt.record)
+        if is_running and not self._ports.pauses.has_paused_since(asked_ms):
             progress.origin = attempt.origin
             self._record_origin(request.call.id, attempt.origin)
 
     async def _confirm_start(self, record: ServerRecord) -> bool:
-        return await self._ports.backends.is_running(
-            record, timeout_ms=CONFIRM_TIMEOUT_MS
-        )
+        return await confirm_start(self._ports.backends, record)
 
     def _open_failover(self, request: RoutedRequest, progress: Progress) -> Failover:
         return Failover(
--- a/src/copperrun/routing/requests.py
+++ b/src/copperrun/routing/requests.py
@@ -145,6 +145,7 @@
         events: Events of its stream that this entry has forwarded.
         admitted_start_ms: Start time of the engine that its side has admitted the
             request to; 0 when it has not.
+        admission_asked_ms: When the side was asked to admit it.
     """
 
     def __init__(self, resume_after: str) -> None:
@@ -162,6 +163,7 @@
         self.admission = ""
         self.admitted_after_ms = 0
         self.admitted_start_ms = 0
+        self.admission_asked_ms = 0
         self.sent_ms = 0
         self.events = 0
         self.server: Server | None = None
--- a/src/copperrun/routing/selector.py
+++ b/src/copperrun/routing/selector.py
@@ -17,6 +17,7 @@
 from copperrun.admission.waiting import decide_wait
 from copperrun.model import Refusal
 from copperrun.model import RefusalReason
+from copperrun.pauses import PauseDetector
 from copperrun.placement.demand import DemandMeter
 from copperrun.ports.admission import Admission
 from copperrun.ports.admission import AdmissionRequest
@@ -62,6 +63,7 @@
         timers: Timers,
         distance_to: Callable[[str], Distance],
         confirm_start: Callable[[ServerRecord], Awaitable[bool]],
+        pauses: PauseDetector,
         memory_share: MemoryShare | None = None,
     ) -> None:
         self._servers = servers
@@ -70,6 +72,7 @@
         self._timers = timers
         self._distance_to = distance_to
         self._confirm_start = confirm_start
+        self._pauses = pauses
         self._memory_share = memory_share
 
     async def select(
@@ -278,6 +281,7 @@
         server.waiting_streams += continues
         progress.admission = "waiting"
         progress.admitted_start_ms = 0
+        progress.admission_asked_ms = self._pauses.observe()
         progress.detail = f"waits to be admitted at {server.record.id}"
         try:
             with self._demand.count_queued(request.pool.name, call.model):
@@ -358,9 +362,17 @@
         is asked before it continues a stream.
         """
         record = server.current_record
-        if progress.origin is None or 0 < progress.admitted_start_ms == record.born_ms:
+        if progress.origin is None:
+            return True
+        is_admitted = 0 < progress.admitted_start_ms == record.born_ms
+        # The admission may have been waiting for this process while it stood still.
+        if is_admitted and not self._pauses.has_paused_since(
+            progress.admission_asked_ms
+        ):
             return True
-        if await self._confirm_start(record):
+        asked_ms = self._pauses.observe()
+        is_running = await self._confirm_start(record)
+        if is_running and not self._pauses.has_paused_since(asked_ms):
             return True
         progress.tried.add(server.record.id)
         return False
--- a/testing/mutants.py
+++ b/testing/mutants.py
@@ -36,6 +36,83 @@
 
 
 MUTANTS = (
+    Mutant(
+        "answers of servers in trouble",
+        "adapters/connector.py",
+        "protocol.is_idle = True",
+        "protocol.is_idle = False",
+        "test_connector.py::test_a_connection_that_received_bytes_while_idle_is_not_used_again",
+    ),
+    Mutant(
+        "answers of servers in trouble",
+        "adapters/connector.py",
+        "if request_id and id_hash in self._id_hashes:",
+        "if False:",
+        "test_connector.py::test_an_id_is_sent_once_on_a_connection",
+    ),
+    Mutant(
+        "answers of servers in trouble",
+        "platform/backends.py",
+        "return not exchange.is_reused",
+        "return True",
+        "test_connector.py::test_a_refusal_written_twice_refuses_no_other_request",
+    ),
+    Mutant(
+        "answers of servers in trouble",
+        "platform/backends.py",
+        "with exchanging(Exchange(is_separate=True)):",
+        "with exchanging(Exchange()):",
+        "test_connector.py::test_a_status_check_shares_no_connection_with_requests",
+    ),
+    Mutant(
+        "answers of servers in trouble",
+        "decoding.py",
+        "    RecursionError,\n",
+        "",
+        "test_decoding.py::test_what_is_nested_deep_is_malformed_wherever_it_is_read",
+    ),
+    Mutant(
+        "answers of servers in trouble",
+        "adapters/bodies.py",
+        "if size > max_bytes:",
+        "if False:",
+        "test_bodies.py::test_an_answer_without_end_is_given_up",
+    ),
+    Mutant(
+        "registry entries of other writers",
+        "routing/attempt.py",
+        "self.server.mark_replaced()",
+        "pass",
+        "test_relay.py::test_a_server_at_whose_address_another_one_answers_is_not_tried_again",
+    ),
+    Mutant(
+        "registry entries of other writers",
+        "platform/records.py",
+        'whole_number(fields["slots"], 1, MAX_SLOTS)',
+        '_number(fields["slots"])',
+        "test_platform_records.py::test_an_entry_with_values_out_of_range_names_no_server",
+    ),
+    Mutant(
+        "order at an entry out of step",
+        "entry/continuations.py",
+        "if isinstance(found, UnknownOrigin) and not missing_replies:",
+        "if isinstance(found, UnknownOrigin):",
+        "test_continuations.py::test_a_stream_is_not_guessed_while_a_keeper_does_not_reply",
+    ),
+    Mutant(
+        "order at an entry out of step",
+        "membership/view.py",
+        "partial(self.software.restart, LAPSE_GRACE_MS)",
+        "partial(int, LAPSE_GRACE_MS)",
+        "test_continuations.py::test_an_outage_of_the_store_ends_what_is_known_of_versions",
+    ),
+    Mutant(
+        "order at an entry out of step",
+        "pauses.py",
+        "return self._pause_end_ms > at_ms",
+        "return False",
+        "test_pauses.py::test_an_answer_after_a_pause_counts_only_if_its_start_still_runs",
+    ),
     Mutant(
         "learned costs",
         "routing/scoring.py",
@@ -637,7 +714,7 @@
     Mutant(
         "origin: confirm",
         "routing/selector.py",
-        "if await self._confirm_start(record):",
+        "if is_running and not self._pauses.has_paused_since(asked_ms):",
         "if True:",
         "test_versions.py::test_a_stream_does_not_go_on_at_a_start_that_nobody_confirms",
     ),
--- a/testing/test_connector.py
+++ b/testing/test_connector.py
@@ -117,12 +117,16 @@
     return body
 
 
-def copy_of(request_id: str, status: str = "200 OK", *lines: str) -> bytes:
+def answer_of(request_id: str, body: bytes, status: str, *lines: str) -> bytes:
     head = "\r\n".join(
-        [f"HTTP/1.1 {status}", "Content-Length: 4", *lines]
+        [f"HTTP/1.1 {status}", f"Content-Length: {len(body)}", *lines]
         + ([f"Request-Id: {request_id}"] if request_id else [])
     )
-    return f"{head}\r\n\r\ncopy".encode()
+    return f"{head}\r\n\r\n".encode() + body
+
+
+def copy_of(request_id: str, status: str = "200 OK", *lines: str) -> bytes:
+    return answer_of(request_id, b"copy", status, *lines)
 
 
 # A late second answer was taken for a status check's, and that one's for a request's.
@@ -131,11 +135,16 @@
 async def test_a_status_check_shares_no_connection_with_requests(
     health_path, is_idle_first
 ):
-    backend = FaultyServer(copy_of("r1"), is_idle_first=is_idle_first)
+    # Taken for the answer to a check, it would say that the server has ended.
+    other = answer_of("r1", b'{"born": 2000}', "200 OK", "Instance-Id: i-9")
+    backend = FaultyServer(other, is_idle_first=is_idle_first)
     async with calling(backend) as backends:
         assert_that(await send(backends, backend, "r1"), Equals((200, b"answer to r1")))
         record = server(backend.id, address=backend.address, born_ms=1_000)
-        await backends.has_ended(record, health_path=health_path, timeout_ms=500)
+        has_ended = await backends.has_ended(
+            record, health_path=health_path, timeout_ms=500
+        )
+        assert_that(has_ended, Equals(False))
         assert_that(await backends.is_running(record, timeout_ms=500), Equals(True))
         await TIMERS.sleep_ms(SETTLE_MS)
         assert_that(await send(backends, backend, "r2"), Equals((200, b"answer to r2")))
