Forward coded bodies of callers as they were sent

Cause: the listener for callers let aiohttp decode bodies.

Change: auto_decompress is off on callers' connections.

--- a/src/copperrun/platform/connections.py
+++ b/src/copperrun/platform/connections.py
@@ -246,6 +246,7 @@
             keepalive_timeout=UNUSED_KEEPALIVE_S,
             max_line_size=limits.header_bytes,
             max_field_size=limits.header_bytes,
+            auto_decompress=False,
         )
 
     @property
--- a/testing/test_platform_http.py
+++ b/testing/test_platform_http.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 import asyncio
+import gzip
 import itertools
 import logging
 import socket
 import struct
+import zlib
 from collections.abc import AsyncIterator
 from collections.abc import Iterator
 from contextlib import AsyncExitStack
@@ -260,6 +262,49 @@
     assert_that(_token_counts("9" * 5_000 + ",x"), Equals((MAX_COUNT, 0)))
 
 
+# Coded bodies reached the server decoded, and malformed ones got a 500.
+@pytest.mark.parametrize(
+    ("coding", "body"),
+    [
+        ("gzip", gzip.compress(b"pay 10" * 100)),
+        ("deflate", zlib.compress(b"pay 10" * 100)),
+        ("gzip", b"no gzip at all"),
+        ("deflate", b""),
+        ("br", b"\x00\x01"),
+        ("identity", b"pay 10"),
+        ("gzip, deflate", b"pay 10"),
+        ("no coding", b"pay 10"),
+    ],
+    ids=str,
+)
+@pytest.mark.parametrize("is_chunked", [False, True], ids=["length", "chunks"])
+async def test_a_coded_body_arrives_as_it_was_sent(coding, body, is_chunked):
+    received = []
+
+    async def answer(request: ReceivedRequest, writer: asyncio.StreamWriter) -> bool:
+        received.append((request.headers.get("content-encoding"), request.body))
+        return await send_answer(request, writer)
+
+    backend = ScriptedServer()
+    backend.script = answer
+    framing = f"Content-Length: {len(body)}"
+    sent = body
+    if is_chunked:
+        framing = "Transfer-Encoding: chunked"
+        sent = (b"%x\r\n%s\r\n" % (len(body), body) if body else b"") + b"0\r\n\r\n"
+    async with running_entry(UNSAFE, backend) as entry:
+        client = await Client.open(entry.port)
+        client.send(
+            "POST /a/x HTTP/1.1\nHost: h\nRequest-Id: r1\nDeadline-Ms: 4000\n"
+            f"Content-Encoding: {coding}\n{framing}",
+            sent,
+        )
+        status, _, answered, _ = await client.answer()
+        assert_that((status, answered), Equals((200, b"answer to r1")))
+        client.close()
+    assert_that(received, Equals([(coding, body)]))
+
+
 async def test_headers_that_only_the_system_sets_are_dropped():
     backend = ScriptedServer()
     async with running_entry(SAFE, backend) as entry:
