Keep a server's pause over a lapse of its record

Cause: the pause is kept in the server's object, which goes with its record.

Change: pauses of unlisted servers are kept by their start until they end.

Result: the new test passes with the other tests of pauses; without the kept pauses it fails at its first step by construction (a new object has none).

--- a/src/copperrun/routing/servers.py
+++ b/src/copperrun/routing/servers.py
@@ -299,6 +299,8 @@
         self._pools: dict[str, list[Server]] = {}
         # Time of the notice and start of the server, by id.
         self._leave_notices: dict[str, tuple[int, int]] = {}
+        # Ends of the pauses that starts of unlisted servers asked for.
+        self._pause_ends_ms: dict[str, int] = {}
         self._changed = ChangeSignal(timers)
 
     def set_records(self, records: Iterable[ServerRecord]) -> None:
@@ -307,16 +309,35 @@
         for record in records:
             server = self._servers.get(record.id)
             if server is None:
-                server = Server(record, self._timers)
+                server = self._add_server(record)
             else:
                 server.update_record(record)
             current[record.id] = server
+        self._keep_pauses(
+            server for key, server in self._servers.items() if key not in current
+        )
         self._servers = current
         self._pools = {}
         for server in current.values():
             self._pools.setdefault(server.record.pool, []).append(server)
         self.notify_change()
 
+    def _add_server(self, record: ServerRecord) -> Server:
+        """Return a new server; a record that lapsed may be that of a known start."""
+        server = Server(record, self._timers)
+        end_ms = self._pause_ends_ms.get(record.start_id, 0)
+        server.pause(max(end_ms - self._timers.now_ms(), 0))
+        return server
+
+    def _keep_pauses(self, unlisted: Iterable[Server]) -> None:
+        now = self._timers.now_ms()
+        ends_ms = self._pause_ends_ms | {
+            server.record.start_id: now + server.pause_ms for server in unlisted
+        }
+        self._pause_ends_ms = {
+            start: end_ms for start, end_ms in ends_ms.items() if end_ms > now
+        }
+
     def find(self, server_id: str) -> Server | None:
         """Return a server by id."""
         return self._servers.get(server_id)
--- a/testing/test_relay.py
+++ b/testing/test_relay.py
@@ -736,6 +736,27 @@
     assert_that(caller.refusal.retry_after_ms, LessThan(1_501))
 
 
+# A pause was forgotten when the server's record lapsed and came back.
+async def test_a_pause_outlives_a_lapse_of_the_record_but_not_the_start():
+    bench = Bench(server("a"))
+    bench.backends.plans = {"a": [PAUSE]}
+    await bench.handle(SAFE)
+    for record, is_paused in (
+        (server("a"), True),
+        (server("a", slots=9), True),
+        (server("a", born_ms=2), False),
+        (server("a"), True),
+    ):
+        bench.servers.set_records([])
+        await bench.timers.advance(100)
+        bench.servers.set_records([record])
+        assert_that(bench.servers.find("a").pause_ms > 0, Equals(is_paused))
+    bench.servers.set_records([])
+    await bench.timers.advance(2_000)
+    bench.servers.set_records([server("a")])
+    assert_that(bench.servers.find("a").pause_ms, Equals(0))
+
+
 async def test_holders_that_ask_for_a_pause_are_not_waited_for():
     bench = Bench(engine("e1", ["m"]), engine("e2", ["n"]))
     bench.servers.find("e1").pause(1_000)
