Hold the retry budget over restarts, and the number of entries over new sides

Change: an entry that started again has no slack for one window; what it sent before may be in that. The number of entries falls only when no side has reported more for 10 s.

--- a/src/copperrun/entry/proxy.py
+++ b/src/copperrun/entry/proxy.py
@@ -102,6 +102,7 @@
         self._metrics = metrics
         self._origins = OriginDirectory(keepers, location.region, timers)
         self._peer_hosts = peer_hosts
+        self._restarted_ms = None if is_first_start else timers.now_ms()
         self._continuations = Continuations(
             self._origins, view, timers, is_first_start=is_first_start
         )
@@ -310,19 +311,21 @@
     def _apply_report(self, server: Server, report: ServerReport) -> None:
         server.apply_report(report)
         if report.entries:
-            self._reporter.entry_count = report.entries
+            entries = self._reporter.record_entry_count(report.entries)
             if self._memory_share is not None:
                 # A side that has just started has heard of few.
                 share = self._memory_share
                 share.entries = max(share.entries, report.entries)
             for budget in self._budgets.values():
-                budget.entries = report.entries
+                budget.entries = entries
         self.servers.notify_change()
 
     def _budget_for(self, pool: str) -> RetryWindow:
         budget = self._budgets.get(pool)
         if budget is None:
-            budget = self._budgets[pool] = RetryWindow(self._timers, self._retry_bounds)
+            budget = self._budgets[pool] = RetryWindow(
+                self._timers, self._retry_bounds, restarted_ms=self._restarted_ms
+            )
             budget.entries = self._reporter.entry_count
         return budget
 
--- a/src/copperrun/entry/reports.py
+++ b/src/copperrun/entry/reports.py
@@ -36,6 +36,9 @@
 # sent, so that requests that arrive together share a report.
 URGENT_REPORT_INTERVAL_MS = 50
 INITIAL_ENTRY_COUNT = 8  # until a side reports the number of entries
+# Time for which the greatest number counts: a side that has just started, or that was
+# cut off, has heard of few.
+ENTRY_COUNT_TTL_MS = 10_000
 
 
 class DemandReporter:
@@ -66,6 +69,7 @@
         on_responsive: Callable[[ServerRecord], None],
     ) -> None:
         self.entry_count = INITIAL_ENTRY_COUNT
+        self._entry_count_ms: int | None = None
         self._location = location
         self._servers = servers
         self._sides = sides
@@ -85,6 +89,17 @@
         for server_id in engines - self._tasks.keys():
             self._tasks[server_id] = asyncio.create_task(self._report(server_id))
 
+    def record_entry_count(self, count: int) -> int:
+        """Record how many entries report to a side; return the number to go by."""
+        now = self._timers.now_ms()
+        if (
+            self._entry_count_ms is None
+            or count >= self.entry_count
+            or now - self._entry_count_ms >= ENTRY_COUNT_TTL_MS
+        ):
+            self.entry_count, self._entry_count_ms = count, now
+        return self.entry_count
+
     def close(self) -> None:
         """End all reports."""
         for task in self._tasks.values():
--- a/src/copperrun/routing/retries.py
+++ b/src/copperrun/routing/retries.py
@@ -51,16 +51,25 @@
 
     All entries together may send ``ratio`` retries for each request and ``slack``
     more. The ratio holds over all entries when each applies it to its own requests;
-    the slack is divided evenly among them.
+    the slack is divided evenly among them. What this entry sent before it started again
+    may be in the same window, so it has no slack until that is over.
+
+    Args:
+        timers: Timer service.
+        bounds: Bounds to begin with.
+        restarted_ms: When this process started, unless it is the first start of all.
 
     Attributes:
         bounds: Current bounds.
         entries: Number of entries that share the slack.
     """
 
-    def __init__(self, timers: Timers, bounds: RetryBounds) -> None:
+    def __init__(
+        self, timers: Timers, bounds: RetryBounds, *, restarted_ms: int | None = None
+    ) -> None:
         self.bounds = bounds
         self.entries = 1
+        self._restarted_ms = restarted_ms
         self._timers = timers
         self._requests: deque[int] = deque()
         self._retries: deque[int] = deque()
@@ -73,14 +82,19 @@
     def try_acquire(self) -> bool:
         """Use one retry; return False when this entry's share is exhausted."""
         self._drop_expired()
-        allowed = (
-            self.bounds.ratio * len(self._requests) + self.bounds.slack / self.entries
-        )
+        slack = 0.0 if self._is_in_first_window else self.bounds.slack / self.entries
+        allowed = self.bounds.ratio * len(self._requests) + slack
         if len(self._retries) + 1 > allowed * BUDGET_MARGIN:
             return False
         self._retries.append(self._timers.now_ms())
         return True
 
+    @property
+    def _is_in_first_window(self) -> bool:
+        if self._restarted_ms is None:
+            return False
+        return self._timers.now_ms() - self._restarted_ms < self.bounds.window_ms
+
     def _drop_expired(self) -> None:
         oldest = self._timers.now_ms() - self.bounds.window_ms
         for times in (self._requests, self._retries):
--- a/testing/test_decisions.py
+++ b/testing/test_decisions.py
@@ -7,16 +7,21 @@
 from testtools.matchers import GreaterThan
 from testtools.matchers import Is
 from testtools.matchers import IsInstance
+from testtools.matchers import LessThan
 
 from copperrun.admission.waiting import ANNOUNCE_TIMEOUT_MS
 from copperrun.admission.waiting import Refuse
 from copperrun.admission.waiting import Wait
 from copperrun.admission.waiting import decide_wait
 from copperrun.embedded.clock import ManualTimers
+from copperrun.entry.reports import ENTRY_COUNT_TTL_MS
+from copperrun.entry.reports import INITIAL_ENTRY_COUNT
+from copperrun.entry.reports import DemandReporter
 from copperrun.placement.adapter_slots import PENDING_UNLOAD_TTL_MS
 from copperrun.placement.adapter_slots import USE_TTL_MS
 from copperrun.placement.adapter_slots import AdapterKey
 from copperrun.placement.adapter_slots import AdapterSlots
+from copperrun.placement.demand import DemandMeter
 from copperrun.placement.loads import LoadRateLimit
 from copperrun.placement.loads import LoadRateLimiter
 from copperrun.routing.retries import BUDGET_MARGIN
@@ -201,3 +206,41 @@
     assert_that(loads.delay_ms(2.0, 9), Equals(0))
     loads.limit = LoadRateLimit(window_ms=5_000, overage=1.1, slack=0)
     assert_that(loads.delay_ms(2.0, 20), GreaterThan(0))
+
+
+# Each start of an entry began with a whole share of the slack.
+async def test_restarts_in_series_spend_no_more_than_one_window_allows():
+    timers = ManualTimers()
+    bounds = RetryBounds(0.0, 20, 10_000)
+    spent: list[int] = []
+    budget = RetryWindow(timers, bounds)
+    for _ in range(8):
+        for _ in range(30):
+            if budget.try_acquire():
+                spent.append(timers.now_ms())
+            await timers.advance(100)
+        budget = RetryWindow(timers, bounds, restarted_ms=timers.now_ms())
+    for begin in spent:
+        inside = [at for at in spent if begin <= at < begin + bounds.window_ms]
+        assert_that(len(inside), LessThan(21))
+    await timers.advance(bounds.window_ms)
+    assert_that(budget.try_acquire(), Equals(True))
+
+
+# A side that had just started told entries that they were few.
+async def test_the_number_of_entries_falls_only_after_a_time():
+    timers = ManualTimers()
+    reporter = DemandReporter(
+        None,
+        None,
+        None,
+        DemandMeter(),
+        timers,
+        on_report=lambda *_: None,
+        on_responsive=lambda *_: None,
+    )
+    assert_that(reporter.entry_count, Equals(INITIAL_ENTRY_COUNT))
+    counts = [reporter.record_entry_count(count) for count in (5, 1, 5, 9, 2)]
+    assert_that(counts, Equals([5, 5, 5, 9, 9]))
+    await timers.advance(ENTRY_COUNT_TTL_MS)
+    assert_that(reporter.record_entry_count(4), Equals(4))
