Count the time of a suspension for whatever lasts a time

Seen (review, observation): the lease of an allotment's keeper runs on a clock that stands still while its machine is suspended, so that after a longer suspension two keepers could grant.

Cause: the timer service's now_ms was the monotonic clock.

Change: now_ms reads the clock that counts suspensions; all leases, expiries, pauses and ages of the product are taken from it. Sleeps go on with the event loop. The connector compared it with a time of aiohttp's own clock and now keeps its own.

--- a/src/copperrun/adapters/connector.py
+++ b/src/copperrun/adapters/connector.py
@@ -56,12 +56,14 @@
 
     Attributes:
         is_idle: Whether it waits for its next request.
+        idle_since_ms: When it last began to wait.
         is_separate: Whether it serves one request only.
     """
 
     def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
         super().__init__(loop)
         self.is_idle = False
+        self.idle_since_ms = 0
         self.is_separate = False
         self._id_hashes = array("q")
 
@@ -136,8 +138,8 @@
         idle = self._conns.get(key)
         if limit_ms is not None and idle:
             # aiohttp has one limit for all servers; the oldest connection goes first.
-            oldest_s = (self._timers.now_ms() - limit_ms) / 1000
-            while idle and idle[0][1] < oldest_s:
+            oldest_ms = self._timers.now_ms() - limit_ms
+            while idle and _idle_since_ms(idle[0]) < oldest_ms:
                 idle.popleft()[0].close()
         conn: Any = await super()._get(key, traces)
         if conn is not None:
@@ -148,3 +150,10 @@
         is_used_up = protocol.is_used_up
         super()._release(key, protocol, should_close=should_close or is_used_up)
         protocol.is_idle = True
+        protocol.idle_since_ms = self._timers.now_ms()
+
+
+def _idle_since_ms(pooled: Any) -> int:
+    """Return since when a connection of aiohttp's pool waits."""
+    conn: ServerConnection = pooled[0]
+    return conn.idle_since_ms
--- a/src/copperrun/adapters/timers.py
+++ b/src/copperrun/adapters/timers.py
@@ -9,13 +9,17 @@
 
 from loguru import logger
 
+# The event loop's clock, and so each sleep, stands still while a machine is suspended;
+# leases of others and records of the store expire meanwhile.
+_CLOCK = getattr(time, "CLOCK_BOOTTIME", time.CLOCK_MONOTONIC)
+
 
 class SystemTimers:
     """Timers of a running process."""
 
     def now_ms(self) -> int:
-        """Return monotonic milliseconds."""
-        return time.monotonic_ns() // 1_000_000
+        """Return monotonic milliseconds, with the time of a suspension."""
+        return time.clock_gettime_ns(_CLOCK) // 1_000_000
 
     def wall_ms(self) -> int:
         """Return Unix time in milliseconds."""
--- a/src/copperrun/embedded/clock.py
+++ b/src/copperrun/embedded/clock.py
@@ -65,6 +65,14 @@
         """Call ``callback`` every ``period_ms`` milliseconds until cancelled."""
         return asyncio.create_task(self._repeat(period_ms, callback))
 
+    def suspend(self, duration_ms: float) -> None:
+        """Let time pass as in a suspension: no timer comes nearer."""
+        self._now_ms += duration_ms
+        self._scheduled = [
+            (due + duration_ms, number, callback)
+            for due, number, callback in self._scheduled
+        ]
+
     async def advance(self, delay_ms: float) -> None:
         """Move the clock and run every timer that becomes due."""
         await self._advance_until(self._now_ms + delay_ms)
--- a/src/copperrun/ports/timers.py
+++ b/src/copperrun/ports/timers.py
@@ -20,7 +20,10 @@
     """Clock, sleeps, timeouts and periodic subscriptions."""
 
     def now_ms(self) -> int:
-        """Return monotonic milliseconds."""
+        """Return monotonic milliseconds; they go on while the machine is suspended.
+
+        Sleeps, timeouts and subscriptions do not.
+        """
 
     def wall_ms(self) -> int:
         """Return Unix time in milliseconds."""
