Take answers without a body for whole, and forward UTF-8 header values

Seen (review, observations): an answer 204, 304 or to HEAD without Content-Length was taken for one that ends with its connection, and for reset, so a safe request ran again; header values beyond ASCII arrived encoded twice.

Cause: such answers have neither a length nor chunks, and no body either; names and values were decoded as Latin-1, while the HTTP library encodes UTF-8.

Result: the four new tests fail without the change and pass with it.

--- a/src/copperrun/platform/backends.py
+++ b/src/copperrun/platform/backends.py
@@ -33,6 +33,7 @@
 MAX_DETAIL_CHARACTERS = 300
 MAX_PAUSE_MS = 3_600_000  # that a server may ask for
 REPORT_PATH = "/report"  # of an engine
+BODILESS_STATUSES = frozenset({204, 304})
 
 
 class BackendAnswer:
@@ -42,7 +43,9 @@
         self._response = response
         headers = response.headers
         self._is_framed = (
-            "Content-Length" in headers
+            response.status in BODILESS_STATUSES
+            or response.method == "HEAD"
+            or "Content-Length" in headers
             or "chunked" in headers.get("Transfer-Encoding", "").lower()
         )
         # Tells a close by the server from a reset. aiohttp creates the future on first
--- a/src/copperrun/platform/http_headers.py
+++ b/src/copperrun/platform/http_headers.py
@@ -77,11 +77,17 @@
     ]
 
 
+def _text(raw: bytes) -> str:
+    """Decode a name or a value; the HTTP library encodes it as UTF-8 again."""
+    try:
+        return raw.decode()
+    except UnicodeDecodeError:
+        return raw.decode("latin-1")
+
+
 def end_to_end(headers: Iterable[tuple[bytes, bytes]]) -> HeaderList:
     """Return the headers to pass on, in their order and spelling."""
-    pairs = [
-        (name.decode("latin-1"), value.decode("latin-1")) for name, value in headers
-    ]
+    pairs = [(_text(name), _text(value)) for name, value in headers]
     dropped = set(_HOP_BY_HOP_HEADERS)
     for name, value in pairs:
         if name.lower() == "connection":
--- a/testing/test_platform_http.py
+++ b/testing/test_platform_http.py
@@ -1166,3 +1166,47 @@
     async with running_entry(SAFE, backend) as entry:
         status, _, body, _ = await send_get(entry)
         assert_that((status, body), Equals((200, b"answer to r1")))
+
+
+# Answers without a body were taken for such that were cut off.
+@pytest.mark.parametrize(
+    ("method", "status"),
+    [("GET", "204 No Content"), ("GET", "304 Not Modified"), ("HEAD", "200 OK")],
+)
+async def test_an_answer_that_has_no_body_is_whole_without_a_length(method, status):
+    async def answer(request: ReceivedRequest, writer: asyncio.StreamWriter) -> bool:
+        writer.write(answer_head(request, status, Response_Signature="sig"))
+        return True
+
+    backend = ScriptedServer()
+    backend.script = answer
+    async with running_entry(SAFE, backend) as entry:
+        client = await Client.open(entry.port)
+        for request_id in ("r1", "r2"):
+            client.send(GET.format(request_id).replace("GET", method, 1))
+            raw = await client.reader.readuntil(b"\r\n\r\n")
+            assert_that(raw.split(b" ")[1], Equals(status[:3].encode()))
+            assert_that(f"Request-Id: {request_id}".encode() in raw, Equals(True))
+        client.close()
+    assert_that([item.id for item in backend.requests], Equals(["r1", "r2"]))
+
+
+# Values beyond ASCII arrived encoded twice.
+async def test_header_values_in_utf8_arrive_as_sent_both_ways():
+    value = "Zajednička €"
+
+    async def answer(request: ReceivedRequest, writer: asyncio.StreamWriter) -> bool:
+        head = answer_head(request, Content_Length="2", X_Own=value)
+        writer.write(head + b"ok")
+        return True
+
+    backend = ScriptedServer()
+    backend.script = answer
+    async with running_entry(SAFE, backend) as entry:
+        client = await Client.open(entry.port)
+        client.send(GET.format("r1") + f"\nX-Own: {value}")
+        _, headers, _, _ = await client.answer()
+        client.close()
+    sent = value.encode().decode("latin-1")
+    assert_that(backend.requests[0].headers["x-own"], Equals(sent))
+    assert_that(headers["x-own"], Equals(sent))
