Bound a request's head by its size, not by the count of its lines

Seen (review, observation): a request of more than 128 header lines got 400 within max-header-bytes. Found beside it: a Deadline-Ms of thousands of digits ended its request with a 500, and lines without end were bounded by their count alone.

Change: the count follows from the size of the shortest line; a head that grows beyond max-header-bytes without its end gets 431. Numbers of the callers' headers are decoded in one function, in ASCII digits.

Result: the five new tests pass; without the change the one on lines and the one on digits fail, and the first form of the three on endless heads did.

--- a/src/copperrun/platform/connections.py
+++ b/src/copperrun/platform/connections.py
@@ -23,9 +23,10 @@
 CHECK_INTERVAL_MS = 500
 # aiohttp's own idle timeout is fixed when a connection opens, so it is not used.
 UNUSED_KEEPALIVE_S = 7 * 86_400
-_HEAD_TIMEOUT_ANSWER = (
-    b"HTTP/1.1 408 Request Timeout\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
-)
+MIN_HEADER_BYTES = 4  # a name of one character, a colon and the line's end
+_CLOSING = b"\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+_HEAD_TIMEOUT_ANSWER = b"HTTP/1.1 408 Request Timeout" + _CLOSING
+_HEAD_TOO_LARGE_ANSWER = b"HTTP/1.1 431 Request Header Fields Too Large" + _CLOSING
 
 _RESET_AT_CLOSE = struct.pack("ii", 1, 0)
 
@@ -56,9 +57,11 @@
 
     __slots__ = (
         "_buffers",
+        "_head_bytes",
         "_head_since_ms",
         "_idle_since_ms",
         "_idle_timeout_ms",
+        "_max_head_bytes",
         "_sending",
         "_timers",
         "_written_bytes",
@@ -69,9 +72,19 @@
         server: web.Server,
         timers: Timers,
         buffers: CallerBuffers | None = None,
+        *,
+        max_head_bytes: int,
         **options: Any,
     ) -> None:
-        super().__init__(server, **options)
+        super().__init__(
+            server,
+            max_line_size=max_head_bytes,
+            max_field_size=max_head_bytes,
+            max_headers=max_head_bytes // MIN_HEADER_BYTES,
+            **options,
+        )
+        self._max_head_bytes = max_head_bytes
+        self._head_bytes = 0
         self._buffers = buffers
         # aiohttp forgets the transport of a connection that it closes, which may go on
         # to hold unread bytes.
@@ -145,8 +158,13 @@
         super().data_received(data)
         if not self._awaits_request:
             self._head_since_ms = None
-        elif self._head_since_ms is None and data.strip(b"\r\n"):
+            self._head_bytes = 0
+            return
+        if self._head_since_ms is None and data.strip(b"\r\n"):
             self._head_since_ms = self._timers.now_ms()
+        self._head_bytes += len(data)
+        if self._head_bytes > self._max_head_bytes:
+            self._refuse_head(_HEAD_TOO_LARGE_ANSWER)
 
     def connection_lost(self, exc: BaseException | None) -> None:
         """Log requests that were read and will not be answered."""
@@ -166,7 +184,7 @@
         now_ms = self._timers.now_ms()
         if self._head_since_ms is not None:
             if now_ms - self._head_since_ms >= head_timeout_ms:
-                self._refuse_head()
+                self._refuse_head(_HEAD_TIMEOUT_ANSWER)
             return False
         if not self._awaits_request:
             return False
@@ -199,10 +217,10 @@
         count = fcntl.ioctl(sock.fileno(), termios.FIONREAD, b"\0" * 4)
         return bool(struct.unpack("i", count)[0])
 
-    def _refuse_head(self) -> None:
+    def _refuse_head(self, answer: bytes) -> None:
         logger.info("connection closed with an incomplete head")
         if self.transport is not None:
-            self.transport.write(_HEAD_TIMEOUT_ANSWER)
+            self.transport.write(answer)
         self.force_close()
 
 
@@ -244,8 +262,7 @@
             loop=asyncio.get_running_loop(),
             access_log=None,
             keepalive_timeout=UNUSED_KEEPALIVE_S,
-            max_line_size=limits.header_bytes,
-            max_field_size=limits.header_bytes,
+            max_head_bytes=limits.header_bytes,
             auto_decompress=False,
         )
 
--- a/src/copperrun/platform/ingress.py
+++ b/src/copperrun/platform/ingress.py
@@ -161,8 +161,7 @@
 def _upload_limit_ms(request: web.BaseRequest) -> int:
     """Return the time in which a body has to arrive."""
     timeout = request.headers.get(http_headers.TIMEOUT, "")
-    limit_ms = int(timeout) if timeout.isdecimal() else 0
-    return limit_ms or MAX_UPLOAD_MS
+    return _decimal(timeout) or MAX_UPLOAD_MS
 
 
 def _memory_full() -> Refusal:
@@ -270,7 +269,7 @@
     if not request_id or len(headers.getall(http_headers.REQUEST_ID)) > 1:
         return _bad_request(f"send one {http_headers.REQUEST_ID} header")
     timeout = headers.get(http_headers.TIMEOUT)
-    if timeout is not None and not timeout.isdecimal():
+    if timeout is not None and not (timeout.isascii() and timeout.isdecimal()):
         return _bad_request(f"{http_headers.TIMEOUT} is not a whole number")
     parts = headers.get(http_headers.PROMPT_PARTS, "")
     usage = headers.get(http_headers.TOKEN_USAGE, "")
@@ -286,7 +285,7 @@
             if name.lower() not in http_headers.RESERVED_HEADERS
         ],
         body,
-        int(timeout) if timeout is not None else None,
+        _decimal(timeout) if timeout is not None else None,
         model,
         adapter,
         *_token_counts(usage),
@@ -315,7 +314,7 @@
 def _decimal(text: str) -> int:
     """Decode a whole number that fits the messages between processes; 0 for others."""
     text = text.strip()
-    if not text.isdecimal():
+    if not (text.isascii() and text.isdecimal()):
         return 0
     return min(int(text), MAX_COUNT) if len(text) < MAX_DIGITS else MAX_COUNT
 
--- a/testing/test_platform_http.py
+++ b/testing/test_platform_http.py
@@ -1210,3 +1210,48 @@
     sent = value.encode().decode("latin-1")
     assert_that(backend.requests[0].headers["x-own"], Equals(sent))
     assert_that(headers["x-own"], Equals(sent))
+
+
+# A request with more header lines than the HTTP library's default got 400.
+async def test_as_many_header_lines_are_read_as_fit_into_a_head():
+    backend = ScriptedServer()
+    lines = [f"X{number}: {number}" for number in range(500)]
+    async with running_entry(SAFE, backend) as entry:
+        client = await Client.open(entry.port)
+        client.send("\n".join([GET.format("r1"), *lines]))
+        status, _, _, _ = await client.answer()
+        assert_that(status, Equals(200))
+        client.close()
+    assert_that(backend.requests[0].headers["x499"], Equals("499"))
+
+
+HEADER_BYTES = 8_190  # the limit of these tests
+
+
+@pytest.mark.parametrize(
+    "line", [b"X: y\r\n", b"a:\r\n", b"X: yyyyyyyyyyyyyyyyyyy\r\n"]
+)
+async def test_a_head_without_end_is_refused_at_its_bound(line):
+    backend = ScriptedServer()
+    async with running_entry(SAFE, backend) as entry:
+        client = await Client.open(entry.port)
+        client.writer.write(b"GET /a/x HTTP/1.1\r\nHost: h\r\n")
+        client.writer.write(line * (HEADER_BYTES // len(line)))
+        status, headers, _, _ = await client.answer()
+        assert_that((status, headers["connection"]), Equals((431, "close")))
+        client.close()
+    assert_that(backend.requests, HasLength(0))
+
+
+# A time limit of thousands of digits ended its request with a 500.
+async def test_a_time_limit_of_many_digits_is_a_long_one():
+    backend = ScriptedServer()
+    async with running_entry(SAFE, backend) as entry:
+        client = await Client.open(entry.port)
+        client.send(GET.format("r1").replace("4000", "9" * 5_000))
+        status, _, _, _ = await client.answer()
+        assert_that(status, Equals(200))
+        client.send(GET.format("r2").replace("4000", "٤"))
+        status, _, _, _ = await client.answer()
+        assert_that(status, Equals(400))
+        client.close()
