Soak of spoiled answers and odd registry entries

A proxy between the processes and their servers and store spoils a quarter of the answers while it is in trouble: written twice, again later, followed or preceded by a refusal, with no id, cut, garbage, without an end, nested. Another writer adds odd entries. No process is ended, so none may end; memory, MIXED, REFUSED and TWICE are checked.

--- a/Makefile
+++ b/Makefile
@@ -40,6 +40,7 @@
 	$(BIN)/python testing/soak.py --seed=1 --seeds=50
 	$(BIN)/python testing/soak_versions.py --seed=1 --seeds=50
 	$(BIN)/python testing/soak_accounts.py --seed=1 --seeds=50
+	$(BIN)/python testing/soak_answers.py --seed=1 --seeds=50
 
 slopes: $(READY)
 	$(BIN)/python benchmarks/slopes.py
--- a/testing/platform_engine.py
+++ b/testing/platform_engine.py
@@ -130,15 +130,20 @@
             self.held.pop(model, None)
         self.busy = False
 
+    def _reject(self, request_id: str) -> web.Response:
+        """Return the answer to what another server or start was to run."""
+        headers = {"Instance-Id": self.id, "Request-Id": request_id}
+        return web.Response(status=421, headers=headers | {"Not-Executed": "1"})
+
     async def _serve(self, request: web.Request) -> web.StreamResponse:
         request_id = request.headers["Request-Id"]
         headers = {"Request-Id": request_id, "Response-Signature": f"sig.{request_id}"}
         if request.headers.get("Expect-Instance", self.id) != self.id:
-            return web.Response(status=421, headers={"Instance-Id": self.id})
+            return self._reject(request_id)
         model, _, adapter = request.headers.get("Model", "").partition("/")
         missing = model and model not in self.held
         if missing or (adapter and adapter not in self.held[model]):
-            return web.Response(status=421, headers={"Instance-Id": self.id})
+            return self._reject(request_id)
         body = await request.read()
         self.runs[request_id] += 1
         self.on_run(request_id, request.headers)
--- a/testing/soak_proxy.py
+++ b/testing/soak_proxy.py
@@ -58,7 +58,7 @@
         self.fault = fault
         if fault is Fault.RESET:
             for writer in list(self._writers):
-                _reset(writer)
+                reset(writer)
         if fault is Fault.NONE:
             self._cleared.set()
             self._cleared = asyncio.Event()
@@ -74,18 +74,18 @@
         if self._server is not None:
             self._server.close()
         for writer in list(self._writers):
-            _reset(writer)
+            reset(writer)
 
     async def _accept(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         if self.fault is Fault.RESET:
-            _reset(writer)
+            reset(writer)
             return
         try:
             target_reader, target_writer = await asyncio.open_connection(*self.target)
         except OSError:
-            _reset(writer)
+            reset(writer)
             return
         self._writers.update((writer, target_writer))
         requests = self._forward(reader, target_writer, Fault.NO_REQUESTS)
@@ -110,19 +110,26 @@
                 if self.fault in (blocking_fault, Fault.SILENT):
                     # This connection carries no data again; new ones may work.
                     await self._cleared.wait()
-                    _reset(writer)
+                    reset(writer)
                     return
-                writer.write(data)
-                await writer.drain()
+                await self._pass_on(data, writer, blocking_fault)
         except OSError:
-            _reset(writer)
+            reset(writer)
             return
         finally:
             if not writer.is_closing():
                 writer.close()
 
+    async def _pass_on(
+        self, data: bytes, writer: asyncio.StreamWriter, direction: Fault
+    ) -> None:
+        """Forward data; ``direction`` is the fault that would drop it."""
+        writer.write(data)
+        await writer.drain()
+
 
-def _reset(writer: asyncio.StreamWriter) -> None:
+def reset(writer: asyncio.StreamWriter) -> None:
+    """Reset a connection."""
     sock = writer.get_extra_info("socket")
     if sock is not None and not writer.is_closing():
         linger = struct.pack("ii", 1, 0)
--- a/testing/test_soak.py
+++ b/testing/test_soak.py
@@ -5,6 +5,7 @@
 import asyncio
 
 import soak_accounts
+import soak_answers
 import soak_versions
 from soak import run_seed
 from testtools.assertions import assert_that
@@ -42,3 +43,11 @@
     violations, outcomes = asyncio.run(soak_accounts.run_seed(CI_SEED, CI_SECONDS))
     assert_that(violations, Equals([]))
     assert_that(outcomes["busy runs"], GreaterThan(20))
+
+
+def test_spoiled_answers_and_odd_entries_break_no_promise_in_a_short_soak() -> None:
+    violations, outcomes = asyncio.run(soak_answers.run_seed(CI_SEED, CI_SECONDS))
+    assert_that(violations, Equals([]))
+    assert_that(outcomes["answered"], GreaterThan(50))
+    spoiled = sum(n for name, n in outcomes.items() if name.startswith("answers "))
+    assert_that(spoiled, GreaterThan(5))
