Split what servers said and which start runs from the modules that grew

Change: leave notices and kept pauses are in routing/notices.py; the questions which start an engine is, and whether a pause made an answer old, in routing/starts.py; the pool tells what a server can use of its slots. No behaviour changes.

Result: 188 tests of relay, pauses, versions, failover, routing, interruptions, registry and proxy pass.

--- a/src/copperrun/routing/attempt.py
+++ b/src/copperrun/routing/attempt.py
@@ -5,7 +5,6 @@
 import asyncio
 from typing import NamedTuple
 
-from copperrun.pauses import PauseDetector
 from copperrun.ports.admission import EngineSides
 from copperrun.ports.admission import Granted
 from copperrun.ports.backends import AnswerHead
@@ -26,11 +25,10 @@
 from copperrun.routing.requests import RoutedRequest
 from copperrun.routing.requests import ServerFailure
 from copperrun.routing.servers import Server
-from copperrun.routing.servers import ServerRecord
 from copperrun.routing.servers import ServerTable
+from copperrun.routing.starts import StartChecker
 
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})  # mean that a request has not run
-CONFIRM_TIMEOUT_MS = 400  # for an engine's answer to which start it is
 MAX_BUFFERED_BYTES = 1 << 20  # answers up to this size are sent only when complete
 
 
@@ -43,7 +41,7 @@
     timers: Timers
     quarantine: Quarantine
     detector: CrashDetector
-    pauses: PauseDetector
+    starts: StartChecker
 
 
 class Piece(NamedTuple):
@@ -130,12 +128,8 @@
 
     @property
     def _has_paused(self) -> bool:
-        """Whether this process has stood still since it asked for the admission.
-
-        The engine may have started again meanwhile, under the id that it had.
-        """
-        asked_ms = self._progress.admission_asked_ms
-        return self._ports.pauses.has_paused_since(asked_ms)
+        """Whether this process has stood still since it asked for the admission."""
+        return self._ports.starts.is_outdated(self._progress.admission_asked_ms)
 
     @property
     def origin(self) -> StreamOrigin:
@@ -337,7 +331,7 @@
                 self._progress.origin is None
                 or not self._is_at_engine
                 or not self._has_paused
-                or await confirm_start(self._ports.backends, self.record)
+                or await self._ports.starts.is_running(self.record)
             )
         return self._is_confirmed
 
@@ -374,11 +368,6 @@
         return AttemptOutcome.MAYBE_RAN
 
 
-async def confirm_start(backends: Backends, record: ServerRecord) -> bool:
-    """Return whether an engine says that it is still the start of a record."""
-    return await backends.is_running(record, timeout_ms=CONFIRM_TIMEOUT_MS)
-
-
 def _work_ms(request: RoutedRequest, server: Server) -> float:
     """Return the expected work of a request at a server; 0 where it is not learned."""
     if request.output is not None:
--- a/src/copperrun/routing/catalog.py
+++ b/src/copperrun/routing/catalog.py
@@ -142,6 +142,10 @@
     engine: EngineSpec | None
     health_path: str = "/"
 
+    def usable_slots(self, slots: int) -> int:
+        """Return what a server can use of its slots: one needs a connection each."""
+        return min(slots, self.max_connections) if self.max_connections else slots
+
 
 class CallerLimits(NamedTuple):
     """Limits on the size and duration of callers' requests."""
--- a/src/copperrun/routing/relay.py
+++ b/src/copperrun/routing/relay.py
@@ -21,7 +21,6 @@
 from copperrun.routing.attempt import Attempt
 from copperrun.routing.attempt import AttemptPorts
 from copperrun.routing.attempt import Piece
-from copperrun.routing.attempt import confirm_start
 from copperrun.routing.detection import CrashDetector
 from copperrun.routing.estimates import record_cost
 from copperrun.routing.failover import Failover
@@ -39,8 +38,8 @@
 from copperrun.routing.scoring import Distance
 from copperrun.routing.selector import ServerSelector
 from copperrun.routing.servers import Server
-from copperrun.routing.servers import ServerRecord
 from copperrun.routing.servers import ServerTable
+from copperrun.routing.starts import StartChecker
 
 MIN_ATTEMPT_MS = 20  # remaining time below which no further attempt is started
 SILENT_SERVER = "silent"  # cause of a retry while the server before may still answer
@@ -66,15 +65,14 @@
         memory_share: MemoryShare | None = None,
         costs: Costs | None = None,
     ) -> None:
-        pauses = pauses or PauseDetector(timers)
+        starts = StartChecker(backends, pauses or PauseDetector(timers))
         self._selector = ServerSelector(
             servers,
             sides,
             demand,
             timers,
             distance_to,
-            self._confirm_start,
-            pauses,
+            starts,
             memory_share,
         )
         self._confirmations: set[asyncio.Task[None]] = set()
@@ -87,7 +85,7 @@
         self._quarantine = quarantine
         detector = CrashDetector(backends, quarantine, timers)
         self._ports = AttemptPorts(
-            servers, backends, sides, timers, quarantine, detector, pauses
+            servers, backends, sides, timers, quarantine, detector, starts
         )
         # Requests that wait for a server, with their state, by the scope of their wait.
         self._waiting: dict[asyncio.Timeout, tuple[RoutedRequest, Progress]] = {}
@@ -280,15 +278,10 @@
         self, request: RoutedRequest, attempt: Attempt, progress: Progress
     ) -> None:
         """Record what began the stream if that start still runs."""
-        asked_ms = self._ports.pauses.observe()
-        is_running = await self._confirm_start(attempt.record)
-        if is_running and not self._ports.pauses.has_paused_since(asked_ms):
+        if await self._ports.starts.is_running(attempt.record):
             progress.origin = attempt.origin
             self._record_origin(request.call.id, attempt.origin)
 
-    async def _confirm_start(self, record: ServerRecord) -> bool:
-        return await confirm_start(self._ports.backends, record)
-
     def _open_failover(self, request: RoutedRequest, progress: Progress) -> Failover:
         return Failover(
             request,
--- a/src/copperrun/routing/selector.py
+++ b/src/copperrun/routing/selector.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Awaitable
 from collections.abc import Callable
 from collections.abc import Iterator
 from contextlib import AbstractContextManager
@@ -17,7 +16,6 @@
 from copperrun.admission.waiting import decide_wait
 from copperrun.model import Refusal
 from copperrun.model import RefusalReason
-from copperrun.pauses import PauseDetector
 from copperrun.placement.demand import DemandMeter
 from copperrun.ports.admission import Admission
 from copperrun.ports.admission import AdmissionRequest
@@ -48,8 +46,8 @@
 from copperrun.routing.scoring import choose_engine
 from copperrun.routing.scoring import choose_plain_server
 from copperrun.routing.servers import Server
-from copperrun.routing.servers import ServerRecord
 from copperrun.routing.servers import ServerTable
+from copperrun.routing.starts import StartChecker
 
 
 class ServerSelector:
@@ -62,8 +60,7 @@
         demand: DemandMeter,
         timers: Timers,
         distance_to: Callable[[str], Distance],
-        confirm_start: Callable[[ServerRecord], Awaitable[bool]],
-        pauses: PauseDetector,
+        starts: StartChecker,
         memory_share: MemoryShare | None = None,
     ) -> None:
         self._servers = servers
@@ -71,8 +68,7 @@
         self._demand = demand
         self._timers = timers
         self._distance_to = distance_to
-        self._confirm_start = confirm_start
-        self._pauses = pauses
+        self._starts = starts
         self._memory_share = memory_share
 
     async def select(
@@ -87,11 +83,9 @@
             servers = self.untried_servers(request, progress)
             if not servers:
                 return self._no_server(request, progress)
-            # A server runs no more requests than it takes connections.
-            most = request.pool.max_connections or max(s.record.slots for s in servers)
             candidates = [
                 self._candidate(server)._replace(
-                    slots=min(server.record.slots, most),
+                    slots=request.pool.usable_slots(server.record.slots),
                     work_ms=call_work_ms(server, request),
                 )
                 for server in servers
@@ -281,7 +275,7 @@
         server.waiting_streams += continues
         progress.admission = "waiting"
         progress.admitted_start_ms = 0
-        progress.admission_asked_ms = self._pauses.observe()
+        progress.admission_asked_ms = self._starts.begin()
         progress.detail = f"waits to be admitted at {server.record.id}"
         try:
             with self._demand.count_queued(request.pool.name, call.model):
@@ -366,13 +360,9 @@
             return True
         is_admitted = 0 < progress.admitted_start_ms == record.born_ms
         # The admission may have been waiting for this process while it stood still.
-        if is_admitted and not self._pauses.has_paused_since(
-            progress.admission_asked_ms
-        ):
+        if is_admitted and not self._starts.is_outdated(progress.admission_asked_ms):
             return True
-        asked_ms = self._pauses.observe()
-        is_running = await self._confirm_start(record)
-        if is_running and not self._pauses.has_paused_since(asked_ms):
+        if await self._starts.is_running(record):
             return True
         progress.tried.add(server.record.id)
         return False
--- a/src/copperrun/routing/servers.py
+++ b/src/copperrun/routing/servers.py
@@ -6,9 +6,8 @@
 from collections.abc import Mapping
 from typing import NamedTuple
 
-from loguru import logger
-
 from copperrun.ports.timers import Timers
+from copperrun.routing.notices import ServerNotices
 from copperrun.routing.origins import StreamOrigin
 from copperrun.routing.work import ServerWork
 from copperrun.signals import ChangeSignal
@@ -21,9 +20,6 @@
 # Time for which a server is not used whose address answers as another one; its record
 # lapses in less, unless somebody else wrote it.
 REPLACED_TTL_MS = 10_000
-# Time for which leave notices of servers are kept. A server may be listed as ready long
-# after it said in an answer that it leaves, but not for longer than it takes to leave.
-LEAVE_NOTICE_TTL_MS = 300_000
 # Prefill time of a typical prompt, counted for each request that the side's latest
 # report does not include yet.
 DEFAULT_PROMPT_MS = 80.0
@@ -297,10 +293,7 @@
         self._timers = timers
         self._servers: dict[str, Server] = {}
         self._pools: dict[str, list[Server]] = {}
-        # Time of the notice and start of the server, by id.
-        self._leave_notices: dict[str, tuple[int, int]] = {}
-        # Ends of the pauses that starts of unlisted servers asked for.
-        self._pause_ends_ms: dict[str, int] = {}
+        self._notices = ServerNotices(timers)
         self._changed = ChangeSignal(timers)
 
     def set_records(self, records: Iterable[ServerRecord]) -> None:
@@ -313,8 +306,10 @@
             else:
                 server.update_record(record)
             current[record.id] = server
-        self._keep_pauses(
-            server for key, server in self._servers.items() if key not in current
+        self._notices.keep_pauses(
+            (server.record.start_id, server.pause_ms)
+            for server_id, server in self._servers.items()
+            if server_id not in current
         )
         self._servers = current
         self._pools = {}
@@ -325,19 +320,9 @@
     def _add_server(self, record: ServerRecord) -> Server:
         """Return a new server; a record that lapsed may be that of a known start."""
         server = Server(record, self._timers)
-        end_ms = self._pause_ends_ms.get(record.start_id, 0)
-        server.pause(max(end_ms - self._timers.now_ms(), 0))
+        server.pause(self._notices.pause_ms(record.start_id))
         return server
 
-    def _keep_pauses(self, unlisted: Iterable[Server]) -> None:
-        now = self._timers.now_ms()
-        ends_ms = self._pause_ends_ms | {
-            server.record.start_id: now + server.pause_ms for server in unlisted
-        }
-        self._pause_ends_ms = {
-            start: end_ms for start, end_ms in ends_ms.items() if end_ms > now
-        }
-
     def find(self, server_id: str) -> Server | None:
         """Return a server by id."""
         return self._servers.get(server_id)
@@ -349,14 +334,8 @@
         """
         if self._said_leaving(server):
             return
-        server_id, now = server.current_record.id, self._timers.now_ms()
-        self._leave_notices = {
-            key: notice
-            for key, notice in self._leave_notices.items()
-            if now - notice[0] < LEAVE_NOTICE_TTL_MS
-        }
-        self._leave_notices[server_id] = (now, server.current_record.born_ms)
-        logger.info("server says it is leaving", server=server_id)
+        record = server.current_record
+        self._notices.record_leaving(record.id, record.born_ms)
         self.notify_change()
 
     def is_usable(self, server: Server) -> bool:
@@ -441,11 +420,8 @@
         return server.record.leaving or self._said_leaving(server)
 
     def _said_leaving(self, server: Server) -> bool:
-        if not self._leave_notices:
-            return False
         record = server.current_record
-        notice = self._leave_notices.get(record.id)
-        return notice is not None and notice[1] >= record.born_ms
+        return self._notices.is_leaving(record.id, record.born_ms)
 
     def notify_change(self) -> None:
         """Wake all tasks in ``wait_change``."""
--- a/testing/mutants.py
+++ b/testing/mutants.py
@@ -714,7 +714,7 @@
     Mutant(
         "origin: confirm",
         "routing/selector.py",
-        "if is_running and not self._pauses.has_paused_since(asked_ms):",
+        "if await self._starts.is_running(record):",
         "if True:",
         "test_versions.py::test_a_stream_does_not_go_on_at_a_start_that_nobody_confirms",
     ),
--- a/testing/test_pauses.py
+++ b/testing/test_pauses.py
@@ -35,7 +35,7 @@
 
     def __init__(self, *records) -> None:
         super().__init__(*records)
-        self.pauses = self.relay._ports.pauses
+        self.pauses = self.relay._ports.starts._pauses
         self.pulse = self.timers.subscribe(PULSE_MS, self._beat)
         self.stands_still = False
         self.sides.admission = lambda record: Granted(1, record.id)
--- a/testing/test_platform_store.py
+++ b/testing/test_platform_store.py
@@ -8,6 +8,7 @@
 from contextlib import asynccontextmanager
 
 import pytest
+from platform_standins import AnswerScript
 from platform_standins import ReceivedRequest
 from platform_standins import ScriptedServer
 from platform_standins import StoreStandIn
@@ -125,6 +126,16 @@
     assert isinstance(snapshot, TopicError)
 
 
+@asynccontextmanager
+async def client_of(script: AnswerScript) -> AsyncIterator[HttpTopicStore]:
+    server = ScriptedServer()
+    server.script = script
+    await server.start()
+    async with open_session() as session:
+        yield HttpTopicStore(HttpClient(session, SystemTimers()), server.address)
+    await server.close()
+
+
 # What the store's answers lacked ended their reader.
 @pytest.mark.parametrize(
     "body",
@@ -147,14 +158,9 @@
         )
         return True
 
-    server = ScriptedServer()
-    server.script = answer
-    await server.start()
-    async with open_session() as session:
-        store = HttpTopicStore(HttpClient(session, SystemTimers()), server.address)
+    async with client_of(answer) as store:
         snapshot = await store.read_snapshot("keyed.t")
         written = await store.put("keyed.t", "k", b"v")
-    await server.close()
     assert isinstance(snapshot, TopicError)
     assert_that(snapshot.reason, Equals(TopicErrorReason.UNAVAILABLE))
     assert isinstance(written, TopicError)
@@ -168,10 +174,5 @@
         writer.write(body)
         return True
 
-    server = ScriptedServer()
-    server.script = answer
-    await server.start()
-    async with open_session() as session:
-        store = HttpTopicStore(HttpClient(session, SystemTimers()), server.address)
+    async with client_of(answer) as store:
         assert_that(await store.read("keyed.t", 0, wait_ms=0), Equals(TopicPage([], 0)))
-    await server.close()
