Keep the origins of streams in the store while two versions serve

Cause: what began a stream was known to its entry and three sides, in memory alone.

Change: while a pool has, or had in the last 120 s, servers of two versions, an entry writes the origins of its streams into a keyed topic, a record each 250 ms under 200 keys of its own, and asks the store beside the keepers, by a read that begins after the question. Nothing is written or read while there is one version.

--- a/src/copperrun/entry/continuations.py
+++ b/src/copperrun/entry/continuations.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
+import asyncio
 import math
 from collections.abc import Sequence
 
 from loguru import logger
 
+from copperrun.membership.journal import OriginJournal
 from copperrun.membership.keepers import FIND_TIMEOUT_MS
 from copperrun.membership.keepers import FoundOrigin
 from copperrun.membership.keepers import OriginDirectory
@@ -37,6 +39,7 @@
         view: View of the store.
         timers: Timer service.
         is_first_start: Whether nothing served before this process started.
+        journal: Origins in the platform's store; None for none.
     """
 
     def __init__(
@@ -46,8 +49,10 @@
         timers: Timers,
         *,
         is_first_start: bool,
+        journal: OriginJournal | None = None,
     ) -> None:
         self._origins = origins
+        self._journal = journal
         self._view = view
         self._timers = timers
         self._is_first_start = is_first_start
@@ -121,7 +126,7 @@
             return UnknownOrigin(0)
         deadline_ms = self._timers.now_ms() + min(limit_ms, FIND_TIMEOUT_MS)
         asked = self._origins.hosts
-        found = await self._origins.find(call.resumes, limit_ms)
+        found = await self._ask_all(call.resumes, min(limit_ms, FIND_TIMEOUT_MS))
         if isinstance(found, FoundOrigin):
             return found
         left_ms = deadline_ms - self._timers.now_ms()
@@ -132,6 +137,28 @@
         left_ms = deadline_ms - self._timers.now_ms()
         return await self._origins.find(call.resumes, max(left_ms, 0))
 
+    async def _ask_all(
+        self, request_id: str, limit_ms: int
+    ) -> FoundOrigin | UnknownOrigin:
+        """Ask the keepers and, where origins are kept there, the store."""
+        known = asyncio.create_task(self._origins.find(request_id, limit_ms))
+        if self._journal is None or not self._journal.is_active:
+            return await known
+        kept = asyncio.create_task(self._journal.find(request_id, limit_ms))
+        missing_replies = 0
+        try:
+            for task in asyncio.as_completed((known, kept)):
+                found = await task
+                if isinstance(found, FoundOrigin):
+                    # What only the store still knows is told to the keepers anew.
+                    self._origins.record(request_id, found.record.origin)
+                    return found
+                missing_replies += found.missing_replies
+        finally:
+            known.cancel()
+            kept.cancel()
+        return UnknownOrigin(missing_replies)
+
     async def _find_sole_origin(
         self, route: Route, limit_ms: int
     ) -> FoundOrigin | None:
--- a/src/copperrun/entry/proxy.py
+++ b/src/copperrun/entry/proxy.py
@@ -17,6 +17,7 @@
 from copperrun.entry.reports import DemandReporter
 from copperrun.membership.archive import CrashArchive
 from copperrun.membership.exchange import CrashExchange
+from copperrun.membership.journal import OriginJournal
 from copperrun.membership.keepers import OriginDirectory
 from copperrun.membership.lifecycle import Lifecycle
 from copperrun.membership.lifecycle import State
@@ -45,6 +46,7 @@
 from copperrun.routing.catalog import Route
 from copperrun.routing.crashes import CrashLog
 from copperrun.routing.estimates import with_estimate
+from copperrun.routing.origins import RETENTION_MS
 from copperrun.routing.origins import OriginTable
 from copperrun.routing.origins import StreamOrigin
 from copperrun.routing.quarantine import MAX_STAGGER_MS
@@ -87,6 +89,7 @@
         *,
         peer_hosts: Sequence[str] = (),
         is_first_start: bool = False,
+        origins_topic: str = "",
         key_max_age_ms: int = 0,
         engines_crash_when_full: bool = False,
         costs: Costs | None = None,
@@ -103,8 +106,22 @@
         self._origins = OriginDirectory(keepers, location.region, timers)
         self._peer_hosts = peer_hosts
         self._restarted_ms = None if is_first_start else timers.now_ms()
+        self._journal: OriginJournal | None = None
+        if origins_topic:
+            self._journal = OriginJournal(
+                location.instance,
+                self._origins.table,
+                self._is_mixed,
+                store,
+                origins_topic,
+                timers,
+            )
         self._continuations = Continuations(
-            self._origins, view, timers, is_first_start=is_first_start
+            self._origins,
+            view,
+            timers,
+            is_first_start=is_first_start,
+            journal=self._journal,
         )
         self._budgets: dict[str, RetryWindow] = {}
         self._costs = costs
@@ -137,7 +154,7 @@
             self.quarantine,
             distance_to=location.distance_to,
             budget_for=self._budget_for,
-            record_origin=self._origins.record,
+            record_origin=self._record_origin,
             pauses=self._pauses,
             memory_share=self._memory_share,
             costs=costs,
@@ -166,6 +183,8 @@
             async with asyncio.TaskGroup() as tasks:
                 tasks.create_task(self._view.run())
                 tasks.create_task(self._archive.run())
+                if self._journal is not None:
+                    tasks.create_task(self._journal.run())
                 await self._view.wait_until_loaded()
                 await asyncio.gather(
                     self._exchange.wait_first_reply(CRASHES_TIMEOUT_MS),
@@ -289,10 +308,20 @@
             [self._keeper(record) for record in records]
             or [Keeper(host, "") for host in self._peer_hosts]
         )
+        if self._journal is not None:
+            self._journal.set_pools(pools)
         engines = {server.id for server in records}
         self._gate.set_engines(filter(self._has_side, records))
         self._reporter.set_engines(engines)
 
+    def _is_mixed(self, pool: str) -> bool:
+        return self._view.software.is_mixed(pool, RETENTION_MS)
+
+    def _record_origin(self, request_id: str, origin: StreamOrigin) -> None:
+        self._origins.record(request_id, origin)
+        if self._journal is not None:
+            self._journal.record(request_id, origin)
+
     def _has_side(self, record: ServerRecord) -> bool:
         server = self.servers.find(record.id)
         return server is None or not server.is_side_unresponsive
--- a/src/copperrun/membership/software.py
+++ b/src/copperrun/membership/software.py
@@ -50,6 +50,12 @@
             versions = self._listed_ms.setdefault(server.pool, {})
             versions[server.software_version] = now
 
+    def is_mixed(self, pool: str, span_ms: int) -> bool:
+        """Return whether a pool's servers were of two versions in the last time."""
+        oldest_ms = self._timers.now_ms() - span_ms
+        listed = self._listed_ms.get(pool, {}).values()
+        return sum(at_ms >= oldest_ms for at_ms in listed) > 1
+
     def sole_version(self, pool: str, span_ms: int) -> str:
         """Return the only version of a pool's servers in the last ``span_ms``.
 
--- a/testing/mutants.py
+++ b/testing/mutants.py
@@ -36,6 +36,27 @@
 
 
 MUTANTS = (
+    Mutant(
+        "origins in the store",
+        "membership/journal.py",
+        "if self._last_read < wanted_read:",
+        "if self._position is None:",
+        "test_journal.py::test_a_stream_is_known_to_an_entry_that_has_just_started",
+    ),
+    Mutant(
+        "origins in the store",
+        "membership/journal.py",
+        "if origin.pool in self._pools:",
+        "if True:",
+        "test_journal.py::test_nothing_is_written_or_read_while_there_is_one_version",
+    ),
+    Mutant(
+        "origins in the store",
+        "entry/continuations.py",
+        "if self._journal is None or not self._journal.is_active:",
+        "if True:",
+        "test_journal.py::test_a_stream_whose_keepers_ended_goes_on_by_the_store",
+    ),
     Mutant(
         "answers of servers in trouble",
         "adapters/connector.py",
