Log and tell only what happened: closed idle connections, origins from the store

Seen while reading the change: an answer with Connection: close whose end came in one segment was logged as bytes on an idle connection; an origin that a keeper or this entry knew was told to the keepers once more while two versions serve.

Change: a connection counts as spoken to only if bytes are left after the answer; only what came from the store is told anew.

--- a/src/copperrun/adapters/connector.py
+++ b/src/copperrun/adapters/connector.py
@@ -93,7 +93,8 @@
         if not self.is_idle or not data:  # aiohttp resumes its parser with no data
             super().data_received(data)
             # The answer may have ended within these bytes.
-            if not (self.is_idle and self.should_close):
+            has_more = bool(self._buffer or self._tail)
+            if not self.is_idle or not has_more or self.transport is None:
                 return
         logger.warning("connection closed: the server sent bytes while it was idle")
         self.close()
--- a/src/copperrun/entry/continuations.py
+++ b/src/copperrun/entry/continuations.py
@@ -8,6 +8,7 @@
 
 from loguru import logger
 
+from copperrun.membership.journal import STORE
 from copperrun.membership.journal import OriginJournal
 from copperrun.membership.keepers import FIND_TIMEOUT_MS
 from copperrun.membership.keepers import FoundOrigin
@@ -150,8 +151,9 @@
             for task in asyncio.as_completed((known, kept)):
                 found = await task
                 if isinstance(found, FoundOrigin):
-                    # What only the store still knows is told to the keepers anew.
-                    self._origins.record(request_id, found.record.origin)
+                    if found.source == STORE:
+                        # Its keepers may have lost it.
+                        self._origins.record(request_id, found.record.origin)
                     return found
                 missing_replies += found.missing_replies
         finally:
--- a/src/copperrun/membership/journal.py
+++ b/src/copperrun/membership/journal.py
@@ -33,7 +33,7 @@
 SLOTS = 200
 MAX_STREAMS_PER_RECORD = 1_000
 RETRY_DELAY_MS = 1_000
-SOURCE = "store"
+STORE = "store"  # where an origin was learned, beside hosts
 
 
 class OriginJournal:
@@ -124,7 +124,7 @@
             return UnknownOrigin(1)
         record = self._table.find(key)
         if record is not None:
-            return FoundOrigin(record, SOURCE)
+            return FoundOrigin(record, STORE)
         return UnknownOrigin(int(self._last_read < wanted_read))
 
     async def _write(self) -> bool:
