Keep connections to servers that return the ids of calls

Cause: a new connection for each call, so that no copy of an earlier answer can come on it.

Change: such a call bears a unique id; a server that returns it is called over kept connections, where the answer's id is checked, and any other server as before. The stand-ins return it.

--- a/src/copperrun/adapters/client.py
+++ b/src/copperrun/adapters/client.py
@@ -33,6 +33,8 @@
 TCP_KEEPALIVE_PROBES = 2
 TCP_USER_TIMEOUT_MS = 4_000  # longest time that sent data may stay unacknowledged
 _LINGER_RESET = struct.pack("ii", 1, 0)  # SO_LINGER on, for 0 s: reset on close
+# Identifies a call; a server that returns it may be called over kept connections.
+CALL_ID_HEADER = "X-Copperrun-Call-Id"
 JSON_HEADERS = {"Content-Type": "application/json"}
 
 
@@ -117,6 +119,7 @@
         self._session = session
         self._timers = timers
         self._headers = dict(headers or {})
+        self._echoing: set[tuple[str | None, int | None]] = set()
 
     async def call(
         self,
@@ -128,6 +131,7 @@
         timeout_ms: int | None = None,
         connect_ms: int | None = None,
         is_separate: bool = False,
+        call_id: str = "",
         max_bytes: int = MAX_REPLY_BYTES,
     ) -> HttpReply | HttpFailure:
         """Send a request and read the complete response.
@@ -141,6 +145,8 @@
             connect_ms: Time for a new connection; None for the system's limit.
             is_separate: Whether it needs a connection of its own: where an answer bears
                 no id, only that tells it from a late copy of an earlier one.
+            call_id: Unique id to send along, for the same. Once a server has returned
+                one, its later calls share connections.
             max_bytes: Size of the response beyond which it counts as lost.
         """
         limit: AbstractAsyncContextManager[Any] = nullcontext()
@@ -155,6 +161,7 @@
                     headers=headers,
                     connect_ms=connect_ms,
                     is_separate=is_separate,
+                    call_id=call_id,
                 )
                 return await _read_reply(method, url, response, max_bytes)
         except TimeoutError:
@@ -193,13 +200,20 @@
         headers: Mapping[str, str] | None = None,
         connect_ms: int | None = None,
         is_separate: bool = False,
+        call_id: str = "",
     ) -> aiohttp.ClientResponse | HttpFailure:
         """Send a request and return the response with its body unread."""
+        parsed = _parse_url(url)
+        address = parsed.host, parsed.port
+        if call_id:
+            headers = {**(headers or {}), CALL_ID_HEADER: call_id}
+            is_separate = is_separate or address not in self._echoing
+        exchange = Exchange(call_id, is_separate=is_separate)
         try:
-            with exchanging(Exchange(is_separate=is_separate)):
-                return await self._session.request(
+            with exchanging(exchange):
+                response = await self._session.request(
                     method,
-                    _parse_url(url),
+                    parsed,
                     data=body,
                     headers=self._merge_headers(headers),
                     timeout=_timeout(connect_ms),
@@ -212,6 +226,17 @@
             return HttpFailure(HttpFailureReason.NOT_SENT, detail, is_refused)
         except (aiohttp.ClientError, OSError) as exc:
             return _answer_lost(method, url, exc)
+        if not call_id:
+            return response
+        answered_id = response.headers.get(CALL_ID_HEADER)
+        if not exchange.is_answered_by(answered_id):
+            response.close()
+            self._echoing.discard(address)
+            detail = f"{method} {url}: answer of another call"
+            return HttpFailure(HttpFailureReason.ANSWER_LOST, detail)
+        if answered_id is not None:
+            self._echoing.add(address)
+        return response
 
     def _merge_headers(self, headers: Mapping[str, str] | None) -> Mapping[str, str]:
         if not headers:
--- a/src/copperrun/adapters/engine.py
+++ b/src/copperrun/adapters/engine.py
@@ -6,6 +6,7 @@
 from collections.abc import AsyncGenerator
 from typing import Any
 from urllib.parse import quote
+from uuid import uuid4
 
 import aiohttp
 
@@ -48,7 +49,7 @@
             self._url + call.path,
             body=_engine_body(call, stream=False),
             headers=JSON_HEADERS,
-            is_separate=True,
+            call_id=uuid4().hex,
             max_bytes=MAX_ANSWER_BYTES,
         )
         if isinstance(reply, HttpFailure):
@@ -64,7 +65,7 @@
             self._url + call.path,
             body=_engine_body(call, stream=True),
             headers=JSON_HEADERS,
-            is_separate=True,
+            call_id=uuid4().hex,
         )
         if isinstance(response, HttpFailure):
             yield _engine_error(response)
--- a/src/copperrun/adapters/service.py
+++ b/src/copperrun/adapters/service.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from uuid import uuid4
+
 from copperrun.adapters.bodies import MAX_ANSWER_BYTES
 from copperrun.adapters.client import HttpClient
 from copperrun.adapters.client import HttpFailure
@@ -31,7 +33,7 @@
             self._url + call.path,
             body=call.body or None,
             headers=headers,
-            is_separate=True,
+            call_id=uuid4().hex,
             max_bytes=MAX_ANSWER_BYTES,
         )
         if isinstance(reply, HttpFailure):
--- a/src/copperrun/embedded/http.py
+++ b/src/copperrun/embedded/http.py
@@ -10,6 +10,7 @@
 
 from aiohttp import web
 
+from copperrun.adapters.client import CALL_ID_HEADER
 from copperrun.adapters.client import HttpClient
 from copperrun.adapters.client import HttpFailure
 from copperrun.adapters.events import DONE
@@ -64,6 +65,7 @@
 def engine_application(engine: EngineStandIn) -> web.Application:
     """Return an application with one model engine."""
     app = web.Application(client_max_size=MAX_BODY_BYTES)
+    app.on_response_prepare.append(_return_call_id)
     handlers = _EngineHandlers(engine)
     app.router.add_post("/v1/chat/completions", handlers.complete)
     app.router.add_post("/v1/completions", handlers.complete)
@@ -78,6 +80,7 @@
 def service_application(service: ServiceStandIn) -> web.Application:
     """Return an application with one plain service; counts are at ``/executions``."""
     app = web.Application(client_max_size=MAX_BODY_BYTES)
+    app.on_response_prepare.append(_return_call_id)
     handlers = _ServiceHandlers(service)
     app.router.add_get("/executions", handlers.executions)
     app.router.add_post("/faults", _faults_handler(service))
@@ -85,6 +88,13 @@
     return app
 
 
+async def _return_call_id(request: web.Request, response: web.StreamResponse) -> None:
+    """Return the id of a call, by which its answer is known."""
+    call_id = request.headers.get(CALL_ID_HEADER)
+    if call_id is not None:
+        response.headers[CALL_ID_HEADER] = call_id
+
+
 class HttpWeightSource:
     """Loads from a weight store stand-in in another process."""
 
--- a/src/copperrun/platform/backends.py
+++ b/src/copperrun/platform/backends.py
@@ -134,7 +134,7 @@
         except (aiohttp.ClientError, OSError, TimeoutError) as exc:
             is_garbled = isinstance(exc, aiohttp.ClientResponseError)
             return BackendError(BackendErrorReason.LOST, _describe(exc), is_garbled)
-        if not _answers(response, exchange):
+        if not exchange.is_answered_by(response.headers.get(http_headers.REQUEST_ID)):
             # Maybe a late answer to an earlier request on the same connection.
             response.close()
             detail = "answer of another request"
@@ -208,18 +208,6 @@
             yield response
 
 
-def _answers(response: aiohttp.ClientResponse, exchange: Exchange) -> bool:
-    """Return whether an answer is surely that of the request.
-
-    Servers echo the id, but for refusals of what they could not read. One without an id
-    is believed where its connection has carried nothing else.
-    """
-    request_id = response.headers.get(http_headers.REQUEST_ID)
-    if request_id is None:
-        return not exchange.is_reused
-    return request_id == exchange.request_id
-
-
 def _identified_headers(call: BackendCall) -> CIMultiDict[str]:
     """Return the headers to forward, naming the client account where there are any."""
     if call.account is None:
--- a/testing/mutants.py
+++ b/testing/mutants.py
@@ -73,8 +73,8 @@
     ),
     Mutant(
         "answers of servers in trouble",
-        "platform/backends.py",
-        "return not exchange.is_reused",
+        "adapters/connector.py",
+        "return not self.is_reused",
         "return True",
         "test_connector.py::test_a_refusal_written_twice_refuses_no_other_request",
     ),
--- a/testing/test_connector.py
+++ b/testing/test_connector.py
@@ -16,6 +16,7 @@
 from testtools.matchers import Equals
 from testtools.matchers import IsInstance
 
+from copperrun.adapters.client import CALL_ID_HEADER
 from copperrun.adapters.client import HttpClient
 from copperrun.adapters.client import open_session
 from copperrun.adapters.connector import MAX_REQUESTS
@@ -32,6 +33,7 @@
 from copperrun.ports.engine_control import EngineOrder
 from copperrun.ports.engine_control import OrderResult
 from copperrun.ports.service import ServiceCall
+from copperrun.ports.service import ServiceError
 
 TIMERS = SystemTimers()
 SETTLE_MS = 60  # bytes on loopback have arrived
@@ -301,3 +303,56 @@
         booked = await HttpService(client, url).call(SERVICE_CALL)
         assert_that((booked.status, booked.body), Equals((202, b"{}")))
     await backend.close()
+
+
+async def test_a_server_that_returns_the_ids_of_calls_gets_them_on_kept_connections():
+    for returns_ids, connections in ((True, 2), (False, 6)):
+        backend = ScriptedServer()
+
+        async def answer(
+            request: ReceivedRequest,
+            writer: asyncio.StreamWriter,
+            returns_ids: bool = returns_ids,
+        ) -> bool:
+            call_id = request.headers[CALL_ID_HEADER.lower()]
+            lines = [f"{CALL_ID_HEADER}: {call_id}"] if returns_ids else []
+            writer.write(answer_of("", b"ok", "200 OK", *lines))
+            return True
+
+        backend.script = answer
+        await backend.start()
+        async with open_session() as session:
+            client = HttpClient(session, TIMERS)
+            for _ in range(6):
+                service = HttpService(client, f"http://{backend.address}")
+                booked = await service.call(SERVICE_CALL)
+                assert_that((booked.status, booked.body), Equals((200, b"ok")))
+        await backend.close()
+        assert_that(backend.connections, Equals(connections))
+
+
+# A copy on a kept connection was taken for the answer of the next booking.
+@pytest.mark.parametrize("lines", [(), (f"{CALL_ID_HEADER}: another",)])
+async def test_a_copy_of_an_answer_is_not_taken_for_that_of_a_call(lines):
+    backend = ScriptedServer()
+    copies = 0
+
+    async def answer(request: ReceivedRequest, writer: asyncio.StreamWriter) -> bool:
+        nonlocal copies
+        if len(backend.requests) == 3:
+            copies += 1
+            writer.write(answer_of("", b"copy", "409 Conflict", *lines))
+        call_id = request.headers[CALL_ID_HEADER.lower()]
+        own = f"{CALL_ID_HEADER}: {call_id}"
+        writer.write(answer_of("", b"ok", "200 OK", own))
+        return True
+
+    backend.script = answer
+    await backend.start()
+    async with open_session() as session:
+        service = HttpService(HttpClient(session, TIMERS), f"http://{backend.address}")
+        outcomes = [await service.call(SERVICE_CALL) for _ in range(5)]
+    await backend.close()
+    lost = [item for item in outcomes if isinstance(item, ServiceError)]
+    assert_that((copies, len(lost)), Equals((1, 1)))
+    assert all(item.body == b"ok" for item in outcomes if item not in lost)
