--- a/testing/cluster.py
+++ b/testing/cluster.py
@@ -66,6 +66,10 @@
         """Return the base URL of a process; callers use it for entries."""
         return f"http://127.0.0.1:{self._ports[name]}"
 
+    def pid(self, name: str) -> int:
+        """Return the id of a process."""
+        return self._processes[name].pid
+
     async def start_platform(self, **options: Any) -> None:
         await self._start_stand_in("platform", "platform", **options)
 
--- a/testing/platform_entry.py
+++ b/testing/platform_entry.py
@@ -193,6 +193,8 @@
         self.port, self.ready_port, self.internal_port = (
             unused_port() for _ in range(3)
         )
+        self.limits: dict[str, Any] = {}  # of the machine, in the settings
+        self.log_path: Path | None = None  # of a process; None for no logs
         self._folder = folder
         self._changes = changes
         self._task: asyncio.Task[None] | None = None
@@ -210,6 +212,7 @@
             platform={"address": self.store.address},
             bootstrap=self.is_first_start,
             bounds={**bounds, **changes},
+            **({"limits": self.limits} if self.limits else {}),
         )
 
     async def _prepare(self, servers: Sequence[ScriptedServer]) -> Path:
@@ -224,7 +227,7 @@
     async def start_process(self, *servers: ScriptedServer) -> subprocess.Popen[bytes]:
         """Run the entry as a process, which the caller ends."""
         path = await self._prepare(servers)
-        process = _start_process(path)
+        process = _start_process(path, self.log_path)
         try:
             await self._wait_until_ready()
         except TimeoutError:
@@ -320,10 +323,11 @@
             return port
 
 
-def _start_process(path: Path) -> subprocess.Popen[bytes]:
+def _start_process(path: Path, log_path: Path | None) -> subprocess.Popen[bytes]:
     command = [sys.executable, "-m", "copperrun.platform", "entry"]
     env = {**os.environ, "COPPERRUN_BOOT": str(path)}
-    return subprocess.Popen(command, env=env, stdout=subprocess.DEVNULL)
+    with open(log_path or os.devnull, "wb") as output:
+        return subprocess.Popen(command, env=env, stdout=output)
 
 
 async def until(condition: Callable[[], object], work: Any = None) -> None:
