Read connections of callers one request at a time, whole heads only

What callers saw: the process ended, out of memory, while clients sent heads that don't end, pipelined requests, bodies in tiny chunks or endless trailers.

Cause: all that arrived went to the HTTP library's parser at once. A parsed line costs some 500 bytes whatever its size, each chunk a bytes object and an offset, and up to 32 requests of one connection were parsed before the first was answered; the size of a head counted only while no request ran.

Now a connection holds what has arrived as bytes, at most two heads' worth, and reads nothing more. A head goes to the parser when it is complete and the answer before it was sent. So the end of a body must be known: by its length, or by its chunks, which ChunkJoiner reads and hands on as few large ones, without extensions and trailers. A body is collected in one buffer.

--- a/src/copperrun/platform/connections.py
+++ b/src/copperrun/platform/connections.py
@@ -15,6 +15,8 @@
 from aiohttp.web_protocol import RequestHandler
 from loguru import logger
 
+from copperrun.adapters.listener import HEAD_TIMEOUT_ANSWER
+from copperrun.adapters.listener import BoundedConnection
 from copperrun.admission.buffers import Measure
 from copperrun.platform.readers import CallerBuffers
 from copperrun.ports.timers import Timers
@@ -24,9 +26,6 @@
 # aiohttp's own idle timeout is fixed when a connection opens, so it is not used.
 UNUSED_KEEPALIVE_S = 7 * 86_400
 MIN_HEADER_BYTES = 4  # a name of one character, a colon and the line's end
-_CLOSING = b"\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
-_HEAD_TIMEOUT_ANSWER = b"HTTP/1.1 408 Request Timeout" + _CLOSING
-_HEAD_TOO_LARGE_ANSWER = b"HTTP/1.1 431 Request Header Fields Too Large" + _CLOSING
 
 _RESET_AT_CLOSE = struct.pack("ii", 1, 0)
 
@@ -52,16 +51,14 @@
         return self._value_ms
 
 
-class CallerConnection(RequestHandler):
+class CallerConnection(BoundedConnection):
     """A connection that knows whether a request has begun on it."""
 
     __slots__ = (
         "_buffers",
-        "_head_bytes",
         "_head_since_ms",
         "_idle_since_ms",
         "_idle_timeout_ms",
-        "_max_head_bytes",
         "_sending",
         "_timers",
         "_written_bytes",
@@ -76,22 +73,19 @@
         max_head_bytes: int,
         **options: Any,
     ) -> None:
+        self._head_since_ms: int | None = None
+        self._timers = timers
         super().__init__(
             server,
-            max_line_size=max_head_bytes,
-            max_field_size=max_head_bytes,
+            max_head_bytes=max_head_bytes,
             max_headers=max_head_bytes // MIN_HEADER_BYTES,
             **options,
         )
-        self._max_head_bytes = max_head_bytes
-        self._head_bytes = 0
         self._buffers = buffers
         # aiohttp forgets the transport of a connection that it closes, which may go on
         # to hold unread bytes.
         self._sending: asyncio.Transport | None = None
         self._written_bytes = 0
-        self._timers = timers
-        self._head_since_ms: int | None = None
         self._idle_since_ms: int | None = None
         self._idle_timeout_ms = 0
 
@@ -99,17 +93,12 @@
     def is_idle(self) -> bool:
         """Whether the last answer has been sent and no part of a request arrived."""
         return (
-            self._awaits_request
+            self.awaits_request
             and self._head_since_ms is None
             and not self._has_unsent_bytes
             and not self._has_unread_bytes
         )
 
-    @property
-    def has_queued_requests(self) -> bool:
-        """Whether further requests were read while one is handled."""
-        return bool(self._messages)
-
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Set how much of an answer may wait for its caller."""
         super().connection_made(transport)
@@ -153,23 +142,18 @@
         self._sending.abort()
 
     def data_received(self, data: bytes) -> None:
-        """Pass data to the parser and note the begin of a head."""
+        """Take data, and note the begin of a head."""
         self._idle_since_ms = None
         super().data_received(data)
-        if not self._awaits_request:
-            self._head_since_ms = None
-            self._head_bytes = 0
-            return
-        if self._head_since_ms is None and data.strip(b"\r\n"):
-            self._head_since_ms = self._timers.now_ms()
-        self._head_bytes += len(data)
-        if self._head_bytes > self._max_head_bytes:
-            self._refuse_head(_HEAD_TOO_LARGE_ANSWER)
+        self._note_head()
+
+    def request_awaited(self) -> None:
+        """Note the begin of a head that arrived before it was awaited."""
+        super().request_awaited()
+        self._note_head()
 
     def connection_lost(self, exc: BaseException | None) -> None:
-        """Log requests that were read and will not be answered."""
-        if self._messages:
-            logger.info("connection closed with unread requests", detail=repr(exc))
+        """Forget what was held for the caller."""
         self._sending = None
         if self._buffers is not None:
             self._buffers.forget(self)
@@ -184,9 +168,9 @@
         now_ms = self._timers.now_ms()
         if self._head_since_ms is not None:
             if now_ms - self._head_since_ms >= head_timeout_ms:
-                self._refuse_head(_HEAD_TIMEOUT_ANSWER)
+                self.refuse_head(HEAD_TIMEOUT_ANSWER)
             return False
-        if not self._awaits_request:
+        if not self.awaits_request:
             return False
         if self._idle_since_ms is None:
             self._idle_since_ms = now_ms
@@ -200,9 +184,12 @@
         self.force_close()
         return True
 
-    @property
-    def _awaits_request(self) -> bool:
-        return self._waiter is not None and not self._waiter.done()
+    def _note_head(self) -> None:
+        """Note whether a head has begun and is not complete."""
+        if not (self.awaits_request and self._held):
+            self._head_since_ms = None
+        elif self._head_since_ms is None:
+            self._head_since_ms = self._timers.now_ms()
 
     @property
     def _has_unsent_bytes(self) -> bool:
@@ -217,12 +204,6 @@
         count = fcntl.ioctl(sock.fileno(), termios.FIONREAD, b"\0" * 4)
         return bool(struct.unpack("i", count)[0])
 
-    def _refuse_head(self, answer: bytes) -> None:
-        logger.info("connection closed with an incomplete head")
-        if self.transport is not None:
-            self.transport.write(answer)
-        self.force_close()
-
 
 class CallerServer(web.Server):
     """HTTP server whose limits follow the configuration.
--- a/src/copperrun/platform/ingress.py
+++ b/src/copperrun/platform/ingress.py
@@ -134,6 +134,8 @@
         except TimeoutError:
             detail = "the body arrived too slowly"
             body = Refusal(RefusalReason.BODY_TIMEOUT, Ran.NO, detail)
+        except web.RequestPayloadError as exc:
+            body = _bad_request(f"the body cannot be read: {exc}")
         if isinstance(body, Refusal):
             self._buffers.record_refused_upload(body.reason.value)
         return body
@@ -145,17 +147,15 @@
     if _awaits_continue(request):
         await request.writer.write(b"HTTP/1.1 100 Continue\r\n\r\n")
         request.writer.output_size = 0  # counts the bytes of the final answer
-    parts: list[bytes] = []
-    size = 0
+    body = bytearray()
     async for data in request.content.iter_any():
-        size += len(data)
-        if size > limit:
+        if len(body) + len(data) > limit:
             detail = f"the body is larger than {limit} bytes"
             return Refusal(RefusalReason.BODY_TOO_LARGE, Ran.NO, detail)
         if upload is not None and not upload.take(len(data)):
             return _memory_full()
-        parts.append(data)
-    return b"".join(parts)
+        body += data
+    return bytes(body)
 
 
 def _upload_limit_ms(request: web.BaseRequest) -> int:
