Hold heads of many lines as one block, near their size on the wire

What callers saw: the process ended, out of memory, while clients sent legal heads of 16 KB made of thousands of short lines; 200 of them were enough.

Cause: the parsed head stays alive for as long as its request is handled: the library's message with its dictionary and raw pairs, the parser's two lists, the call's list of pairs, and three dictionaries of the HTTP client, which keeps them until the answer has come. Some 135 bytes for each byte sent.

Now a head of more than 64 lines is parsed once by a parser of its own, which is dropped; the connection's parser gets the same head with the lines that an entry reads and those that frame it. All headers to forward are kept as one block, decoded anew when they are read. ServerRequest adds the headers to forward only while the head to the server is written, for all requests.

--- a/src/copperrun/adapters/client.py
+++ b/src/copperrun/adapters/client.py
@@ -21,6 +21,7 @@
 from copperrun.adapters.bodies import read_body
 from copperrun.adapters.connector import Exchange
 from copperrun.adapters.connector import ServerConnector
+from copperrun.adapters.connector import ServerRequest
 from copperrun.adapters.connector import exchanging
 from copperrun.adapters.timers import SystemTimers
 from copperrun.decoding import DecodeError
@@ -80,6 +81,7 @@
             SystemTimers(), limit=MAX_CONNECTIONS, socket_factory=_open_socket
         ),
         timeout=aiohttp.ClientTimeout(total=None),
+        request_class=ServerRequest,
         auto_decompress=False,
         cookie_jar=aiohttp.DummyCookieJar(),
         skip_auto_headers=("Accept", "Accept-Encoding", "User-Agent"),
--- a/src/copperrun/adapters/connector.py
+++ b/src/copperrun/adapters/connector.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
+from collections.abc import Iterable
 from collections.abc import Iterator
 from contextlib import contextmanager
 from contextvars import ContextVar
@@ -29,12 +31,20 @@
     Attributes:
         request_id: Sent at most once on a connection; empty for a request without id.
         is_separate: Whether it needs a connection that no other request uses.
+        forwarded: Returns the headers to send beside the request's own, if any.
         is_reused: Whether its connection has carried other requests before.
     """
 
-    def __init__(self, request_id: str = "", *, is_separate: bool = False) -> None:
+    def __init__(
+        self,
+        request_id: str = "",
+        *,
+        is_separate: bool = False,
+        forwarded: Callable[[], Iterable[tuple[str, str]]] | None = None,
+    ) -> None:
         self.request_id = request_id
         self.is_separate = is_separate
+        self.forwarded = forwarded
         self.is_reused = False
 
     def is_answered_by(self, request_id: str | None) -> bool:
@@ -61,6 +71,31 @@
         _CURRENT.reset(token)
 
 
+class ServerRequest(aiohttp.ClientRequest):
+    """A request that has the headers to forward only while its head is written.
+
+    The HTTP client holds several copies of its headers until the answer has come.
+    """
+
+    def __init__(self, *args: Any, **options: Any) -> None:
+        super().__init__(*args, **options)
+        self._exchange = _CURRENT.get()
+
+    async def send(self, conn: Any) -> aiohttp.ClientResponse:
+        """Write the head, and begin to write the body."""
+        if self._exchange is None or self._exchange.forwarded is None:
+            return await super().send(conn)
+        own = self.headers.copy()
+        for name, value in self._exchange.forwarded():
+            self.headers.add(name, value)
+        try:
+            return await super().send(conn)
+        finally:
+            # The same object, which the answer refers to.
+            self.headers.clear()
+            self.headers.update(own)
+
+
 class ServerConnection(ResponseHandler):
     """A connection that ends when its server sends what no request asked for.
 
--- a/src/copperrun/platform/backends.py
+++ b/src/copperrun/platform/backends.py
@@ -4,11 +4,12 @@
 
 import asyncio
 from collections.abc import AsyncIterator
+from collections.abc import Collection
+from collections.abc import Iterator
 from contextlib import asynccontextmanager
 
 import aiohttp
 from loguru import logger
-from multidict import CIMultiDict
 from yarl import URL
 
 from copperrun.adapters.bodies import MAX_REPORT_BYTES
@@ -109,14 +110,24 @@
         resume_after: str,
     ) -> BackendAnswer | BackendError:
         """Send a call and return the head of its answer."""
-        headers = _identified_headers(call)
-        headers[http_headers.TIMEOUT] = str(max(remaining_ms, 1))
-        headers[http_headers.EXPECTED_SERVER] = server.id
+        headers = {
+            http_headers.TIMEOUT: str(max(remaining_ms, 1)),
+            http_headers.EXPECTED_SERVER: server.id,
+        }
+        if call.host:
+            headers["Host"] = call.host
+        if call.account:
+            headers[http_headers.ACCOUNT] = call.account
         if call.model:
             headers[http_headers.PRIORITY] = str(priority)
         if resume_after:
             headers[http_headers.LAST_EVENT_ID] = resume_after
-        exchange = Exchange(call.id, is_separate=not call.id)
+        own_names = {name.lower() for name in headers}
+        exchange = Exchange(
+            call.id,
+            is_separate=not call.id,
+            forwarded=lambda: _forwarded_headers(call, own_names),
+        )
         try:
             with exchanging(exchange):
                 response = await self._session.request(
@@ -208,14 +219,16 @@
             yield response
 
 
-def _identified_headers(call: BackendCall) -> CIMultiDict[str]:
-    """Return the headers to forward, naming the client account where there are any."""
-    if call.account is None:
-        return CIMultiDict(call.headers)
-    headers = CIMultiDict(http_headers.without_identity(call.headers))
-    if call.account:
-        headers[http_headers.ACCOUNT] = call.account
-    return headers
+def _forwarded_headers(
+    call: BackendCall, own_names: Collection[str]
+) -> Iterator[tuple[str, str]]:
+    """Yield a call's headers but those that are set for the server."""
+    headers = call.headers
+    if call.account is not None:
+        headers = http_headers.without_identity(headers)
+    for name, value in headers:
+        if name.lower() not in own_names:
+            yield name, value
 
 
 def _born_ms(report: bytes) -> int:
--- a/src/copperrun/platform/connections.py
+++ b/src/copperrun/platform/connections.py
@@ -12,12 +12,16 @@
 from typing import Any
 
 from aiohttp import web
+from aiohttp.http import RawRequestMessage
 from aiohttp.web_protocol import RequestHandler
 from loguru import logger
 
 from copperrun.adapters.listener import HEAD_TIMEOUT_ANSWER
 from copperrun.adapters.listener import BoundedConnection
 from copperrun.admission.buffers import Measure
+from copperrun.platform.heads import MAX_PARSED_LINES
+from copperrun.platform.heads import MIN_HEADER_BYTES
+from copperrun.platform.heads import compact_head
 from copperrun.platform.readers import CallerBuffers
 from copperrun.ports.timers import Timers
 from copperrun.routing.catalog import CallerLimits
@@ -25,7 +29,6 @@
 CHECK_INTERVAL_MS = 500
 # aiohttp's own idle timeout is fixed when a connection opens, so it is not used.
 UNUSED_KEEPALIVE_S = 7 * 86_400
-MIN_HEADER_BYTES = 4  # a name of one character, a colon and the line's end
 
 _RESET_AT_CLOSE = struct.pack("ii", 1, 0)
 
@@ -147,6 +150,21 @@
         super().data_received(data)
         self._note_head()
 
+    def pass_head(self, head: bytes) -> None:
+        """Let the library parse a head, or a short form of one of many lines."""
+        compact = None
+        if head.count(b"\n") > MAX_PARSED_LINES:
+            compact = compact_head(head, self, self._max_head_bytes)
+        if compact is None:
+            super().pass_head(head)
+            return
+        super().pass_head(compact.head)
+        message, payload = self._messages[-1]
+        if isinstance(message, RawRequestMessage):
+            # The ingress takes them as they are.
+            headers: Any = compact.headers
+            self._messages[-1] = message._replace(raw_headers=headers), payload
+
     def request_awaited(self) -> None:
         """Note the begin of a head that arrived before it was awaited."""
         super().request_awaited()
--- a/src/copperrun/platform/http_headers.py
+++ b/src/copperrun/platform/http_headers.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Iterable
 
+from copperrun.ports.backends import HeaderLines
 from copperrun.ports.backends import HeaderList
 
 REQUEST_ID = "Request-Id"
@@ -25,6 +26,22 @@
 SERVER_LEAVING = "Server-Leaving"  # "1" in all answers of a server that leaves
 STORE_ERA = "Store-Era"  # rises by one each time the store falls back to a copy
 
+# Read by an entry, beside those that frame a request.
+READ_HEADERS = frozenset(
+    {
+        "Host",
+        "Expect",
+        REQUEST_ID,
+        TIMEOUT,
+        MODEL,
+        TOKEN_USAGE,
+        PROMPT_PARTS,
+        OUTPUT_HINT,
+        LAST_EVENT_ID,
+        AUTHORIZATION,
+        RESUMES,
+    }
+)
 # Set by copperrun only; dropped from callers' requests.
 RESERVED_HEADERS = frozenset(
     {
@@ -61,7 +78,7 @@
 MIN_HIDDEN_CHARACTERS = 8
 
 
-def without_identity(headers: HeaderList) -> HeaderList:
+def without_identity(headers: HeaderLines) -> HeaderList:
     """Return the headers without a caller's key and account, whatever names them."""
     keys = [
         value.strip().rpartition(" ")[2]
@@ -93,3 +110,12 @@
         if name.lower() == "connection":
             dropped.update(token.strip().lower() for token in value.split(","))
     return [(name, value) for name, value in pairs if name.lower() not in dropped]
+
+
+def to_forward(headers: Iterable[tuple[bytes, bytes]]) -> HeaderList:
+    """Return a caller's headers that a server gets."""
+    return [
+        (name, value)
+        for name, value in end_to_end(headers)
+        if name.lower() not in RESERVED_HEADERS
+    ]
--- a/src/copperrun/platform/ingress.py
+++ b/src/copperrun/platform/ingress.py
@@ -15,10 +15,12 @@
 from copperrun.model import RefusalReason
 from copperrun.platform import http_headers
 from copperrun.platform.connections import CallerConnection
+from copperrun.platform.heads import HeaderBlock
 from copperrun.platform.readers import CallerBuffers
 from copperrun.platform.readers import Upload
 from copperrun.ports.backends import AnswerHead
 from copperrun.ports.backends import BackendCall
+from copperrun.ports.backends import HeaderLines
 from copperrun.ports.backends import HeaderList
 from copperrun.ports.responder import Responder
 
@@ -279,11 +281,7 @@
         request.method,
         headers.get("Host", ""),
         request.raw_path,
-        [
-            (name, value)
-            for name, value in http_headers.end_to_end(request.raw_headers)
-            if name.lower() not in http_headers.RESERVED_HEADERS
-        ],
+        _headers_to_forward(request),
         body,
         _decimal(timeout) if timeout is not None else None,
         model,
@@ -299,6 +297,13 @@
     )
 
 
+def _headers_to_forward(request: web.BaseRequest) -> HeaderLines:
+    headers: object = request.raw_headers
+    if isinstance(headers, HeaderBlock):
+        return headers
+    return http_headers.to_forward(request.raw_headers)
+
+
 def _token_counts(text: str) -> tuple[int, int]:
     """Decode the prompt tokens and the maximum output tokens; 0 when not given."""
     prompt, _, output = text.partition(",")
--- a/src/copperrun/ports/backends.py
+++ b/src/copperrun/ports/backends.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
 from collections.abc import Sequence
 from enum import Enum
 from typing import NamedTuple
@@ -10,6 +11,7 @@
 from copperrun.routing.servers import ServerRecord
 
 HeaderList = Sequence[tuple[str, str]]
+HeaderLines = Iterable[tuple[str, str]]  # may be decoded anew each time
 
 
 class BackendCall(NamedTuple):
@@ -45,7 +47,7 @@
     method: str
     host: str
     target: str
-    headers: HeaderList
+    headers: HeaderLines
     body: bytes | None
     timeout_ms: int | None
     model: str = ""
