Bound what all answers hold before they are sent, and while nobody reads

What callers saw: the process ended, out of memory, while some hundred clients asked for answers of 2 MB and read none.

Cause: an answer of up to 1 MB is collected before it is sent, so that another server may still answer; nothing bounded the sum, and the parts stayed alive after they had been handed on. Besides, each connection to a server read up to 512 KB ahead in pieces of 256 KB while its caller took nothing.

Now a part that is collected takes memory out of a bound for all answers, an eighth of the machine's; without it the answer is forwarded as it arrives, as long ones are. What was collected is dropped when it is handed on. Connections to servers read 32 KB at a time and stop at 32 KB that wait; while the caller's answer is full, this counts as held for it. An answer counts as full as long as its writer waits, also between the two marks of its buffer.

--- a/src/copperrun/adapters/client.py
+++ b/src/copperrun/adapters/client.py
@@ -19,6 +19,7 @@
 
 from copperrun.adapters.bodies import MAX_REPLY_BYTES
 from copperrun.adapters.bodies import read_body
+from copperrun.adapters.connector import ANSWER_BUFFER_BYTES
 from copperrun.adapters.connector import Exchange
 from copperrun.adapters.connector import ServerConnector
 from copperrun.adapters.connector import ServerRequest
@@ -82,6 +83,7 @@
         ),
         timeout=aiohttp.ClientTimeout(total=None),
         request_class=ServerRequest,
+        read_bufsize=ANSWER_BUFFER_BYTES,
         auto_decompress=False,
         cookie_jar=aiohttp.DummyCookieJar(),
         skip_auto_headers=("Accept", "Accept-Encoding", "User-Agent"),
--- a/src/copperrun/adapters/connector.py
+++ b/src/copperrun/adapters/connector.py
@@ -23,6 +23,12 @@
 MAX_IDLE_LIMITS = 10_000  # addresses of servers; they announce theirs again
 MAX_REQUESTS = 500  # of one connection, whose ids it keeps
 HASH_BYTES = 8
+READ_BYTES = 32 << 10  # read of an answer at once
+# The library stops reading an answer that nobody takes at twice this size.
+ANSWER_BUFFER_BYTES = 16 << 10
+
+# Shared by all connections; what is read into it is copied before the next read.
+_READ_BUFFER = memoryview(bytearray(READ_BYTES))
 
 
 class Exchange:
@@ -96,7 +102,7 @@
             self.headers.update(own)
 
 
-class ServerConnection(ResponseHandler):
+class ServerConnection(ResponseHandler, asyncio.BufferedProtocol):
     """A connection that ends when its server sends what no request asked for.
 
     Attributes:
@@ -135,6 +141,14 @@
         self._id_hashes += id_hash
         return True
 
+    def get_buffer(self, sizehint: int) -> memoryview:
+        """Return room for what may be read at once."""
+        return _READ_BUFFER
+
+    def buffer_updated(self, nbytes: int) -> None:
+        """Take what has been read."""
+        self.data_received(bytes(_READ_BUFFER[:nbytes]))
+
     def data_received(self, data: bytes) -> None:
         """Read a part of an answer; close the connection when none is due."""
         if not self.is_idle or not data:  # aiohttp resumes its parser with no data
--- a/src/copperrun/admission/buffers.py
+++ b/src/copperrun/admission/buffers.py
@@ -21,6 +21,8 @@
 UNREAD_MS = 2_000
 # Tasks and connections of a request whose caller reads or sends slowly.
 READER_BYTES = 40 << 10
+# What the connection to its server holds once the caller's answer is at its bound.
+UNREAD_SERVER_BYTES = 64 << 10
 UPLOAD_COPIES = 2  # the body, kept for a retry, and the copy being sent
 
 Reader = TypeVar("Reader")
@@ -54,10 +56,12 @@
     Attributes:
         held: Bytes written for it that it has not taken.
         written: Bytes written for it so far.
+        is_full: Whether the entry waits with further bytes until it takes some.
     """
 
     held: int
     written: int
+    is_full: bool = False
 
 
 @dataclass
@@ -66,6 +70,7 @@
     held: int
     taken: int
     read_ms: int
+    is_full: bool
 
 
 @dataclass
@@ -80,11 +85,13 @@
     Attributes:
         bounds: Bounds that apply.
         upload_bytes: Bytes granted to uploads, with what those that arrive cost.
+        collected_bytes: Bytes of answers that are not sent before they are complete.
     """
 
     def __init__(self, bounds: BufferBounds) -> None:
         self.bounds = bounds
         self.upload_bytes = 0
+        self.collected_bytes = 0
         self._answer_bytes = 0
         # Ordered by the time of the last reading.
         self._unread: dict[Reader, _Unread] = {}
@@ -115,11 +122,12 @@
         if not measure.held:
             self.forget(reader)
             return
-        cost = measure.held + READER_BYTES
+        is_full = measure.is_full or measure.held > self.bounds.answer
+        cost = measure.held + READER_BYTES + is_full * UNREAD_SERVER_BYTES
         taken = measure.written - measure.held
         unread = self._unread.get(reader)
         if unread is None:
-            self._unread[reader] = _Unread(cost, measure.held, taken, now_ms)
+            self._unread[reader] = _Unread(cost, measure.held, taken, now_ms, is_full)
             self._answer_bytes += cost
             return
         self._answer_bytes += cost - unread.cost
@@ -127,6 +135,7 @@
             unread.read_ms = now_ms
             self._unread[reader] = self._unread.pop(reader)  # moves it to the end
         unread.cost, unread.held, unread.taken = cost, measure.held, taken
+        unread.is_full = is_full
 
     def forget(self, reader: Reader) -> None:
         """Record that nothing is held for a caller."""
@@ -176,12 +185,23 @@
             reader
             for reader, unread in self._unread.items()
             if now_ms - unread.read_ms
-            >= (min(UNREAD_MS, limit_ms) if self._is_at_bound(unread) else limit_ms)
+            >= (min(UNREAD_MS, limit_ms) if unread.is_full else limit_ms)
         ]
         for reader in losers:
             self.forget(reader)
         return losers
 
+    def take_collected(self, size: int) -> bool:
+        """Grant ``size`` bytes of an answer that is collected, or return False."""
+        if self.collected_bytes + size > self.bounds.answers:
+            return False
+        self.collected_bytes += size
+        return True
+
+    def return_collected(self, size: int) -> None:
+        """Return ``size`` granted bytes."""
+        self.collected_bytes -= size
+
     def begin_upload(self, upload: Upload, now_ms: int) -> None:
         """Record that an upload has begun to arrive."""
         self._arriving[upload] = _Arriving(now_ms)
@@ -231,6 +251,3 @@
             losers.append(upload)
             excess -= cost
         return losers
-
-    def _is_at_bound(self, unread: _Unread) -> bool:
-        return unread.held > self.bounds.answer
--- a/src/copperrun/entry/proxy.py
+++ b/src/copperrun/entry/proxy.py
@@ -32,6 +32,7 @@
 from copperrun.ports.admission import EngineSides
 from copperrun.ports.backends import BackendCall
 from copperrun.ports.backends import Backends
+from copperrun.ports.buffers import AnswerBuffers
 from copperrun.ports.costs import Costs
 from copperrun.ports.crashes import CrashRelays
 from copperrun.ports.metrics import Metrics
@@ -93,6 +94,7 @@
         key_max_age_ms: int = 0,
         engines_crash_when_full: bool = False,
         costs: Costs | None = None,
+        buffers: AnswerBuffers | None = None,
     ) -> None:
         self._gate = gate
         self._key_max_age_ms = key_max_age_ms
@@ -158,6 +160,7 @@
             pauses=self._pauses,
             memory_share=self._memory_share,
             costs=costs,
+            buffers=buffers,
         )
 
     @property
--- a/src/copperrun/platform/connections.py
+++ b/src/copperrun/platform/connections.py
@@ -134,7 +134,8 @@
         """Return what is held for the caller."""
         if self._sending is None:
             return Measure(0, self._written_bytes)
-        return Measure(self._sending.get_write_buffer_size(), self._written_bytes)
+        held = self._sending.get_write_buffer_size()
+        return Measure(held, self._written_bytes, self.writing_paused)
 
     def cut(self) -> None:
         """Reset the connection, so that a partial answer does not look complete."""
--- a/src/copperrun/platform/daemon.py
+++ b/src/copperrun/platform/daemon.py
@@ -86,6 +86,7 @@
                 Credits(keepers, self.timers, cfg.quota, cfg.host), self.metrics
             )
             costs = LearnedCosts() if self.learns_costs else None
+            buffers = self._build_buffers()
             process = self._process = ProxyProcess(
                 cfg.place,
                 view,
@@ -105,8 +106,8 @@
                 key_max_age_ms=cfg.key_max_age_ms,
                 engines_crash_when_full=cfg.engines_crash_when_full,
                 costs=costs,
+                buffers=buffers,
             )
-            buffers = self._build_buffers()
             ingress = Ingress(process.handle, self._max_body_bytes, buffers)
             server = CallerServer(
                 ingress.handle,
--- a/src/copperrun/platform/readers.py
+++ b/src/copperrun/platform/readers.py
@@ -130,6 +130,14 @@
             upload.size += size
         return taken
 
+    def take_collected(self, size: int) -> bool:
+        """Grant bytes of an answer that is not sent yet, or return False."""
+        return self._budget.take_collected(size)
+
+    def return_collected(self, size: int) -> None:
+        """Return bytes of such an answer."""
+        self._budget.return_collected(size)
+
     def record_refused_upload(self, reason: str) -> None:
         """Record an upload that was not taken."""
         self._metrics.record_refused_upload(reason)
--- a/src/copperrun/routing/attempt.py
+++ b/src/copperrun/routing/attempt.py
@@ -13,6 +13,7 @@
 from copperrun.ports.backends import BackendErrorReason
 from copperrun.ports.backends import Backends
 from copperrun.ports.backends import Execution
+from copperrun.ports.buffers import AnswerBuffers
 from copperrun.ports.timers import Timers
 from copperrun.routing.detection import CrashDetector
 from copperrun.routing.events import EventSplitter
@@ -29,7 +30,8 @@
 from copperrun.routing.starts import StartChecker
 
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})  # mean that a request has not run
-MAX_BUFFERED_BYTES = 1 << 20  # answers up to this size are sent only when complete
+# Answers up to this size are sent only when complete, if memory allows.
+MAX_BUFFERED_BYTES = 1 << 20
 
 
 class AttemptPorts(NamedTuple):
@@ -42,6 +44,7 @@
     quarantine: Quarantine
     detector: CrashDetector
     starts: StartChecker
+    buffers: AnswerBuffers
 
 
 class Piece(NamedTuple):
@@ -94,8 +97,8 @@
         self._answer: BackendAnswer | None = None
         self._head_outcome: AttemptOutcome | None = None
         self._splitter = EventSplitter()
-        self._parts: list[bytes] = []
-        self._buffered_bytes = 0
+        self._buffered = bytearray()  # the body, until it is forwarded
+        self._granted_bytes = 0
         self._is_forwarding = False
         self._is_whole = False
         self._is_closed = False
@@ -184,6 +187,7 @@
         if self._is_closed:
             return
         self._is_closed = True
+        self._take_buffered()
         self.server.end_request(self._request.call.memory_tokens, self._work_ms)
         if self._is_admitted:
             self._ports.sides.report_ended(self.server.record, self._request.call.id)
@@ -256,11 +260,10 @@
         while (chunk := await answer.read()) is not None:
             if isinstance(chunk, BackendError):
                 return self._fail(f"{server_id}: {chunk.detail}")
-            self._buffer(chunk)
-            if self._buffered_bytes > MAX_BUFFERED_BYTES:
+            if not self._buffer(chunk):
                 return self._fail(f"{server_id}: failure without an end")
         self._fail(f"{server_id} answered {answer.head.status}")
-        self._progress.failure = ServerFailure(answer.head, b"".join(self._parts))
+        self._progress.failure = ServerFailure(answer.head, self._take_buffered())
         # It fails by itself but does not crash the server.
         self._ports.quarantine.record_begun(
             self._request.pool.name, [self._request.fingerprint]
@@ -280,13 +283,13 @@
             self._has_begun = True
             if self._is_forwarding:
                 return Piece(chunk)
-            self._buffer(chunk)
-            if self._buffered_bytes > MAX_BUFFERED_BYTES:
+            if not self._buffer(chunk):
                 self._is_forwarding = True
-                return Piece(b"".join(self._parts), answer.head.length)
+                return Piece(self._take_buffered(), answer.head.length)
         if not self._is_forwarding:
             self._is_forwarding = True
-            return Piece(b"".join(self._parts), self._buffered_bytes)
+            data = self._take_buffered()
+            return Piece(data, len(data))
         self._ports.quarantine.record_begun(
             self._request.pool.name, self._request.suspects
         )
@@ -344,9 +347,20 @@
             or self._ports.servers.may_continue(self.server, origin)
         )
 
-    def _buffer(self, chunk: bytes) -> None:
-        self._parts.append(chunk)
-        self._buffered_bytes += len(chunk)
+    def _buffer(self, chunk: bytes) -> bool:
+        """Keep a part of the body; return whether there is memory for more."""
+        self._buffered += chunk
+        if not self._ports.buffers.take_collected(len(chunk)):
+            return False
+        self._granted_bytes += len(chunk)
+        return self._granted_bytes <= MAX_BUFFERED_BYTES
+
+    def _take_buffered(self) -> bytes:
+        """Return what has been kept, and its memory."""
+        data, self._buffered = bytes(self._buffered), bytearray()
+        self._ports.buffers.return_collected(self._granted_bytes)
+        self._granted_bytes = 0
+        return data
 
     def _record_begun(self) -> None:
         """Record, once, that the engine has finished the prefill."""
--- a/src/copperrun/routing/relay.py
+++ b/src/copperrun/routing/relay.py
@@ -14,6 +14,8 @@
 from copperrun.placement.demand import DemandMeter
 from copperrun.ports.admission import EngineSides
 from copperrun.ports.backends import Backends
+from copperrun.ports.buffers import AnswerBuffers
+from copperrun.ports.buffers import UnboundedBuffers
 from copperrun.ports.costs import Costs
 from copperrun.ports.metrics import Metrics
 from copperrun.ports.responder import Responder
@@ -64,6 +66,7 @@
         pauses: PauseDetector | None = None,
         memory_share: MemoryShare | None = None,
         costs: Costs | None = None,
+        buffers: AnswerBuffers | None = None,
     ) -> None:
         starts = StartChecker(backends, pauses or PauseDetector(timers))
         self._selector = ServerSelector(
@@ -85,7 +88,14 @@
         self._quarantine = quarantine
         detector = CrashDetector(backends, quarantine, timers)
         self._ports = AttemptPorts(
-            servers, backends, sides, timers, quarantine, detector, starts
+            servers,
+            backends,
+            sides,
+            timers,
+            quarantine,
+            detector,
+            starts,
+            buffers or UnboundedBuffers(),
         )
         # Requests that wait for a server, with their state, by the scope of their wait.
         self._waiting: dict[asyncio.Timeout, tuple[RoutedRequest, Progress]] = {}
--- a/testing/test_buffers.py
+++ b/testing/test_buffers.py
@@ -12,6 +12,7 @@
 from copperrun.admission.buffers import READER_BYTES
 from copperrun.admission.buffers import STALLED_MS
 from copperrun.admission.buffers import UNREAD_MS
+from copperrun.admission.buffers import UNREAD_SERVER_BYTES
 from copperrun.admission.buffers import UPLOAD_COPIES
 from copperrun.admission.buffers import BufferBounds
 from copperrun.admission.buffers import BufferBudget
@@ -32,13 +33,13 @@
         self.measures: dict[str, Measure] = {}
 
     def write(self, name: str, size: int) -> None:
-        held, written = self.measures.get(name, Measure(0, 0))
+        held, written, _ = self.measures.get(name, Measure(0, 0))
         self.measures[name] = Measure(held + size, written + size)
         self.budget.record(name, self.measures[name], self.now_ms)
 
     def read(self, name: str, size: int) -> None:
         """Read without the budget's knowledge, as from a socket."""
-        held, written = self.measures[name]
+        held, written, _ = self.measures[name]
         self.measures[name] = Measure(held - size, written)
 
     def make_room(self) -> list[str]:
@@ -124,6 +125,26 @@
     assert_that(losers, Equals(["full"]))
 
 
+def test_an_answer_whose_writer_waits_counts_as_full_until_it_is_read():
+    # Its writer waits until half of the bound is left.
+    budget: BufferBudget[str, str] = BufferBudget(BOUNDS)
+    budget.record("a", Measure(40 * KB, 80 * KB, is_full=True), 0)
+    held = 40 * KB + READER_BYTES + UNREAD_SERVER_BYTES
+    assert_that(budget.held_bytes, Equals(held))
+    assert_that(budget.unread_too_long(IDLE_MS, UNREAD_MS), Equals(["a"]))
+    budget.record("a", Measure(40 * KB, 80 * KB), 0)
+    assert_that(budget.held_bytes, Equals(40 * KB + READER_BYTES))
+    assert_that(budget.unread_too_long(IDLE_MS, UNREAD_MS), HasLength(0))
+
+
+def test_answers_that_are_collected_have_a_bound():
+    budget: BufferBudget[str, str] = BufferBudget(BOUNDS)
+    assert_that(budget.take_collected(BOUNDS.answers), Equals(True))
+    assert_that(budget.take_collected(1), Equals(False))
+    budget.return_collected(BOUNDS.answers)
+    assert_that(budget.take_collected(1), Equals(True))
+
+
 def test_an_upload_that_does_not_fit_is_refused():
     budget: BufferBudget[str, str] = BufferBudget(BOUNDS)
     whole = BOUNDS.uploads // UPLOAD_COPIES
--- a/testing/test_relay.py
+++ b/testing/test_relay.py
@@ -24,6 +24,8 @@
 from testtools.matchers import Is
 from testtools.matchers import LessThan
 
+from copperrun.admission.buffers import BufferBounds
+from copperrun.admission.buffers import BufferBudget
 from copperrun.embedded.clock import ManualTimers
 from copperrun.embedded.clock import run_until
 from copperrun.model import Ran
@@ -230,8 +232,11 @@
 class Bench:
     """A relay with a manual clock and stub servers and sides."""
 
-    def __init__(self, *records: ServerRecord) -> None:
+    def __init__(self, *records: ServerRecord, memory_bytes: int = 1 << 30) -> None:
         self.timers = ManualTimers()
+        self.buffers: BufferBudget[str, str] = BufferBudget(
+            BufferBounds(memory_bytes, memory_bytes, memory_bytes)
+        )
         self.servers = ServerTable(self.timers)
         self.servers.set_records(records)
         self.backends = Backends(self.timers)
@@ -250,6 +255,7 @@
             distance_to=lambda zone: Distance.ZONE,
             budget_for=lambda name: self.budget,
             record_origin=lambda request_id, origin: None,
+            buffers=self.buffers,
         )
 
     def begin(
@@ -292,6 +298,32 @@
     )
 
 
+@pytest.mark.parametrize("memory_bytes", [10, 5, 3, 0])
+async def test_an_answer_without_memory_to_collect_it_is_forwarded_as_it_comes(
+    memory_bytes: int,
+):
+    parts = [Part(5, b"ab"), Part(5, b"cd"), Part(5, b"ef")]
+    bench = Bench(server("a"), memory_bytes=memory_bytes)
+    bench.backends.plans = {"a": [Plan(parts=parts)]}
+    caller = await bench.handle()
+    assert_that((caller.body, caller.is_complete), Equals((b"abcdef", True)))
+    assert_that(bench.buffers.collected_bytes, Equals(0))
+
+
+async def test_memory_for_an_answer_is_returned_however_the_attempt_ends():
+    lost = Part(5, BackendError(BackendErrorReason.LOST, "reset"))
+    for plan in (
+        Plan(parts=[Part(5, b"ab"), lost]),
+        Plan(500, parts=[Part(5, b"ab"), lost]),
+        FAILED,
+        Plan(parts=[Part(5, b"ab"), Part(NEVER_MS, b"cd")]),
+    ):
+        bench = Bench(server("a"))
+        bench.backends.plans = {"a": [plan]}
+        await bench.handle(UNSAFE)
+        assert_that(bench.buffers.collected_bytes, Equals(0))
+
+
 async def test_a_safe_request_is_tried_at_another_server_after_any_failure():
     for failure in (LOST, NOT_SENT, FULL, FAILED):
         bench = Bench(server("a"), server("b"))
