Read headers of answers up to the size that callers may send

What callers saw: a request with a Request-Id of 8,300 bytes, inside the limits and in calm, was answered 502 "retry budget exhausted", though its server ran it; each also counted against the server and the shared retry budget.

Cause: servers return the id, and the HTTP client's limit on one header of an answer was still the library's, 8,190 bytes, whatever max-header-bytes says.

Now the limit follows the configuration's, with 8,190 as the least.

Evidence: ids of 8,300 and 16,000 bytes got 502 before and get 200 now, with one send each; 8,100 bytes got 200 all along. Read beside it, and ruled out: origins and crash records keep digests of ids, metrics are labelled by routes.

--- a/src/copperrun/platform/backends.py
+++ b/src/copperrun/platform/backends.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from collections.abc import AsyncIterator
+from collections.abc import Callable
 from collections.abc import Collection
 from collections.abc import Iterator
 from contextlib import asynccontextmanager
@@ -32,6 +33,7 @@
 from copperrun.routing.servers import ServerRecord
 
 MAX_DETAIL_CHARACTERS = 300
+MIN_FIELD_BYTES = 8_190  # of one header of an answer
 MAX_PAUSE_MS = 3_600_000  # that a server may ask for
 REPORT_PATH = "/report"  # of an engine
 BODILESS_STATUSES = frozenset({204, 304})
@@ -95,10 +97,21 @@
 
 
 class HttpBackends:
-    """Sends requests to backend servers and returns failures as values."""
+    """Sends requests to backend servers and returns failures as values.
 
-    def __init__(self, session: aiohttp.ClientSession) -> None:
+    Args:
+        session: HTTP client.
+        max_head_bytes: Returns the limit on a caller's head. Servers return values of
+            callers, at least their ids.
+    """
+
+    def __init__(
+        self,
+        session: aiohttp.ClientSession,
+        max_head_bytes: Callable[[], int] = lambda: MIN_FIELD_BYTES,
+    ) -> None:
         self._session = session
+        self._max_head_bytes = max_head_bytes
 
     async def open(
         self,
@@ -137,6 +150,7 @@
                     headers=headers,
                     skip_auto_headers=("Content-Type",),
                     allow_redirects=False,
+                    max_field_size=max(self._max_head_bytes(), MIN_FIELD_BYTES),
                 )
         except aiohttp.ClientConnectorError as exc:
             return BackendError(BackendErrorReason.NOT_SENT, _describe(exc))
--- a/src/copperrun/platform/daemon.py
+++ b/src/copperrun/platform/daemon.py
@@ -90,7 +90,7 @@
             process = self._process = ProxyProcess(
                 cfg.place,
                 view,
-                HttpBackends(session),
+                HttpBackends(session, self._max_head_bytes),
                 HttpEngineSides(client, self.side_address, self.timers),
                 HttpCrashRelays(client, self.side_address),
                 HttpOriginKeepers(client, self.keeper_address),
@@ -191,6 +191,9 @@
         catalog = self.catalog.catalog
         return catalog.limits if catalog is not None else None
 
+    def _max_head_bytes(self) -> int:
+        return (self._limits() or CallerLimits()).header_bytes
+
     def _max_body_bytes(self) -> int:
         return (self._limits() or CallerLimits()).body_bytes
 
