Bound log lines, and log what clients send wrong below warning level

What callers saw: nothing; operators got 33 MB of log for 4,000 requests with long hosts and paths, and a traceback with the whole line for bytes that are no request.

Cause: caller text went into lines as it was, and the HTTP library reports what it cannot parse as an error with a traceback; lines of warnings and errors are not bounded in their rate.

Now a line has 4,096 bytes at most, so much as is written to a pipe in one piece. A value of more than 256 characters keeps its begin, with its size and a digest that finds other lines about the same text; a traceback keeps its end. What the parser rejects is one info line, and its answer one short line.

--- a/src/copperrun/adapters/listener.py
+++ b/src/copperrun/adapters/listener.py
@@ -6,13 +6,18 @@
 from typing import Any
 
 from aiohttp.http import RawRequestMessage
+from aiohttp.http_exceptions import HttpProcessingError
+from aiohttp.web import BaseRequest
 from aiohttp.web import RequestPayloadError
+from aiohttp.web import Response
+from aiohttp.web import StreamResponse
 from aiohttp.web_protocol import RequestHandler
 from loguru import logger
 
 from copperrun.adapters.chunks import ChunkJoiner
 
 READ_BYTES = 64 << 10  # read of a body at once
+MAX_REASON_CHARACTERS = 200
 HEAD_END = b"\r\n\r\n"
 _BLANK = b"\r\n"
 _CLOSING = b"\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
@@ -196,6 +201,22 @@
             self.transport.write(answer)
         self.force_close()
 
+    def handle_error(
+        self,
+        request: BaseRequest,
+        status: int = 500,
+        exc: BaseException | None = None,
+        message: str | None = None,
+    ) -> StreamResponse:
+        """Answer an error; one that the client made is no error of this process."""
+        if not isinstance(exc, HttpProcessingError):
+            return super().handle_error(request, status, exc, message)
+        reason = (message or "malformed request").partition("\n")[0]
+        logger.info("malformed request", detail=reason[:MAX_REASON_CHARACTERS])
+        response = Response(status=status, text=f"{reason[:MAX_REASON_CHARACTERS]}\n")
+        response.force_close()
+        return response
+
     def _drop_blank_lines(self) -> None:
         """Drop what the protocol allows before a request line."""
         begin = len(self._held) - len(self._held.lstrip(_BLANK))
--- a/src/copperrun/adapters/logs.py
+++ b/src/copperrun/adapters/logs.py
@@ -7,8 +7,11 @@
 import logging
 import os
 from collections import deque
+from collections.abc import Mapping
 from typing import TYPE_CHECKING
+from typing import Any
 
+import xxhash
 from loguru import logger
 
 from copperrun.ports.timers import Timers
@@ -20,6 +23,13 @@
 MAX_PENDING_BYTES = 256 * 1024  # buffered while the reader is slow
 LINES_PER_S = 400.0  # limit below warning level; a request logs about two lines
 BURST_LINES = 2_000.0
+MAX_LINE_BYTES = 4_096  # written to a pipe in one piece
+# Of a value, and of the end of a traceback, which names the error; the later ones are
+# for lines that would be too long otherwise.
+VALUE_LIMITS = ((256, 2_000), (48, 1_000), (48, 250))
+
+
+_KEPT_FIELDS = ("time", "level", "instance", "message", "request")
 
 
 class _LoguruHandler(logging.Handler):
@@ -117,6 +127,35 @@
             self.dropped_total += 1
 
 
+def _encode(line: Mapping[str, Any]) -> str:
+    """Return a line of a bounded size; callers choose much of what stands in it."""
+    text = ""
+    exception = line.get("exception", "")
+    for limit, exception_limit in VALUE_LIMITS:
+        bounded = {name: _shorten(value, limit) for name, value in line.items()}
+        if exception:
+            bounded["exception"] = exception[-exception_limit:]
+        text = json.dumps(bounded, default=str) + "\n"
+        if len(text) <= MAX_LINE_BYTES:
+            return text
+    kept = {name: bounded[name] for name in _KEPT_FIELDS if name in bounded}
+    return json.dumps({**kept, "cut_bytes": len(text)}, default=str) + "\n"
+
+
+def _shorten(value: Any, limit: int) -> Any:
+    """Return a value, or the begin of its text with its size and a digest.
+
+    The same text gets the same digest, so that lines about one request are found.
+    """
+    if value is None or isinstance(value, int | float):
+        return value
+    text = value if isinstance(value, str) else json.dumps(value, default=str)
+    if len(text) <= limit:
+        return value
+    digest = xxhash.xxh64_hexdigest(text.encode("utf-8", "surrogateescape"))
+    return f"{text[:limit]}... ({len(text)} characters, {digest})"
+
+
 def configure_logs(level: str, instance: str, fd: int, timers: Timers) -> LineWriter:
     """Write records of at least ``level`` as JSON lines to a file descriptor."""
     writer = LineWriter(fd, timers)
@@ -136,8 +175,7 @@
         if writer.dropped_unreported:
             line["dropped_before"] = writer.dropped_unreported
             writer.dropped_unreported = 0
-        text = json.dumps(line, default=str) + "\n"
-        writer.write(text, is_urgent=record["level"].no >= warning_level_no)
+        writer.write(_encode(line), is_urgent=record["level"].no >= warning_level_no)
 
     logger.remove()
     logger.add(
