Read heads and bodies of many lines one in each round of the event loop

What callers saw: beside 60 clients that sent 1 MB in chunks of two bytes, an ordinary request was not answered for seconds.

Cause: each round of the event loop read a part of each such body, some 10 ms of work, before anything else went on; an ordinary request needs several rounds.

Now what is held with more than 64 lines waits for a turn, and one turn is taken in each round. While it waits its connection isn't read. A part of a chunked body is 16 KB at most.

--- a/src/copperrun/adapters/listener.py
+++ b/src/copperrun/adapters/listener.py
@@ -15,8 +15,11 @@
 from loguru import logger
 
 from copperrun.adapters.chunks import ChunkJoiner
+from copperrun.adapters.turns import Turns
 
 READ_BYTES = 64 << 10  # read of a body at once
+CHUNK_READ_BYTES = 16 << 10  # the same of one in chunks, each of which has a cost
+CHEAP_LINES = 64  # that are read without waiting for a turn
 MAX_REASON_CHARACTERS = 200
 HEAD_END = b"\r\n\r\n"
 _BLANK = b"\r\n"
@@ -46,10 +49,21 @@
         "_max_head_bytes",
         "_next_request",
         "_payload",
+        "_turns",
+        "_waits_turn",
     )
 
-    def __init__(self, server: Any, *, max_head_bytes: int, **options: Any) -> None:
+    def __init__(
+        self,
+        server: Any,
+        *,
+        max_head_bytes: int,
+        turns: Turns | None = None,
+        **options: Any,
+    ) -> None:
         self._max_head_bytes = max_head_bytes
+        self._turns = turns or Turns()
+        self._waits_turn = False
         self._held = bytearray()
         self._payload: Any = None  # body of the request that was read last
         self._body_bytes = 0  # still to come, where the head tells
@@ -91,7 +105,9 @@
 
     def get_buffer(self, sizehint: int) -> memoryview:
         """Return room for what may be read now."""
-        if self._is_body_due:
+        if self._chunks is not None:
+            return memoryview(_READ_BUFFER)[:CHUNK_READ_BYTES]
+        if self._body_bytes:
             return memoryview(_READ_BUFFER)
         room = 2 * self._max_head_bytes + 1 - len(self._held)
         return memoryview(_READ_BUFFER)[: max(room, 1)]
@@ -117,27 +133,48 @@
         self._held.clear()
         super().connection_lost(exc)
 
-    @property
-    def _is_body_due(self) -> bool:
-        return self._chunks is not None or self._body_bytes > 0
-
-    def _read_on(self) -> None:
+    def _read_on(self, *, has_turn: bool = False) -> None:
         """Pass what is held to the parser, as far as it is its turn."""
-        while self._held and not self._force_close:
+        while self._held and not self._force_close and not self._waits_turn:
             if self._is_garbled:
                 self._held.clear()
-            elif self._chunks is not None:
-                if not self._pass_chunks(self._chunks):
-                    break
             elif self._body_bytes:
                 data = self._take(min(self._body_bytes, len(self._held)))
                 self._body_bytes -= len(data)
                 super().data_received(data)
-            elif not (self.awaits_request and self._pass_head()):
+            elif self._chunks is not None:
+                if self._must_wait(len(self._held), has_turn=has_turn):
+                    break
+                has_turn = False
+                if not self._pass_chunks(self._chunks):
+                    break
+            elif not self.awaits_request:
                 break
+            else:
+                if self._must_wait(self._find_head_end(), has_turn=has_turn):
+                    break
+                has_turn = False
+                if not self._pass_head():
+                    break
         self._bound_reading()
         self.held_changed()
 
+    def _must_wait(self, size: int, *, has_turn: bool) -> bool:
+        """Wait for a turn if what is held up to ``size`` has many lines."""
+        if has_turn or self._held.count(b"\n", 0, max(size, 0)) <= CHEAP_LINES:
+            return False
+        self._waits_turn = True
+        self._turns.wait(self._take_turn)
+        return True
+
+    def _take_turn(self) -> None:
+        self._waits_turn = False
+        self._read_on(has_turn=True)
+
+    def _find_head_end(self) -> int:
+        self._drop_blank_lines()
+        return self._held.find(HEAD_END)
+
     def held_changed(self) -> None:
         """Note that more or less may be held than before."""
 
@@ -162,8 +199,7 @@
 
     def _pass_head(self) -> bool:
         """Pass a head if it is complete; return whether to go on."""
-        self._drop_blank_lines()
-        end = self._held.find(HEAD_END)
+        end = self._find_head_end()
         if end < 0:
             if _is_no_head(self._held):
                 self.pass_head(self._take(len(self._held)))
@@ -237,7 +273,7 @@
 
     def _bound_reading(self) -> None:
         """Read nothing more while a request is handled and enough is held."""
-        is_full = len(self._held) > 2 * self._max_head_bytes
+        is_full = self._waits_turn or len(self._held) > 2 * self._max_head_bytes
         if is_full and not self._buffer_paused:
             self._pause_reading_for_buffer()
         elif self._buffer_paused and not is_full:
--- a/src/copperrun/platform/connections.py
+++ b/src/copperrun/platform/connections.py
@@ -18,6 +18,7 @@
 
 from copperrun.adapters.listener import HEAD_TIMEOUT_ANSWER
 from copperrun.adapters.listener import BoundedConnection
+from copperrun.adapters.turns import Turns
 from copperrun.admission.buffers import SMALL_HEAD_BYTES
 from copperrun.admission.buffers import Measure
 from copperrun.admission.buffers import head_cost
@@ -224,7 +225,8 @@
         """
         now_ms = self._timers.now_ms()
         if self._head_since_ms is not None:
-            if now_ms - self._head_since_ms >= head_timeout_ms:
+            is_late = now_ms - self._head_since_ms >= head_timeout_ms
+            if is_late and not self._waits_turn:
                 self.refuse_head(HEAD_TIMEOUT_ANSWER)
             return False
         if not self.awaits_request:
@@ -297,6 +299,7 @@
         self._timers = timers
         self._idle_timeout = IdleTimeout(lowering_delay_ms)
         self._buffers = buffers
+        self._turns = Turns()
 
     def __call__(self) -> RequestHandler:
         """Return the protocol of a new connection."""
@@ -312,6 +315,7 @@
             access_log=None,
             keepalive_timeout=UNUSED_KEEPALIVE_S,
             max_head_bytes=limits.header_bytes,
+            turns=self._turns,
             auto_decompress=False,
         )
 
--- a/testing/test_listener.py
+++ b/testing/test_listener.py
@@ -14,8 +14,12 @@
 from testtools.matchers import HasLength
 from testtools.matchers import LessThan
 
+from copperrun.adapters.chunks import ChunkJoiner
+from copperrun.adapters.chunks import JoinedChunks
+from copperrun.adapters.listener import CHEAP_LINES
 from copperrun.adapters.listener import BoundedConnection
 from copperrun.adapters.timers import SystemTimers
+from copperrun.adapters.turns import Turns
 
 TIMERS = SystemTimers()
 WAIT_TIMEOUT_MS = 15_000  # ends the waits of a failing test
@@ -50,8 +54,12 @@
     server = web.Server(listener.handle)
     loop = asyncio.get_running_loop()
 
+    turns = Turns()
+
     def connect() -> BoundedConnection:
-        conn = BoundedConnection(server, loop=loop, max_head_bytes=MAX_HEAD_BYTES)
+        conn = BoundedConnection(
+            server, loop=loop, max_head_bytes=MAX_HEAD_BYTES, turns=turns
+        )
         listener.connections.append(conn)
         return conn
 
@@ -149,3 +157,35 @@
         client.writer.write(sent)
         assert_that((await client.answer())[0], Equals(status))
         client.close()
+
+
+async def test_bodies_of_many_chunks_are_read_one_after_the_other(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    # Sixty such callers kept the process from answering others for seconds.
+    join = ChunkJoiner.join
+    in_round, most_in_round = 0, 0
+
+    def count(joiner: ChunkJoiner, data: bytes) -> JoinedChunks:
+        nonlocal in_round, most_in_round
+        in_round += data.count(b"\n") > CHEAP_LINES
+        most_in_round = max(most_in_round, in_round)
+        return join(joiner, data)
+
+    def begin_round() -> None:
+        nonlocal in_round
+        in_round = 0
+        loop.call_soon(begin_round)
+
+    monkeypatch.setattr(ChunkJoiner, "join", count)
+    loop = asyncio.get_running_loop()
+    body = b"1\r\nx\r\n" * 40_000
+    async with listening() as listener:
+        clients = [await Client.open(listener.port) for _ in range(20)]
+        for client in clients:
+            client.writer.write(CHUNKED % 1 + body + b"0\r\n\r\n")
+        begin_round()
+        for client in clients:
+            assert_that((await client.answer())[2], Equals(b"/1 " + b"x" * 40_000))
+            client.close()
+    assert_that(most_in_round, Equals(1))
