Keep an entry's sockets within the descriptors of its machine

What callers saw: with 400 connections at an entry whose machine has 400 descriptors, 200 of them for sockets, the process opened 812; on such a machine it could neither accept connections nor reach servers.

Cause: the settings' file-descriptors were not read, and nothing bounded the connections of callers.

Now the connections of callers, and those to servers (as many as are open, at least one for each request that is handled), stay within the descriptors less 200 for files and 64 for listeners, the store, sides and other entries. Beyond that the oldest idle connection of a caller closes, then the one whose head has been incomplete for longest (408), then the newest, of which nothing was read. A request for whose server there is no socket is refused 503 before it is parsed. Up to half of the bound nothing is counted, and without stated descriptors nothing is bounded.

--- a/src/copperrun/adapters/connector.py
+++ b/src/copperrun/adapters/connector.py
@@ -180,6 +180,11 @@
             self._idle_limit_ms.clear()
         self._idle_limit_ms[host, port] = limit_ms - IDLE_LIMIT_MARGIN_MS
 
+    @property
+    def open_connections(self) -> int:
+        """Number of connections, in use or idle."""
+        return len(self._acquired) + sum(map(len, self._conns.values()))
+
     async def connect(self, req: Any, traces: Any, timeout: Any) -> Any:
         """Return a connection for the current exchange."""
         exchange = _CURRENT.get() or Exchange()
--- a/src/copperrun/platform/connections.py
+++ b/src/copperrun/platform/connections.py
@@ -31,11 +31,13 @@
 from copperrun.routing.catalog import CallerLimits
 
 CHECK_INTERVAL_MS = 500
+FILE_DESCRIPTORS = 200  # of a process's descriptors, which are no sockets
+OWN_SOCKETS = 64  # listeners, the store, sides, other entries
 # aiohttp's own idle timeout is fixed when a connection opens, so it is not used.
 UNUSED_KEEPALIVE_S = 7 * 86_400
 
 # A request that was not parsed has not run.
-MEMORY_FULL_ANSWER = (
+FULL_ANSWER = (
     b"HTTP/1.1 503 Service Unavailable\r\nRetry-After: %d.000\r\n"
     b"Connection: close\r\nContent-Length: 0\r\n\r\n"
 ) % (MEMORY_RETRY_MS // 1000)
@@ -69,6 +71,7 @@
 
     __slots__ = (
         "_buffers",
+        "_caller_server",
         "_counted_held_bytes",
         "_head_cost",
         "_head_since_ms",
@@ -81,7 +84,7 @@
 
     def __init__(
         self,
-        server: web.Server,
+        server: CallerServer,
         timers: Timers,
         buffers: CallerBuffers | None = None,
         *,
@@ -89,6 +92,7 @@
         **options: Any,
     ) -> None:
         self._head_since_ms: int | None = None
+        self._caller_server = server
         self._head_cost = 0  # of the request that is handled
         self._counted_held_bytes = 0
         self._timers = timers
@@ -176,17 +180,20 @@
         )
         self._counted_held_bytes = size
         if not fits and self.awaits_request:
-            self._refuse_for_memory()
+            self._refuse_unread()
 
     def pass_head(self, head: bytes) -> None:
         """Let the library parse a head, or a short form of one of many lines."""
+        if not self._caller_server.may_begin(self):
+            self._refuse_unread()
+            return
         lines = head.count(b"\n")
         if self._buffers is not None:
             cost = head_cost(len(head), min(lines, MAX_PARSED_LINES))
             is_small = len(head) <= SMALL_HEAD_BYTES
             self._head_cost = cost
             if not self._buffers.hold_head(cost, is_small=is_small):
-                self._refuse_for_memory()
+                self._refuse_unread()
                 return
         compact = None
         if lines > MAX_PARSED_LINES:
@@ -217,6 +224,11 @@
             self._buffers.hold_head(-self._counted_held_bytes, is_small=True)
             self._counted_held_bytes = 0
 
+    @property
+    def head_since_ms(self) -> int | None:
+        """When a head began that is not complete; None for none."""
+        return None if self._waits_turn else self._head_since_ms
+
     def close_expired(self, idle_timeout_ms: int, head_timeout_ms: int) -> bool:
         """Close the connection if it was idle too long, or a head takes too long.
 
@@ -225,8 +237,8 @@
         """
         now_ms = self._timers.now_ms()
         if self._head_since_ms is not None:
-            is_late = now_ms - self._head_since_ms >= head_timeout_ms
-            if is_late and not self._waits_turn:
+            since_ms = self.head_since_ms
+            if since_ms is not None and now_ms - since_ms >= head_timeout_ms:
                 self.refuse_head(HEAD_TIMEOUT_ANSWER)
             return False
         if not self.awaits_request:
@@ -255,11 +267,11 @@
             self._buffers.hold_head(-self._head_cost, is_small=True)
             self._head_cost = 0
 
-    def _refuse_for_memory(self) -> None:
+    def _refuse_unread(self) -> None:
         """Refuse a request that has not been parsed."""
         if self._buffers is not None:
             self._buffers.record_refused_head()
-        self.refuse_head(MEMORY_FULL_ANSWER)
+        self.refuse_head(FULL_ANSWER)
 
     @property
     def _has_unsent_bytes(self) -> bool:
@@ -284,6 +296,8 @@
         timers: Timer service.
         lowering_delay_ms: Time in which callers learn of a lower idle timeout.
         buffers: Bound on what is held for callers; None for none.
+        descriptors: Descriptors that the process may have open; 0 for no bound.
+        server_connections: Returns how many connections to servers are open.
     """
 
     def __init__(
@@ -293,8 +307,13 @@
         timers: Timers,
         lowering_delay_ms: int,
         buffers: CallerBuffers | None = None,
+        descriptors: int = 0,
+        server_connections: Callable[[], int] = int,
     ) -> None:
         super().__init__(handler, handler_cancellation=True)
+        self._max_sockets = descriptors - FILE_DESCRIPTORS - OWN_SOCKETS
+        self._has_max_sockets = descriptors > 0
+        self._server_connections = server_connections
         self._limits = limits
         self._timers = timers
         self._idle_timeout = IdleTimeout(lowering_delay_ms)
@@ -319,6 +338,48 @@
             auto_decompress=False,
         )
 
+    def connection_made(
+        self, handler: RequestHandler, transport: asyncio.Transport
+    ) -> None:
+        """Keep the number of sockets within what the process may have open."""
+        super().connection_made(handler, transport)
+        if not self._make_room(handler, 0):
+            logger.info("new connection closed for want of sockets")
+            handler.force_close()
+
+    def may_begin(self, conn: CallerConnection) -> bool:
+        """Return whether there is a socket for a request, which its server needs."""
+        return self._make_room(conn, 1)
+
+    def _make_room(self, newest: RequestHandler, sockets: int) -> bool:
+        """Close a connection if there may be too many sockets.
+
+        That is the oldest idle one, or the one whose head has been incomplete for
+        longest.
+
+        Returns:
+            False if there is none, so that the newest has to give way.
+        """
+        if not self._has_max_sockets or 2 * len(self._connections) < self._max_sockets:
+            return True
+        conns = [conn for conn in self.caller_connections if conn.transport is not None]
+        others = [conn for conn in conns if conn is not newest]
+        busy = sum(not conn.awaits_request for conn in others)
+        in_use = len(conns) + max(busy + sockets, self._server_connections())
+        if in_use <= self._max_sockets:
+            return True
+        idle = next((conn for conn in others if conn.is_idle), None)
+        if idle is not None:
+            logger.info("idle connection closed for want of sockets", open=len(conns))
+            idle.force_close()
+            return True
+        began = [conn for conn in others if conn.head_since_ms is not None]
+        if not began:
+            return False
+        oldest = min(began, key=lambda conn: conn.head_since_ms or 0)
+        oldest.refuse_head(HEAD_TIMEOUT_ANSWER)
+        return True
+
     @property
     def caller_connections(self) -> list[CallerConnection]:
         """The open connections."""
--- a/src/copperrun/platform/daemon.py
+++ b/src/copperrun/platform/daemon.py
@@ -4,8 +4,10 @@
 
 import secrets
 from collections.abc import Sequence
+from functools import partial
 from typing import Any
 
+from aiohttp import ClientSession
 from aiohttp import web
 
 from copperrun.adapters.admission import EngineSideRoutes
@@ -14,6 +16,7 @@
 from copperrun.adapters.allotments import HttpAllotmentKeepers
 from copperrun.adapters.client import HttpClient
 from copperrun.adapters.client import open_session
+from copperrun.adapters.connector import ServerConnector
 from copperrun.adapters.crashes import CrashRoutes
 from copperrun.adapters.crashes import HttpCrashRelays
 from copperrun.adapters.origins import HttpOriginKeepers
@@ -115,6 +118,8 @@
                 self.timers,
                 lowering_delay_ms=cfg.apply_ms + CALLERS_LEARN_MS,
                 buffers=buffers,
+                descriptors=cfg.descriptors,
+                server_connections=partial(_open_connections, session),
             )
             view.subscribe(lambda _: self._prepare_keeper(keeper, gate))
             front = web.ServerRunner(server, shutdown_timeout=0.1)
@@ -284,6 +289,11 @@
             memory.queue_bytes = catalog.limits.body_bytes
 
 
+def _open_connections(session: ClientSession) -> int:
+    connector = session.connector
+    return connector.open_connections if isinstance(connector, ServerConnector) else 0
+
+
 def _readiness_handler(process: ProxyProcess) -> Any:
     async def handle_readiness(request: web.Request) -> web.Response:
         return web.Response(status=200 if process.is_ready else 503)
--- a/src/copperrun/platform/settings.py
+++ b/src/copperrun/platform/settings.py
@@ -60,6 +60,7 @@
             than its memory.
         quota: How closely limits of client accounts hold.
         memory_bytes: Memory of the machine; 0 when not stated.
+        descriptors: Descriptors that the process may have open; 0 when not stated.
     """
 
     place: ProcessLocation
@@ -82,6 +83,7 @@
     engines_crash_when_full: bool = False
     quota: QuotaBounds = QuotaBounds()
     memory_bytes: int = 0
+    descriptors: int = 0
 
 
 class SettingsFile:
@@ -190,7 +192,8 @@
         _key_max_age_ms(bounds),
         _FULL_ENGINES_CRASH in _get({_RULES: fields.get(_RULES) or []}, _RULES, list),
         _quota(bounds),
-        _memory_bytes(fields),
+        int(_machine_limit(fields, "memory-mb") * MB_BYTES),
+        int(_machine_limit(fields, "file-descriptors")),
     )
 
 
@@ -219,11 +222,12 @@
     return value
 
 
-def _memory_bytes(fields: Mapping[str, Any]) -> int:
+def _machine_limit(fields: Mapping[str, Any], name: str) -> float:
+    """Return a limit of the machine; 0 when it is not stated."""
     limits = fields.get("limits")
-    if not isinstance(limits, dict) or limits.get("memory-mb") is None:
-        return 0
-    return int(_get(limits, "memory-mb", float) * MB_BYTES)
+    if not isinstance(limits, dict) or limits.get(name) is None:
+        return 0.0
+    return float(_get(limits, name, float))
 
 
 def _port(listen: Mapping[str, Any], name: str) -> int:
--- a/testing/test_readers.py
+++ b/testing/test_readers.py
@@ -35,6 +35,8 @@
 from copperrun.admission.buffers import BufferBounds
 from copperrun.placement.demand import DemandMeter
 from copperrun.platform.backends import HttpBackends
+from copperrun.platform.connections import FILE_DESCRIPTORS
+from copperrun.platform.connections import OWN_SOCKETS
 from copperrun.platform.connections import CallerServer
 from copperrun.platform.daemon import EntryRole
 from copperrun.platform.ingress import Ingress
@@ -72,8 +74,13 @@
     """The platform's listener with bounds, before a handler of the test."""
 
     def __init__(
-        self, handler: Handler, bounds: BufferBounds, limits: CallerLimits
+        self,
+        handler: Handler,
+        bounds: BufferBounds,
+        limits: CallerLimits,
+        descriptors: int = 0,
     ) -> None:
+        self.descriptors = descriptors
         self.limits = limits
         self.buffers = CallerBuffers(bounds, TIMERS, NullMetrics())
         self.ingress = Ingress(handler, lambda: LIMITS.body_bytes, self.buffers)
@@ -88,6 +95,7 @@
             TIMERS,
             lowering_delay_ms=0,
             buffers=self.buffers,
+            descriptors=self.descriptors,
         )
         runner = web.ServerRunner(self.server, shutdown_timeout=0.1)
         await runner.setup()
@@ -112,9 +120,12 @@
 
 @asynccontextmanager
 async def listening(
-    handler: Handler, bounds: BufferBounds, limits: CallerLimits = LIMITS
+    handler: Handler,
+    bounds: BufferBounds,
+    limits: CallerLimits = LIMITS,
+    descriptors: int = 0,
 ) -> AsyncIterator[Listener]:
-    listener = Listener(handler, bounds, limits)
+    listener = Listener(handler, bounds, limits, descriptors)
     runner = await listener.start()
     watch = TIMERS.subscribe(100, listener.watch)
     try:
@@ -512,6 +523,95 @@
         await until(lambda: not listener.buffers.total_bytes)
 
 
+SOCKETS = 8
+DESCRIPTORS = FILE_DESCRIPTORS + OWN_SOCKETS + SOCKETS
+
+
+def awaiting_states(server: CallerServer) -> list[bool]:
+    """Return whether each connection awaits a request."""
+    return [conn.awaits_request for conn in server.caller_connections]
+
+
+async def test_idle_connections_give_way_to_new_ones_and_requests_do_not():
+    released = asyncio.Event()
+
+    async def handle(call: BackendCall, responder: Responder) -> None:
+        await released.wait()
+        await answer_size(call, responder)
+
+    bounds = BufferBounds(MB, 64 * KB, MB)
+    async with listening(handle, bounds, descriptors=DESCRIPTORS) as listener:
+        server = listener.server
+        assert server is not None
+        running = [await open_caller(listener.port, is_slow=False) for _ in range(2)]
+        for number, client in enumerate(running):
+            client.send(GET.format(f"r{number}"))
+        await until(lambda: awaiting_states(server) == [False, False])
+        idle = [await open_caller(listener.port) for _ in range(SOCKETS - 4)]
+        await until(lambda: len(server.caller_connections) == SOCKETS - 2)
+        newest = await open_caller(listener.port)
+        assert_that(await idle[0].reader.read(), Equals(b""))
+        released.set()
+        for client in running:
+            assert_that((await client.answer())[0], Equals(200))
+        await until(lambda: all(awaiting_states(server)))
+        for client in (*idle[1:], newest):
+            client.send(GET.format("late"))
+            assert_that((await client.answer())[0], Equals(200))
+
+
+async def test_a_head_that_does_not_end_gives_way_and_then_the_newest_caller():
+    released = asyncio.Event()
+
+    async def handle(call: BackendCall, responder: Responder) -> None:
+        await released.wait()
+        await answer_size(call, responder)
+
+    bounds = BufferBounds(MB, 64 * KB, MB)
+    async with listening(handle, bounds, descriptors=DESCRIPTORS) as listener:
+        server = listener.server
+        assert server is not None
+        begun = await open_caller(listener.port)
+        begun.writer.write(b"GET /a/x HTTP/1.1\r\n")
+        clients = []
+        for number in range(SOCKETS // 2):  # each needs another one to its server
+            client = await open_caller(listener.port, is_slow=False)
+            client.send(GET.format(f"r{number}"))
+            clients.append(client)
+        assert_that((await begun.answer())[0], Equals(408))
+        await until(lambda: awaiting_states(server) == [False] * (SOCKETS // 2))
+        newest = await open_caller(listener.port)
+        assert_that(await newest.reader.read(), Equals(b""))
+        released.set()
+        for client in clients:
+            assert_that((await client.answer())[0], Equals(200))
+
+
+async def test_a_request_without_a_socket_for_its_server_is_refused():
+    released = asyncio.Event()
+
+    async def handle(call: BackendCall, responder: Responder) -> None:
+        await released.wait()
+        await answer_size(call, responder)
+
+    bounds = BufferBounds(MB, 64 * KB, MB)
+    async with listening(handle, bounds, descriptors=DESCRIPTORS) as listener:
+        server = listener.server
+        assert server is not None
+        clients = [await open_caller(listener.port) for _ in range(5)]
+        for number, client in enumerate(clients[:3]):
+            client.send(GET.format(f"r{number}"))
+        await until(lambda: awaiting_states(server) == [False] * 3 + [True] * 2)
+        # Both have arrived when the first of them is read, so neither is idle.
+        for number, client in enumerate(clients[3:]):
+            client.send(GET.format(f"late{number}"))
+        status, headers, _, _ = await clients[3].answer()
+        assert_that((status, headers["retry-after"]), Equals((503, "1.000")))
+        released.set()
+        for client in (*clients[:3], clients[4]):
+            assert_that((await client.answer())[0], Equals(200))
+
+
 def test_the_bounds_apply_only_where_the_settings_state_the_memory(tmp_path: Path):
     bounds = []
     for limits in ({"limits": {"memory-mb": 152}}, {"limits": {"cores": 1}}, {}):
