Bound heads and pipelining at the own interface and at internal listeners

What operators would see: entries and sides out of memory while clients send heads of 128 lines of 16 KB, or hundreds of pipelined requests, to the own interface, to a side, or to the ports for readiness and metrics.

Cause: these listeners had the library's bounds only: a line of 16 KB and 128 lines, so 2 MB a head, and 32 requests of a connection parsed ahead.

Now they run on the same bounded connections as the platform's callers, with 16 KiB for a head and as much for its first line. 128 lines stay the most.

--- a/src/copperrun/adapters/listener.py
+++ b/src/copperrun/adapters/listener.py
@@ -5,18 +5,16 @@
 import asyncio
 from typing import Any
 
+from aiohttp import web
 from aiohttp.http import RawRequestMessage
 from aiohttp.http_exceptions import HttpProcessingError
-from aiohttp.web import BaseRequest
-from aiohttp.web import RequestPayloadError
-from aiohttp.web import Response
-from aiohttp.web import StreamResponse
 from aiohttp.web_protocol import RequestHandler
 from loguru import logger
 
 from copperrun.adapters.chunks import ChunkJoiner
 from copperrun.adapters.turns import Turns
 
+MAX_HEAD_BYTES = 16 << 10  # of a request at the system's own listeners
 READ_BYTES = 64 << 10  # read of a body at once
 CHUNK_READ_BYTES = 16 << 10  # the same of one in chunks, each of which has a cost
 CHEAP_LINES = 64  # that are read without waiting for a turn
@@ -193,7 +191,7 @@
     def _reject_body(self) -> None:
         """End a body that is not what its head announced, and the connection."""
         self._is_garbled = True
-        self._payload.set_exception(RequestPayloadError("malformed chunk"))
+        self._payload.set_exception(web.RequestPayloadError("malformed chunk"))
         self._payload.feed_eof()
         self.close()
 
@@ -239,17 +237,19 @@
 
     def handle_error(
         self,
-        request: BaseRequest,
+        request: web.BaseRequest,
         status: int = 500,
         exc: BaseException | None = None,
         message: str | None = None,
-    ) -> StreamResponse:
+    ) -> web.StreamResponse:
         """Answer an error; one that the client made is no error of this process."""
         if not isinstance(exc, HttpProcessingError):
             return super().handle_error(request, status, exc, message)
         reason = (message or "malformed request").partition("\n")[0]
         logger.info("malformed request", detail=reason[:MAX_REASON_CHARACTERS])
-        response = Response(status=status, text=f"{reason[:MAX_REASON_CHARACTERS]}\n")
+        response = web.Response(
+            status=status, text=f"{reason[:MAX_REASON_CHARACTERS]}\n"
+        )
         response.force_close()
         return response
 
@@ -289,3 +289,34 @@
         return bool(data)
     end = data.find(b"\n")
     return end > 0 and data[end - 1 : end] != b"\r"
+
+
+class BoundedServer(web.Server):
+    """HTTP server of one application, whose connections are bounded."""
+
+    def __init__(self, server: web.Server, max_head_bytes: int) -> None:
+        super().__init__(
+            server.request_handler,
+            request_factory=server.request_factory,
+            handler_cancellation=server.handler_cancellation,
+            **server._kwargs,
+        )
+        self._max_head_bytes = max_head_bytes
+        self._turns = Turns()
+
+    def __call__(self) -> RequestHandler:
+        """Return the protocol of a new connection."""
+        return BoundedConnection(
+            self,
+            loop=asyncio.get_running_loop(),
+            max_head_bytes=self._max_head_bytes,
+            turns=self._turns,
+            **self._kwargs,
+        )
+
+
+class BoundedRunner(web.AppRunner):
+    """Runs an application on bounded connections."""
+
+    async def _make_server(self) -> web.Server:
+        return BoundedServer(await super()._make_server(), MAX_HEAD_BYTES)
--- a/src/copperrun/adapters/server.py
+++ b/src/copperrun/adapters/server.py
@@ -13,11 +13,11 @@
 from aiohttp import web
 from aiohttp.web_protocol import RequestHandler
 
+from copperrun.adapters.listener import BoundedRunner
 from copperrun.adapters.sides import SHARED_KEY_HEADER
 from copperrun.ports.timers import Subscription
 from copperrun.ports.timers import Timers
 
-MAX_HEADER_BYTES = 16 * 1024
 IDLE_SWEEP_MS = 1_000
 SHUTDOWN_TIMEOUT_S = 0.1  # short: requests are drained before the server closes
 UNAUTHENTICATED_PATHS = frozenset({"/healthz", "/readyz"})
@@ -48,12 +48,10 @@
         self._timers = timers
         app.middlewares.append(self._track_request)
         app.on_response_prepare.append(self._set_response_headers)
-        self._runner = web.AppRunner(
+        self._runner = BoundedRunner(
             app,
             handler_cancellation=True,
             access_log=None,
-            max_line_size=MAX_HEADER_BYTES,
-            max_field_size=MAX_HEADER_BYTES,
             shutdown_timeout=SHUTDOWN_TIMEOUT_S,
         )
         self._site: web.BaseSite | None = None
--- a/src/copperrun/entry/api.py
+++ b/src/copperrun/entry/api.py
@@ -118,6 +118,9 @@
                 return await request.read()
         except web.HTTPRequestEntityTooLarge:
             return _body_too_large(self._limits.body)
+        except web.RequestPayloadError as exc:
+            detail = f"the body cannot be read: {exc}"
+            return Refusal(RefusalReason.BAD_REQUEST, Ran.NO, detail)
         except TimeoutError:
             return Refusal(
                 RefusalReason.BODY_TIMEOUT,
--- a/src/copperrun/platform/daemon.py
+++ b/src/copperrun/platform/daemon.py
@@ -19,6 +19,7 @@
 from copperrun.adapters.connector import ServerConnector
 from copperrun.adapters.crashes import CrashRoutes
 from copperrun.adapters.crashes import HttpCrashRelays
+from copperrun.adapters.listener import BoundedRunner
 from copperrun.adapters.origins import HttpOriginKeepers
 from copperrun.adapters.origins import OriginRoutes
 from copperrun.admission.buffers import BufferBounds
@@ -127,7 +128,7 @@
             app.router.add_get(READINESS_PATH, _readiness_handler(process))
             OriginRoutes(process.origins, start).add_to(app)
             AllotmentRoutes(keeper).add_to(app)
-            internal = web.AppRunner(app, access_log=None, shutdown_timeout=0.1)
+            internal = BoundedRunner(app, access_log=None, shutdown_timeout=0.1)
             self.handle_signals()
             await self.listen(
                 internal, cfg.ready_port, cfg.control_port, cfg.internal_port
@@ -249,7 +250,7 @@
             keeper = self.build_keeper("side", start, store, keepers)
             AllotmentRoutes(keeper).add_to(app)
             view.subscribe(lambda servers: self._prepare_keeper(keeper, servers))
-            internal = web.AppRunner(
+            internal = BoundedRunner(
                 app, handler_cancellation=True, access_log=None, shutdown_timeout=0.1
             )
             self.handle_signals()
