Find a request by a long id in the logs of all processes

The tool now looks for each form that an id may have in a line.

Evidence: the new test fails without it (no line) and passes.

--- a/src/copperrun/adapters/logs.py
+++ b/src/copperrun/adapters/logs.py
@@ -142,6 +142,11 @@
     return json.dumps({**kept, "cut_bytes": len(text)}, default=str) + "\n"
 
 
+def logged_forms(text: str) -> tuple[str, ...]:
+    """Return what may stand for a text in a line."""
+    return (text, *(_shorten(text, limit) for limit, _ in VALUE_LIMITS))
+
+
 def _shorten(value: Any, limit: int) -> Any:
     """Return a value, or the begin of its text with its size and a digest.
 
--- a/src/copperrun/ctl/timeline.py
+++ b/src/copperrun/ctl/timeline.py
@@ -6,12 +6,14 @@
 import sys
 from collections.abc import Iterable
 from collections.abc import Iterator
+from collections.abc import Sequence
 from datetime import datetime
 from datetime import timedelta
 from pathlib import Path
 from typing import Any
 from typing import NamedTuple
 
+from copperrun.adapters.logs import logged_forms
 from copperrun.ctl.errors import ToolError
 from copperrun.ctl.errors import ToolErrorReason
 from copperrun.ctl.output import Output
@@ -119,10 +121,11 @@
     Context runs from the request's arrival to its last line. It covers the instances
     that logged the request, and the models and servers that its lines name.
     """
+    forms = logged_forms(request)
     request_lines: list[LogLine] = []
     context_lines: list[LogLine] = []
     for text in lines:
-        line = _parse_line(text, request)
+        line = _parse_line(text, forms)
         if line is None:
             continue
         if line.is_about:
@@ -153,7 +156,7 @@
             yield from stream
 
 
-def _parse_line(text: str, request: str) -> LogLine | None:
+def _parse_line(text: str, forms: Sequence[str]) -> LogLine | None:
     # Log collectors put a prefix before the JSON object.
     start = text.find("{")
     if start < 0:
@@ -167,7 +170,7 @@
         str(fields["message"]),
         {name: value for name, value in fields.items() if name not in _COMMON_FIELDS},
         # Attempts that take a stream up name the one that began it.
-        request in (fields.get("request"), fields.get("resumes")),
+        any(fields.get(name) in forms for name in ("request", "resumes")),
     )
 
 
--- a/testing/test_timeline.py
+++ b/testing/test_timeline.py
@@ -11,8 +11,10 @@
 from testtools.assertions import assert_that
 from testtools.matchers import Contains
 from testtools.matchers import Equals
+from testtools.matchers import HasLength
 from testtools.matchers import Not
 
+from copperrun.adapters.logs import _encode
 from copperrun.ctl.timeline import EXPLANATIONS
 from copperrun.ctl.timeline import build_timeline
 
@@ -98,6 +100,16 @@
     assert_that(messages, Contains(message))
 
 
+@pytest.mark.parametrize("extra", [{}, {"host": "é" * 9_000, "path": "é" * 9_000}])
+def test_a_request_is_found_by_a_long_id_that_was_logged_in_part(
+    extra: dict[str, str],
+) -> None:
+    request = "r" * 8_000
+    fields = {"time": "t", "level": "info", "instance": "i", "message": "no route"}
+    logs = [_encode({**fields, "request": name, **extra}) for name in (request, "r")]
+    assert_that(build_timeline(request, logs), HasLength(1))
+
+
 def test_request_that_no_line_names_has_an_empty_timeline():
     assert_that(build_timeline("r9", LOGS), Equals([]))
 
