--- a/testing/crowd.py
+++ b/testing/crowd.py
@@ -29,8 +29,16 @@
     @property
     def peak_bytes(self) -> int:
         """Peak of its resident memory so far."""
+        return self._memory("VmHWM:")
+
+    @property
+    def resident_bytes(self) -> int:
+        """Resident memory now."""
+        return self._memory("VmRSS:")
+
+    def _memory(self, name: str) -> int:
         for line in (self._folder / "status").read_text().splitlines():
-            if line.startswith("VmHWM:"):
+            if line.startswith(name):
                 return int(line.split()[1]) * 1024
         raise AssertionError("the process has ended")
 
