--- a/testing/test_chunks.py
+++ b/testing/test_chunks.py
@@ -82,6 +82,7 @@
         b" 1\r\na\r\n",
         b"1\na\n",
         b"1\r\nab\r\n",
+        b"1\r\naxx0\r\n\r\n",
         b"1\r\na\n0\r\n\r\n",
         b"\r\n",
         b"1 2\r\na\r\n",
--- a/testing/test_connector.py
+++ b/testing/test_connector.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import gc
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 
@@ -20,6 +21,7 @@
 from copperrun.adapters.client import HttpClient
 from copperrun.adapters.client import open_session
 from copperrun.adapters.connector import MAX_REQUESTS
+from copperrun.adapters.connector import ServerRequest
 from copperrun.adapters.engine import HttpEngine
 from copperrun.adapters.service import HttpService
 from copperrun.adapters.timers import SystemTimers
@@ -356,3 +358,33 @@
     lost = [item for item in outcomes if isinstance(item, ServiceError)]
     assert_that((copies, len(lost)), Equals((1, 1)))
     assert all(item.body == b"ok" for item in outcomes if item not in lost)
+
+
+async def test_headers_to_forward_are_held_only_while_the_head_is_written():
+    released = asyncio.Event()
+    held: list[ServerRequest] = []
+
+    async def wait(request: ReceivedRequest, writer: asyncio.StreamWriter) -> bool:
+        held.extend(o for o in gc.get_objects() if isinstance(o, ServerRequest))
+        await released.wait()
+        return await send_answer(request, writer)
+
+    backend = ScriptedServer()
+    backend.script = wait
+    headers = [("X-Many", str(number)) for number in range(1_000)]
+    async with calling(backend) as backends:
+        sending = asyncio.create_task(
+            backends.open(
+                server(backend.id, address=backend.address, born_ms=1_000),
+                call("r1")._replace(headers=headers),
+                remaining_ms=2_000,
+                priority=0,
+                resume_after="",
+            )
+        )
+        while not held:
+            await TIMERS.sleep_ms(5)
+        assert_that([len(request.headers) < 10 for request in held], Equals([True]))
+        released.set()
+        await sending
+    assert_that(backend.requests[0].header_names.count("x-many"), Equals(1_000))
--- a/testing/test_readers.py
+++ b/testing/test_readers.py
@@ -568,7 +568,8 @@
         await answer_size(call, responder)
 
     bounds = BufferBounds(MB, 64 * KB, MB)
-    async with listening(handle, bounds, descriptors=DESCRIPTORS) as listener:
+    limits = LIMITS._replace(idle_timeout_ms=600_000)
+    async with listening(handle, bounds, limits, DESCRIPTORS) as listener:
         server = listener.server
         assert server is not None
         begun = await open_caller(listener.port)
@@ -581,7 +582,8 @@
         assert_that((await begun.answer())[0], Equals(408))
         await until(lambda: awaiting_states(server) == [False] * (SOCKETS // 2))
         newest = await open_caller(listener.port)
-        assert_that(await newest.reader.read(), Equals(b""))
+        async with TIMERS.timeout_ms(WAIT_TIMEOUT_MS):
+            assert_that(await newest.reader.read(), Equals(b""))
         released.set()
         for client in clients:
             assert_that((await client.answer())[0], Equals(200))
