Answer heads beyond the limit with 400 at the own interface, as before

The own interface answers 400 as it did, the platform's listener 431 as it did; a test for each limit of the platform's listener.

--- a/src/copperrun/adapters/listener.py
+++ b/src/copperrun/adapters/listener.py
@@ -37,8 +37,12 @@
     its bytes. So a head goes to its parser whole, and only once the answer before it
     has been sent. Until then it is held, up to the limit of a head, and then nothing
     more is read.
+
+    Attributes:
+        too_large_answer: Sent to a head beyond the limit.
     """
 
+    too_large_answer = BAD_HEAD_ANSWER
     __slots__ = (
         "_body_bytes",
         "_chunks",
@@ -203,10 +207,10 @@
                 self.pass_head(self._take(len(self._held)))
                 return True
             if self._is_too_large(len(self._held)):
-                self.refuse_head(HEAD_TOO_LARGE_ANSWER)
+                self.refuse_head(self.too_large_answer)
             return False
         if self._is_too_large(end):
-            self.refuse_head(HEAD_TOO_LARGE_ANSWER)
+            self.refuse_head(self.too_large_answer)
             return False
         self.pass_head(self._take(end + len(HEAD_END)))
         return True
--- a/src/copperrun/platform/connections.py
+++ b/src/copperrun/platform/connections.py
@@ -17,6 +17,7 @@
 from loguru import logger
 
 from copperrun.adapters.listener import HEAD_TIMEOUT_ANSWER
+from copperrun.adapters.listener import HEAD_TOO_LARGE_ANSWER
 from copperrun.adapters.listener import BoundedConnection
 from copperrun.adapters.turns import Turns
 from copperrun.admission.buffers import SMALL_HEAD_BYTES
@@ -69,6 +70,7 @@
 class CallerConnection(BoundedConnection):
     """A connection that knows whether a request has begun on it."""
 
+    too_large_answer = HEAD_TOO_LARGE_ANSWER
     __slots__ = (
         "_buffers",
         "_caller_server",
--- a/testing/test_platform_http.py
+++ b/testing/test_platform_http.py
@@ -1243,6 +1243,27 @@
     assert_that(backend.requests, HasLength(0))
 
 
+@pytest.mark.parametrize(
+    ("path", "filling", "status"),
+    [
+        ("/a/x", HEADER_BYTES - 60, 200),
+        ("/a/x", HEADER_BYTES, 431),
+        ("/a/" + "x" * (HEADER_BYTES - 60), HEADER_BYTES - 60, 200),
+        ("/a/" + "x" * HEADER_BYTES, 10, 431),
+    ],
+)
+async def test_the_lines_of_a_head_and_its_first_line_have_a_limit_each(
+    path, filling, status
+):
+    backend = ScriptedServer()
+    async with running_entry(SAFE, backend) as entry:
+        client = await Client.open(entry.port)
+        head = f"GET {path} HTTP/1.1\nHost: h\nRequest-Id: r1\nX: {'x' * filling}"
+        client.send(head)
+        assert_that((await client.answer())[0], Equals(status))
+        client.close()
+
+
 # A time limit of thousands of digits ended its request with a 500.
 async def test_a_time_limit_of_many_digits_is_a_long_one():
     backend = ScriptedServer()
