Serve callers on a machine of few descriptors, too

Cause: found by reading the change: with fewer than 264 descriptors stated the bound on sockets was below zero, and each new connection was closed.

Now the system's own sockets take half of what is left at most, and 16 sockets stay for callers and their servers whatever is stated. A test has the table.

--- a/src/copperrun/platform/connections.py
+++ b/src/copperrun/platform/connections.py
@@ -33,7 +33,10 @@
 
 CHECK_INTERVAL_MS = 500
 FILE_DESCRIPTORS = 200  # of a process's descriptors, which are no sockets
-OWN_SOCKETS = 64  # listeners, the store, sides, other entries
+# Listeners, the store, sides, other entries; on a machine of few descriptors half of
+# its sockets at most.
+OWN_SOCKETS = 64
+MIN_CALLER_SOCKETS = 16  # for callers and their servers, whatever the machine states
 # aiohttp's own idle timeout is fixed when a connection opens, so it is not used.
 UNUSED_KEEPALIVE_S = 7 * 86_400
 
@@ -313,8 +316,7 @@
         server_connections: Callable[[], int] = int,
     ) -> None:
         super().__init__(handler, handler_cancellation=True)
-        self._max_sockets = descriptors - FILE_DESCRIPTORS - OWN_SOCKETS
-        self._has_max_sockets = descriptors > 0
+        self._max_sockets = _caller_sockets(descriptors) if descriptors else 0
         self._server_connections = server_connections
         self._limits = limits
         self._timers = timers
@@ -362,7 +364,7 @@
         Returns:
             False if there is none, so that the newest has to give way.
         """
-        if not self._has_max_sockets or 2 * len(self._connections) < self._max_sockets:
+        if 2 * len(self._connections) < self._max_sockets or not self._max_sockets:
             return True
         conns = [conn for conn in self.caller_connections if conn.transport is not None]
         others = [conn for conn in conns if conn is not newest]
@@ -419,3 +421,9 @@
 
     def _current_idle_timeout_ms(self, limits: CallerLimits) -> int:
         return self._idle_timeout.update(limits.idle_timeout_ms, self._timers.now_ms())
+
+
+def _caller_sockets(descriptors: int) -> int:
+    """Return how many sockets are for callers and their servers."""
+    sockets = descriptors - FILE_DESCRIPTORS
+    return max(sockets - min(OWN_SOCKETS, sockets // 2), MIN_CALLER_SOCKETS)
--- a/testing/test_readers.py
+++ b/testing/test_readers.py
@@ -10,6 +10,7 @@
 from contextlib import asynccontextmanager
 from pathlib import Path
 
+import pytest
 from aiohttp import web
 from factories import pool
 from factories import route
@@ -36,8 +37,8 @@
 from copperrun.placement.demand import DemandMeter
 from copperrun.platform.backends import HttpBackends
 from copperrun.platform.connections import FILE_DESCRIPTORS
-from copperrun.platform.connections import OWN_SOCKETS
 from copperrun.platform.connections import CallerServer
+from copperrun.platform.connections import _caller_sockets
 from copperrun.platform.daemon import EntryRole
 from copperrun.platform.ingress import Ingress
 from copperrun.platform.readers import CallerBuffers
@@ -523,8 +524,16 @@
         await until(lambda: not listener.buffers.total_bytes)
 
 
-SOCKETS = 8
-DESCRIPTORS = FILE_DESCRIPTORS + OWN_SOCKETS + SOCKETS
+SOCKETS = 16
+DESCRIPTORS = FILE_DESCRIPTORS + 2 * SOCKETS  # few, so half of them are for callers
+
+
+@pytest.mark.parametrize(
+    ("descriptors", "sockets"),
+    [(4_100, 3_836), (1_535, 1_271), (400, 136), (300, 50), (201, 16), (64, 16)],
+)
+def test_a_machine_of_few_descriptors_serves_callers_too(descriptors, sockets):
+    assert_that(_caller_sockets(descriptors), Equals(sockets))
 
 
 def awaiting_states(server: CallerServer) -> list[bool]:
@@ -600,17 +609,21 @@
     async with listening(handle, bounds, descriptors=DESCRIPTORS) as listener:
         server = listener.server
         assert server is not None
-        clients = [await open_caller(listener.port) for _ in range(5)]
-        for number, client in enumerate(clients[:3]):
+        most = SOCKETS // 2  # each needs another one to its server
+        clients = [await open_caller(listener.port) for _ in range(most + 1)]
+        *begun, first, last = clients
+        for number, client in enumerate(begun):
             client.send(GET.format(f"r{number}"))
-        await until(lambda: awaiting_states(server) == [False] * 3 + [True] * 2)
+        await until(
+            lambda: awaiting_states(server) == [False] * (most - 1) + [True] * 2
+        )
         # Both have arrived when the first of them is read, so neither is idle.
-        for number, client in enumerate(clients[3:]):
+        for number, client in enumerate((first, last)):
             client.send(GET.format(f"late{number}"))
-        status, headers, _, _ = await clients[3].answer()
+        status, headers, _, _ = await first.answer()
         assert_that((status, headers["retry-after"]), Equals((503, "1.000")))
         released.set()
-        for client in (*clients[:3], clients[4]):
+        for client in (*begun, last):
             assert_that((await client.answer())[0], Equals(200))
 
 
