--- a/testing/test_crowd.py
+++ b/testing/test_crowd.py
@@ -160,6 +160,18 @@
         await play(system, 200, one_head(ODD))
 
 
+async def test_heads_of_many_lines_for_streams_that_go_on(tmp_path: Path) -> None:
+    def ask(member: Member, number: int) -> None:
+        lines = head(
+            FULL_HEAD, NUMBERED, path="/stream/x", request_id=f"{number}-" + "r" * 400
+        )
+        member.send(lines)
+
+    async with crowded_entry(tmp_path) as system:
+        system.crowd_server.pause = "events"  # after the first one
+        await play(system, 200, ask)
+
+
 @pytest.mark.parametrize("line_bytes", [250, 4_000])
 async def test_full_heads_of_more_clients_than_fit(
     tmp_path: Path, line_bytes: int
