--- a/testing/test_readers.py
+++ b/testing/test_readers.py
@@ -478,16 +478,22 @@
         await until(lambda: not listener.buffers.held_bytes)
 
 
-LARGE_HEAD = GET + "\nX: " + "x" * 7_000
-
-
-async def test_heads_beyond_the_bound_are_refused_and_leave_room_for_small_ones():
-    released = asyncio.Event()
+def answer_after(released: asyncio.Event) -> Handler:
+    """Return a handler that answers once it is released."""
 
     async def handle(call: BackendCall, responder: Responder) -> None:
         await released.wait()
         await answer_size(call, responder)
 
+    return handle
+
+
+LARGE_HEAD = GET + "\nX: " + "x" * 7_000
+
+
+async def test_heads_beyond_the_bound_are_refused_and_leave_room_for_small_ones():
+    released = asyncio.Event()
+    handle = answer_after(released)
     bounds = BufferBounds(MB, 64 * KB, MB, heads=256 * KB)
     async with listening(handle, bounds) as listener:
         clients = []
@@ -543,11 +549,7 @@
 
 async def test_idle_connections_give_way_to_new_ones_and_requests_do_not():
     released = asyncio.Event()
-
-    async def handle(call: BackendCall, responder: Responder) -> None:
-        await released.wait()
-        await answer_size(call, responder)
-
+    handle = answer_after(released)
     bounds = BufferBounds(MB, 64 * KB, MB)
     async with listening(handle, bounds, descriptors=DESCRIPTORS) as listener:
         server = listener.server
@@ -571,11 +573,7 @@
 
 async def test_a_head_that_does_not_end_gives_way_and_then_the_newest_caller():
     released = asyncio.Event()
-
-    async def handle(call: BackendCall, responder: Responder) -> None:
-        await released.wait()
-        await answer_size(call, responder)
-
+    handle = answer_after(released)
     bounds = BufferBounds(MB, 64 * KB, MB)
     limits = LIMITS._replace(idle_timeout_ms=600_000)
     async with listening(handle, bounds, limits, DESCRIPTORS) as listener:
@@ -600,11 +598,7 @@
 
 async def test_a_request_without_a_socket_for_its_server_is_refused():
     released = asyncio.Event()
-
-    async def handle(call: BackendCall, responder: Responder) -> None:
-        await released.wait()
-        await answer_size(call, responder)
-
+    handle = answer_after(released)
     bounds = BufferBounds(MB, 64 * KB, MB)
     async with listening(handle, bounds, descriptors=DESCRIPTORS) as listener:
         server = listener.server
