--- a/review/deployment/deployment.py
+++ b/review/deployment/deployment.py
@@ -210,6 +210,8 @@
         self.entries: list[Machine] = []
         self.sides: list[Machine] = []
         self.configuration = configuration()
+        # Whoever ends the case also ends what it has started.
+        signal.signal(signal.SIGTERM, _exit)
         self._numbers = entries, engines, services
         self._scratch = tempfile.TemporaryDirectory()
         self.scratch = Path(self._scratch.name)
@@ -581,6 +583,10 @@
     return Answer(status, body, True, headers)
 
 
+def _exit(number: int, frame: object) -> None:
+    sys.exit(2)
+
+
 def _resident_mb(pid: int) -> float:
     with suppress(OSError):
         pages = int(Path(f"/proc/{pid}/statm").read_text().split()[1])
