Check the heads of answers before the HTTP library parses them

What callers saw: a server in trouble answered with status 000, and the caller got it as an answer (0, 1, 99, 600, 999 and an unasked 101 alike); a NUL in the reason; a bare line feed taken for a line's end; with "Transfer-Encoding: xchunked" the body with its framing; for a control byte in a value 500 of the HTTP library. An order to an engine answered with status 000 counted as "nothing was done".

Cause: what the HTTP library lets through was believed, and its two parsers let through different things. No rule of copperrun's own said what an answer is.

Change: adapters/framing.py has that rule for heads: status line of HTTP/1.0 or 1.1 with 100 to 599 but 101, fields of token names and values without control bytes, CRLF, one length or "chunked", 64 KiB beside the largest field. ServerConnection applies it to all bytes of all servers before they are parsed, so it holds for requests, resumptions, health checks, the store, reports, orders and peers, and with either parser. A head reaches the parser only once it is complete and checked. Bytes behind an answer are dropped there, and the connection is not used again.

--- a/src/copperrun/adapters/connector.py
+++ b/src/copperrun/adapters/connector.py
@@ -13,8 +13,12 @@
 
 import aiohttp
 from aiohttp.client_proto import ResponseHandler
+from aiohttp.http_exceptions import HttpProcessingError
 from loguru import logger
 
+from copperrun.adapters.framing import MAX_HEAD_BYTES
+from copperrun.adapters.framing import AnswerFramer
+from copperrun.adapters.framing import FramingError
 from copperrun.ports.timers import Timers
 
 HTTP_KEEPALIVE_S = 30.0
@@ -103,7 +107,7 @@
 
 
 class ServerConnection(ResponseHandler, asyncio.BufferedProtocol):
-    """A connection that ends when its server sends what no request asked for.
+    """A connection that ends when its server sends what is no answer to a request.
 
     Attributes:
         is_idle: Whether it waits for its next request.
@@ -116,6 +120,7 @@
         self.is_idle = False
         self.idle_since_ms = 0
         self.is_separate = False
+        self._framer = AnswerFramer()
         # Hashes of the ids; bytes are searched many times faster than numbers, and a
         # match by chance costs no more than a new connection.
         self._id_hashes = bytearray()
@@ -149,17 +154,57 @@
         """Take what has been read."""
         self.data_received(bytes(_READ_BUFFER[:nbytes]))
 
+    def set_response_params(
+        self,
+        *,
+        skip_payload: bool = False,
+        max_field_size: int = 0,
+        **options: Any,
+    ) -> None:
+        """Expect the answer to another request."""
+        self._framer = AnswerFramer(
+            is_bodiless=skip_payload, max_head_bytes=MAX_HEAD_BYTES + max_field_size
+        )
+        super().set_response_params(
+            skip_payload=skip_payload, max_field_size=max_field_size, **options
+        )
+
     def data_received(self, data: bytes) -> None:
         """Read a part of an answer; close the connection when none is due."""
-        if not self.is_idle or not data:  # aiohttp resumes its parser with no data
+        if self.is_idle and data:
+            self._close_idle()
+            return
+        if not data or self._parser is None:
+            # aiohttp resumes its parser with no data, and holds what comes before it
+            # has one.
             super().data_received(data)
-            # The answer may have ended within these bytes.
-            has_more = bool(self._buffer or self._tail)
-            if not self.is_idle or not has_more or self.transport is None:
-                return
+            return
+        checked = self._framer.feed(data)
+        if isinstance(checked, FramingError):
+            self._reject(checked)
+            return
+        if self._framer.has_excess:
+            self.force_close()
+        if checked:
+            super().data_received(checked)
+        # The answer may have ended within these bytes.
+        if self.is_idle and self._framer.has_excess:
+            self._close_idle()
+
+    def _close_idle(self) -> None:
         logger.warning("connection closed: the server sent bytes while it was idle")
         self.close()
 
+    def _reject(self, error: FramingError) -> None:
+        """End an answer that breaks the protocol, and the connection."""
+        logger.warning("connection closed: malformed answer", reason=error.value)
+        payload, transport = self._payload, self.transport
+        if payload is not None and not payload.is_eof():
+            payload.set_exception(aiohttp.ClientPayloadError(error.value))
+        self.set_exception(HttpProcessingError(code=400, message=error.value))
+        if transport is not None:
+            transport.close()
+
 
 class ServerConnector(aiohttp.TCPConnector):
     """Uses no connection again that may bring another answer than the request's.
--- /dev/null
+++ b/src/copperrun/adapters/framing.py
@@ -0,0 +1,192 @@
+"""The rule for what an HTTP/1 answer is, from its first byte to its last.
+
+The HTTP library's parsers let through what is no answer in the protocol, and differ in
+what they let through.
+"""
+
+from __future__ import annotations
+
+import re
+from enum import Enum
+
+MAX_HEAD_BYTES = 64 << 10  # of an answer, with its interim answers
+
+_TEXT = rb"[\t\x20-\x7e\x80-\xff]*"
+_FIELD = rb"[!#$%&'*+\-.^_`|~0-9A-Za-z]+:" + _TEXT + rb"\r\n"
+_STATUS_LINE = re.compile(rb"HTTP/1\.([01]) ([1-5][0-9][0-9])(?: " + _TEXT + rb")?\r\n")
+_FIELDS = re.compile(rb"(?:" + _FIELD + rb")*+")
+_FRAMING_FIELD = re.compile(
+    rb"\r\n(content-length|transfer-encoding):[ \t]*([^\r\n]*?)[ \t]*(?=\r\n)",
+    re.IGNORECASE,
+)
+_LENGTH = re.compile(rb"[0-9]{1,18}")
+_ANSWER_BEGIN = b"HTTP/1."
+_LINE_END = b"\r\n"
+_BODILESS_STATUSES = frozenset({204, 304})
+_SWITCHING_PROTOCOLS = 101  # no request asks for it
+
+
+class FramingError(Enum):
+    """How the bytes of an answer break the protocol."""
+
+    STATUS_LINE = "malformed status line"
+    FIELD = "malformed header field"
+    HEAD_TOO_LARGE = "head too large"
+    LENGTH = "no usable length of the body"
+
+
+class _Part(Enum):
+    STATUS_LINE = "status line"
+    FIELDS = "fields"
+    CONTENT = "content"  # of the announced length
+    UNTIL_CLOSE = "until close"  # and in chunks
+    ENDED = "ended"
+
+
+class AnswerFramer:
+    """Checks the bytes of one answer before they are parsed.
+
+    Args:
+        is_bodiless: Whether the request's method allows no body in the answer.
+        max_head_bytes: Size of the head beyond which it counts as malformed.
+
+    Attributes:
+        has_excess: Whether bytes followed the end of the answer; they are dropped.
+    """
+
+    __slots__ = (
+        "_checked",
+        "_held",
+        "_is_bodiless",
+        "_max_head_bytes",
+        "_part",
+        "_remaining",
+        "_status",
+        "_version",
+        "has_excess",
+    )
+
+    def __init__(
+        self, *, is_bodiless: bool = False, max_head_bytes: int = MAX_HEAD_BYTES
+    ) -> None:
+        self.has_excess = False
+        self._is_bodiless = is_bodiless
+        self._max_head_bytes = max_head_bytes
+        self._part = _Part.STATUS_LINE
+        self._held = b""  # of a head, a line or trailers that are not complete
+        self._checked = 0  # of the bytes held
+        self._remaining = 0  # of a body
+        self._status = 0
+        self._version = b""
+
+    def feed(self, data: bytes) -> bytes | FramingError:
+        """Check further bytes.
+
+        Args:
+            data: What has arrived.
+
+        Returns:
+            The bytes to parse now; a head only once it is complete.
+        """
+        if self._held:
+            data, self._held = self._held + data, b""
+        at = 0
+        while at < len(data):
+            end = self._check(data, at)
+            if isinstance(end, FramingError):
+                return end
+            if end is None:
+                self._held = data[at:]
+                return data[:at]
+            if self._part is _Part.ENDED:
+                self.has_excess |= end < len(data)
+                return data[:end]
+            at = end
+        return data
+
+    def _check(self, data: bytes, at: int) -> int | FramingError | None:
+        """Check the next part of an answer.
+
+        Returns:
+            Where it ends, or None if it has to be complete and is not.
+        """
+        match self._part:
+            case _Part.STATUS_LINE | _Part.FIELDS:
+                return self._check_head(data, at)
+            case _Part.CONTENT:
+                return self._skip_content(data, at)
+            case _Part.UNTIL_CLOSE:
+                return len(data)
+            case _Part.ENDED:
+                return at
+
+    def _check_head(self, data: bytes, at: int) -> int | FramingError | None:
+        if self._part is _Part.STATUS_LINE:
+            line = _STATUS_LINE.match(data, at)
+            if line is None:
+                return self._await_status_line(data, at)
+            self._version, self._status = line[1], int(line[2])
+            self._part = _Part.FIELDS
+            self._checked = line.end() - at
+        end = self._check_fields(data, at, self._max_head_bytes)
+        if end is None and len(data) - at > self._max_head_bytes:
+            return FramingError.HEAD_TOO_LARGE
+        if not isinstance(end, int):
+            return end
+        self._max_head_bytes -= end - at
+        # The line end before the fields shows where a name begins.
+        framing = _FRAMING_FIELD.findall(data, at, end)
+        return self._begin_body(framing) or end
+
+    def _await_status_line(self, data: bytes, at: int) -> FramingError | None:
+        begin = data[at : at + len(_ANSWER_BEGIN)]
+        is_line = b"\n" in data[at:]
+        if is_line or not _ANSWER_BEGIN.startswith(begin):
+            return FramingError.STATUS_LINE
+        if len(data) - at > self._max_head_bytes:
+            return FramingError.HEAD_TOO_LARGE
+        return None
+
+    def _check_fields(
+        self, data: bytes, at: int, max_bytes: int
+    ) -> int | FramingError | None:
+        """Check lines from ``_checked`` on; return the end of the blank line."""
+        fields = _FIELDS.match(data, at + self._checked)
+        lines_end = fields.end() if fields is not None else at
+        if data.startswith(_LINE_END, lines_end):
+            self._checked = 0
+            end = lines_end + len(_LINE_END)
+            return end if end - at <= max_bytes else FramingError.HEAD_TOO_LARGE
+        if data.find(b"\n", lines_end) >= 0:
+            return FramingError.FIELD
+        self._checked = lines_end - at
+        return None
+
+    def _begin_body(self, framing: list[tuple[bytes, bytes]]) -> FramingError | None:
+        """Take what the head says about the body."""
+        lengths = [value for name, value in framing if name[:1] in b"Cc"]
+        codings = [value for name, value in framing if name[:1] in b"Tt"]
+        if self._status == _SWITCHING_PROTOCOLS:
+            return FramingError.STATUS_LINE
+        if self._status < 200:
+            self._part = _Part.STATUS_LINE
+            return FramingError.LENGTH if framing else None
+        if len(framing) > 1 or not all(map(_LENGTH.fullmatch, lengths)):
+            return FramingError.LENGTH
+        if codings and (self._version == b"0" or codings[0].lower() != b"chunked"):
+            return FramingError.LENGTH
+        if self._is_bodiless or self._status in _BODILESS_STATUSES:
+            self._part = _Part.ENDED
+        elif lengths:
+            self._remaining = int(lengths[0])
+            self._part = _Part.CONTENT if self._remaining else _Part.ENDED
+        else:
+            self._part = _Part.UNTIL_CLOSE
+        return None
+
+    def _skip_content(self, data: bytes, at: int) -> int:
+        end = min(at + self._remaining, len(data))
+        self._remaining -= end - at
+        if not self._remaining:
+            self._part = _Part.ENDED
+        return end
