Check the chunks of answers before the HTTP library parses them

What callers saw: a body in chunks that are none in the protocol (a blank behind the size, a bare line feed behind data, control bytes in extensions or trailers) was passed on as a whole answer. What the compiled parser lets through differs with how the bytes are split over reads, and the library's second parser accepts bare line feeds throughout.

Cause: the same as of the malformed heads: the library's word was the only rule.

Change: AnswerFramer follows chunks, too: size line, data, CRLF and trailers, 4 KiB at most for a size line and for all trailers. A line reaches the parser only once it is complete.

--- a/src/copperrun/adapters/framing.py
+++ b/src/copperrun/adapters/framing.py
@@ -10,6 +10,7 @@
 from enum import Enum
 
 MAX_HEAD_BYTES = 64 << 10  # of an answer, with its interim answers
+MAX_LINE_BYTES = 4 << 10  # of a chunk's size, and of all trailers
 
 _TEXT = rb"[\t\x20-\x7e\x80-\xff]*"
 _FIELD = rb"[!#$%&'*+\-.^_`|~0-9A-Za-z]+:" + _TEXT + rb"\r\n"
@@ -20,6 +21,8 @@
     re.IGNORECASE,
 )
 _LENGTH = re.compile(rb"[0-9]{1,18}")
+_CHUNK_SIZE = re.compile(rb"([0-9A-Fa-f]{1,16})(?:[ \t]*;" + _TEXT + rb")?\r\n")
+_CHUNK_SIZE_BEGIN = re.compile(rb"[0-9A-Fa-f]{1,16}(?:[ \t]*(?:;" + _TEXT + rb")?\r?)?")
 _ANSWER_BEGIN = b"HTTP/1."
 _LINE_END = b"\r\n"
 _BODILESS_STATUSES = frozenset({204, 304})
@@ -33,13 +36,19 @@
     FIELD = "malformed header field"
     HEAD_TOO_LARGE = "head too large"
     LENGTH = "no usable length of the body"
+    CHUNK = "malformed chunk"
+    TRAILER = "malformed trailer"
 
 
 class _Part(Enum):
     STATUS_LINE = "status line"
     FIELDS = "fields"
     CONTENT = "content"  # of the announced length
-    UNTIL_CLOSE = "until close"  # and in chunks
+    CHUNKS = "chunks"
+    CHUNK = "chunk"
+    CHUNK_END = "chunk end"
+    TRAILERS = "trailers"
+    UNTIL_CLOSE = "until close"
     ENDED = "ended"
 
 
@@ -75,7 +84,7 @@
         self._part = _Part.STATUS_LINE
         self._held = b""  # of a head, a line or trailers that are not complete
         self._checked = 0  # of the bytes held
-        self._remaining = 0  # of a body
+        self._remaining = 0  # of a body or chunk
         self._status = 0
         self._version = b""
 
@@ -113,8 +122,14 @@
         match self._part:
             case _Part.STATUS_LINE | _Part.FIELDS:
                 return self._check_head(data, at)
-            case _Part.CONTENT:
+            case _Part.CONTENT | _Part.CHUNK:
                 return self._skip_content(data, at)
+            case _Part.CHUNKS:
+                return self._check_chunks(data, at)
+            case _Part.CHUNK_END:
+                return self._check_chunk_end(data, at)
+            case _Part.TRAILERS:
+                return self._check_trailers(data, at)
             case _Part.UNTIL_CLOSE:
                 return len(data)
             case _Part.ENDED:
@@ -177,6 +192,8 @@
             return FramingError.LENGTH
         if self._is_bodiless or self._status in _BODILESS_STATUSES:
             self._part = _Part.ENDED
+        elif codings:
+            self._part = _Part.CHUNKS
         elif lengths:
             self._remaining = int(lengths[0])
             self._part = _Part.CONTENT if self._remaining else _Part.ENDED
@@ -188,5 +205,41 @@
         end = min(at + self._remaining, len(data))
         self._remaining -= end - at
         if not self._remaining:
-            self._part = _Part.ENDED
+            is_chunk = self._part is _Part.CHUNK
+            self._part = _Part.CHUNK_END if is_chunk else _Part.ENDED
+        return end
+
+    def _check_chunks(self, data: bytes, at: int) -> int | FramingError | None:
+        """Check the chunks that are complete, or else the first line of one."""
+        begin = at
+        while line := _CHUNK_SIZE.match(data, at):
+            if line.end() - at > MAX_LINE_BYTES:
+                return FramingError.CHUNK
+            size = int(line[1], 16)
+            end = line.end() + size
+            if not size or data[end : end + len(_LINE_END)] != _LINE_END:
+                self._remaining = size
+                self._part = _Part.CHUNK if size else _Part.TRAILERS
+                return line.end()
+            at = end + len(_LINE_END)
+        if at > begin:
+            return at
+        rest = data[at : at + MAX_LINE_BYTES + 1]
+        if len(rest) > MAX_LINE_BYTES or not _CHUNK_SIZE_BEGIN.fullmatch(rest):
+            return FramingError.CHUNK
+        return None
+
+    def _check_chunk_end(self, data: bytes, at: int) -> int | FramingError | None:
+        if data.startswith(_LINE_END, at):
+            self._part = _Part.CHUNKS
+            return at + len(_LINE_END)
+        return None if data[at:] == _LINE_END[:1] else FramingError.CHUNK
+
+    def _check_trailers(self, data: bytes, at: int) -> int | FramingError | None:
+        end = self._check_fields(data, at, MAX_LINE_BYTES)
+        if end is None and len(data) - at <= MAX_LINE_BYTES:
+            return None
+        if not isinstance(end, int):
+            return FramingError.TRAILER
+        self._part = _Part.ENDED
         return end
--- a/testing/test_framing.py
+++ b/testing/test_framing.py
@@ -20,6 +20,7 @@
 from test_platform_http import send_get
 from testtools.assertions import assert_that
 from testtools.matchers import Equals
+from testtools.matchers import IsInstance
 
 from copperrun.adapters.client import HttpClient
 from copperrun.adapters.client import HttpFailure
@@ -341,3 +342,64 @@
         if body:
             assert_that(await client.reader.readexactly(len(body)), Equals(body))
         client.close()
+
+
+MALFORMED_CHUNKS = {
+    "blank_after_size": b"b \r\nhello world\r\n0\r\n\r\n",
+    "blank_before_size": b" b\r\nhello world\r\n0\r\n\r\n",
+    "signed_size": b"+b\r\nhello world\r\n0\r\n\r\n",
+    "prefixed_size": b"0xb\r\nhello world\r\n0\r\n\r\n",
+    "underscore": b"0_b\r\nhello world\r\n0\r\n\r\n",
+    "empty_size": b"\r\nhello world\r\n0\r\n\r\n",
+    "endless_size": b"0" * 10_000 + b"b\r\nhello world\r\n0\r\n\r\n",
+    "bare_lf_after_size": b"b\nhello world\r\n0\r\n\r\n",
+    "bare_lf_after_data": b"b\r\nhello world\n0\r\n\r\n",
+    "lf_in_extension": b"b;x=\n1\r\nhello world\r\n0\r\n\r\n",
+    "nul_in_extension": b"b;x=\0\r\nhello world\r\n0\r\n\r\n",
+    "data_too_long": b"b\r\nhello world, and more\r\n0\r\n\r\n",
+    "bare_lf_at_end": b"b\r\nhello world\r\n0\r\n\n",
+    "bare_lf_after_last": b"b\r\nhello world\r\n0\n\n",
+    "trailer_name": b"b\r\nhello world\r\n0\r\nX Y: 1\r\n\r\n",
+    "trailer_control": b"b\r\nhello world\r\n0\r\nX: a\x01\r\n\r\n",
+    "trailer_no_colon": b"b\r\nhello world\r\n0\r\nX\r\n\r\n",
+    "head_in_chunks": b"HTTP/1.1 500 X\r\n\r\noops",
+    "cut": b"b\r\nhello world\r\n",
+    "cut_in_data": b"b\r\nhello",
+    "cut_at_end": b"b\r\nhello world\r\n0\r\n",
+}
+CHUNKS = pytest.mark.parametrize(
+    "chunks", MALFORMED_CHUNKS.values(), ids=MALFORMED_CHUNKS
+)
+
+
+# What one parser took for the end of a body was none for others.
+@CHUNKS
+@pytest.mark.parametrize("part_bytes", [100_000, 1], ids=["whole", "bytes"])
+async def test_a_body_in_malformed_chunks_reaches_no_caller(
+    chunks: bytes, part_bytes: int
+) -> None:
+    async def answer(_: ReceivedRequest, writer: asyncio.StreamWriter) -> bool:
+        writer.write(head(b"HTTP/1.1 200 OK", CHUNKED))
+        for at in range(0, len(chunks), part_bytes):
+            writer.write(chunks[at : at + part_bytes])
+            await TIMERS.sleep_ms(0)
+        return False
+
+    backend = ScriptedServer()
+    backend.script = answer
+    async with running_entry(SAFE, backend) as entry:
+        status, _, body, complete = await send_get(entry)
+        assert_that((status, complete), Equals((502, True)))
+        assert_that(body, IsInstance(bytes))
+
+
+@CHUNKS
+async def test_a_reply_in_malformed_chunks_is_a_failure(chunks: bytes) -> None:
+    backend = sending(head(b"HTTP/1.1 200 OK", CHUNKED) + chunks)
+    await backend.start()
+    async with open_session() as session:
+        reply = await HttpClient(session, TIMERS).call(
+            "GET", f"http://{backend.address}/", timeout_ms=LONG_MS
+        )
+    await backend.close()
+    assert_that(reply, IsInstance(HttpFailure))
