Forward only events whose ids go on from the last one

What callers saw: the text of an error, or its whole head, in the middle of a stream that a next server continued; events from its start once more; a stream without ids that began anew behind the events that its caller had; an event twice where a comment came behind it.

Cause: whatever stood between two blank lines was an event and was passed on. The id to resume after was that of the last piece that arrived, also if that piece had none.

Change: EventSequence in routing/events.py says which piece may come next, at the first server as at each further one: its lines are fields with lower-case names or comments, and its id is higher than that of the last event (other than it, where ids are no numbers). Without an id only comments pass once an event has had one. Bytes that are no event end the attempt behind the last event; the next server continues there. The id to resume after is that of the last event accepted. What began without ids is passed on to its end, but no other answer follows it.

--- a/src/copperrun/routing/attempt.py
+++ b/src/copperrun/routing/attempt.py
@@ -16,7 +16,9 @@
 from copperrun.ports.buffers import AnswerBuffers
 from copperrun.ports.timers import Timers
 from copperrun.routing.detection import CrashDetector
+from copperrun.routing.events import EventSequence
 from copperrun.routing.events import EventSplitter
+from copperrun.routing.events import StreamEvent
 from copperrun.routing.origins import StreamOrigin
 from copperrun.routing.quarantine import Quarantine
 from copperrun.routing.refusals import no_server
@@ -98,6 +100,8 @@
         self._answer: BackendAnswer | None = None
         self._head_outcome: AttemptOutcome | None = None
         self._splitter = EventSplitter()
+        self._sequence = EventSequence(progress.resume_after)
+        self._has_foreign_bytes = False  # of a stream, which are no event of it
         self._buffered = bytearray()  # the body, until it is forwarded
         self._granted_bytes = 0
         self._is_forwarding = False
@@ -314,11 +318,14 @@
         """Return the next whole events, so that the stream can be resumed."""
         if not await self._may_come_from_start():
             return self._fail("the server may have started again")
-        while (chunk := await answer.read()) is not None:
+        while not self._has_foreign_bytes:
+            chunk = await answer.read()
+            if chunk is None:
+                break
             if isinstance(chunk, BackendError):
                 self._is_lost = True
                 return self._fail(chunk.detail)
-            events = self._splitter.feed(chunk)
+            events = self._take_events(chunk)
             if self._splitter.is_too_long:
                 return self._fail("no end of an event in too many bytes")
             if not events:
@@ -329,11 +336,14 @@
                 return self._fail("the server has started again")
             self._record_begun()
             data = b"".join(event.data for event in events)
-            return Piece(data, event_id=events[-1].id, events=len(events))
+            count = sum(not event.is_comment for event in events)
+            return Piece(data, event_id=self._sequence.last_id, events=count)
         return self._end_stream(answer)
 
     def _end_stream(self, answer: BackendAnswer) -> AttemptOutcome:
         """Return whether a stream that goes no further is complete."""
+        if self._has_foreign_bytes:
+            return self._fail("bytes in a stream that are no event of it")
         if self._splitter.has_partial_event:
             self._is_lost = True
             return self._fail("the stream ended within an event")
@@ -345,6 +355,15 @@
             return self._fail("a stream without events")
         return self._finish()
 
+    def _take_events(self, chunk: bytes) -> list[StreamEvent]:
+        """Return the whole events of the stream, up to bytes that are none."""
+        events = self._splitter.feed(chunk)
+        for at, event in enumerate(events):
+            if not self._sequence.accept(event):
+                self._has_foreign_bytes = True
+                return events[:at]
+        return events
+
     async def _may_come_from_start(self) -> bool:
         """Return whether the answer may be that of the start it was sent to.
 
--- a/src/copperrun/routing/events.py
+++ b/src/copperrun/routing/events.py
@@ -2,10 +2,14 @@
 
 from __future__ import annotations
 
+import re
 from typing import NamedTuple
 
 _ID_FIELD = b"id:"
 _TERMINATOR = b"\n\n"
+# Fields have lower-case names; a line that begins with a colon is a comment.
+_LINES = re.compile(rb"(?:(?:[a-z][a-z0-9_-]*)?(?::[^\n]*)?\n)*+")
+_COMMENTS = re.compile(rb"(?:(?::[^\n]*)?\n)*+")
 MAX_EVENT_BYTES = 1 << 20
 
 
@@ -20,6 +24,16 @@
     data: bytes
     id: str
 
+    @property
+    def is_well_formed(self) -> bool:
+        """Whether it has no other lines than an event may have."""
+        return _LINES.fullmatch(self.data) is not None
+
+    @property
+    def is_comment(self) -> bool:
+        """Whether it holds nothing for the caller's program."""
+        return _COMMENTS.fullmatch(self.data) is not None
+
 
 class EventSplitter:
     """Splits the bytes of a stream into complete events."""
@@ -45,6 +59,45 @@
         ]
 
 
+class EventSequence:
+    """Tells which events belong to a stream whose ids increase.
+
+    Args:
+        last_id: Id of the last event that the caller has, or an empty string.
+
+    Attributes:
+        last_id: Id of the last event that was accepted.
+    """
+
+    def __init__(self, last_id: str) -> None:
+        self.last_id = last_id
+
+    def accept(self, event: StreamEvent) -> bool:
+        """Return whether an event may come next.
+
+        One without an id is accepted only while none has an id: it could not be told
+        from the text of an error.
+        """
+        if not event.is_well_formed:
+            return False
+        if event.is_comment:
+            return True
+        if not event.id:
+            return not self.last_id
+        if not _is_later(event.id, self.last_id):
+            return False
+        self.last_id = event.id
+        return True
+
+
+def _is_later(event_id: str, last_id: str) -> bool:
+    if event_id.isdecimal() and last_id.isdecimal():
+        # Numbers of any size compare without being converted.
+        new, last = event_id.lstrip("0"), last_id.lstrip("0")
+        return (len(new), new) > (len(last), last)
+    return event_id != last_id
+
+
 def _event_id(event: bytes) -> str:
     for line in event.split(b"\n"):
         if line.startswith(_ID_FIELD):
--- a/src/copperrun/routing/relay.py
+++ b/src/copperrun/routing/relay.py
@@ -182,8 +182,7 @@
                 return True
             if outcome is not AttemptOutcome.NOT_RUN and not request.may_retry:
                 return False
-            if progress.response_started and not request.route.streaming:
-                # Another answer would be joined to the part that the caller has.
+            if not _may_go_on(request, progress):
                 return False
             if not self._may_send_again(request, progress):
                 return False
@@ -272,6 +271,8 @@
                 self._bind(request, attempt, progress)
         await responder.write(piece.data)
         progress.resume_after = piece.event_id or progress.resume_after
+        if piece.events and not progress.resume_after:
+            progress.has_unnumbered = True
 
     def _bind(
         self, request: RoutedRequest, attempt: Attempt, progress: Progress
@@ -339,7 +340,11 @@
                 attempt.close(outcome)
 
     def _may_repeat(self, request: RoutedRequest, progress: Progress) -> bool:
-        return request.may_retry and progress.sends < request.route.max_attempts
+        return (
+            request.may_retry
+            and progress.sends < request.route.max_attempts
+            and _may_go_on(request, progress)
+        )
 
     def _remaining_ms(self, request: RoutedRequest) -> int:
         return request.deadline_ms - self._timers.now_ms()
@@ -403,6 +408,13 @@
         )
 
 
+def _may_go_on(request: RoutedRequest, progress: Progress) -> bool:
+    """Return whether another answer may follow what the caller has of this one."""
+    if not progress.response_started:
+        return True
+    return request.route.streaming and not progress.has_unnumbered
+
+
 def _elapsed_since(started_ms: int, at_ms: int) -> int | None:
     """Return the time since the arrival, or None if the event never occurred."""
     return at_ms - started_ms if at_ms else None
--- a/src/copperrun/routing/requests.py
+++ b/src/copperrun/routing/requests.py
@@ -132,6 +132,8 @@
         last_outcome: Outcome of the latest attempt.
         response_started: Whether the caller has the head of its answer.
         stream_head: The head that the caller of a stream has.
+        has_unnumbered: Whether the caller has events of a stream without ids, after
+            which no other server can go on.
         resume_after: Id of the last event that the caller has.
         origin: What sent the first event of the stream; None until it has begun.
         failure: Error response to return if no attempt succeeds.
@@ -156,6 +158,7 @@
         self.last_outcome = AttemptOutcome.NOT_RUN
         self.response_started = False
         self.stream_head: AnswerHead | None = None
+        self.has_unnumbered = False
         self.resume_after = resume_after
         self.origin: StreamOrigin | None = None
         self.failure: ServerFailure | None = None
--- a/testing/test_events.py
+++ b/testing/test_events.py
@@ -19,6 +19,8 @@
 from testtools.matchers import Equals
 
 from copperrun.adapters.timers import SystemTimers
+from copperrun.routing.events import EventSequence
+from copperrun.routing.events import EventSplitter
 
 TIMERS = SystemTimers()
 LAST = 5  # event of each stream
@@ -26,6 +28,10 @@
 PLAIN = {"Response_Signature": "sig", "Content_Type": "text/plain"}
 UNSIGNED = {"Content_Type": "text/event-stream"}
 ERROR_TEXT = b"<html>\n\nupstream failed\n\n</html>\n\n"
+ERROR_HEAD = (
+    b"HTTP/1.1 500 Server Error\r\nContent-Type: text/plain\r\n"
+    b"Content-Length: 6\r\n\r\nfailed\n\n"
+)
 
 
 def events(first: int, last: int) -> bytes:
@@ -116,6 +122,21 @@
     "empty_plain": (b"", "200 OK", True, PLAIN),
     "text_plain": (ERROR_TEXT, "200 OK", True, PLAIN),
     "text_unsigned": (ERROR_TEXT, "200 OK", True, UNSIGNED),
+    "text": (ERROR_TEXT, "200 OK", True, SIGNED),
+    "text_to_the_end": (ERROR_TEXT, "200 OK", False, SIGNED),
+    "head_to_the_end": (ERROR_HEAD, "200 OK", False, SIGNED),
+    "head_before_events": (ERROR_HEAD + events(3, LAST), "200 OK", True, SIGNED),
+    "head_joined_to_events": (
+        ERROR_HEAD.rstrip() + b"\n" + events(3, LAST),
+        "200 OK",
+        True,
+        SIGNED,
+    ),
+    "json": (b'{"error": "failed"}\n\n', "200 OK", True, SIGNED),
+    "event_without_id": (b"event: error\ndata: x\n\n", "200 OK", True, SIGNED),
+    "data_without_id": (b"data: x\n\n", "200 OK", True, SIGNED),
+    "from_the_start": (events(1, LAST), "200 OK", True, SIGNED),
+    "event_twice": (events(2, LAST), "200 OK", True, SIGNED),
     "500": (b"failed", "500 Server Error", True, PLAIN),
     "500_events": (events(3, LAST), "500 Server Error", True, SIGNED),
     "404": (b"failed", "404 Not Found", True, PLAIN),
@@ -167,6 +188,12 @@
         "empty_to_the_end",
         "empty_plain",
         "text_plain",
+        "text",
+        "text_to_the_end",
+        "head_to_the_end",
+        "head_before_events",
+        "head_joined_to_events",
+        "json",
     }
 }
 FIRST_TROUBLES["empty"] = (b"", "200 OK", True, SIGNED)
@@ -219,3 +246,73 @@
     async with streaming(*servers) as (_, client):
         answered, _, received, complete = await client.answer()
     assert_that((answered, received, complete), Equals((200, events(1, LAST), True)))
+
+
+async def test_a_stream_without_ids_is_passed_on_but_not_continued() -> None:
+    # It began anew at the next server, behind the events that its caller had.
+    body = b"data: x\n\n" * 3
+    first = TroubledServer(body, framed=True, **SIGNED)
+    async with streaming(first) as (_, client):
+        answered, _, received, complete = await client.answer()
+    assert_that((answered, received, complete), Equals((200, body, True)))
+
+    class Cut(BreakingServer):
+        async def _stream(
+            self, request: ReceivedRequest, writer: asyncio.StreamWriter
+        ) -> bool:
+            writer.write(answer_head(request, Transfer_Encoding="chunked", **SIGNED))
+            writer.write(chunks(body))
+            await TIMERS.sleep_ms(30)
+            return False
+
+    async with streaming(Cut("i-1", 0), BreakingServer("i-2", 0)) as (entry, client):
+        answered, _, received, complete = await client.answer()
+    assert_that((answered, received, complete), Equals((200, body, False)))
+    assert_that(entry.backends[1].requests, Equals([]))
+
+
+async def test_comments_are_passed_on_and_no_event_comes_twice() -> None:
+    class Commenting(BreakingServer):
+        async def _stream(
+            self, request: ReceivedRequest, writer: asyncio.StreamWriter
+        ) -> bool:
+            writer.write(answer_head(request, Transfer_Encoding="chunked", **SIGNED))
+            writer.write(chunks(events(1, 2) + b": still here\n\n"))
+            await TIMERS.sleep_ms(30)
+            return False
+
+    servers = Commenting("i-1", 2), BreakingServer("i-2", 0)
+    async with streaming(*servers) as (_, client):
+        answered, _, received, complete = await client.answer()
+    expected = events(1, 2) + b": still here\n\n" + events(3, LAST)
+    assert_that((answered, received, complete), Equals((200, expected, True)))
+
+
+def accepted(last_id: str, data: bytes) -> list[bool]:
+    sequence = EventSequence(last_id)
+    return [sequence.accept(event) for event in EventSplitter().feed(data)]
+
+
+@pytest.mark.parametrize(
+    ("last_id", "data", "expected"),
+    [
+        ("", events(1, 3), [True] * 3),
+        ("9", events(10, 11), [True, True]),
+        ("09", events(10, 10), [True]),
+        ("9" * 5_000, b"id: 1%b\n\n" % (b"0" * 5_000), [True]),
+        ("10", events(9, 10), [False, False]),
+        ("a", b"id: b\n\nid: b\n\n", [True, False]),
+        ("", b"data: x\n\nid: 1\n\ndata: y\n\n", [True, True, False]),
+        ("3", b": comment\n\n\n\nid: 4\n\n", [True, True, True]),
+        ("3", b"weights-versions: 2\nid: 4\ndata: x\n\n", [True]),
+        ("3", b"id:4\nevent:x\nretry: 10\ndata\ndata: a:b <c>\n\n", [True]),
+        ("3", b"id: 4\nHTTP/1.1 500 X\n\n", [False]),
+        ("3", b"id: 4\ndata: x\r\n\n", [True]),
+        ("3", b"Content-Type: x\nid: 4\n\n", [False]),
+        ("3", b"oops failed\nid: 4\n\n", [False]),
+    ],
+)
+def test_events_follow_each_other_by_their_ids(
+    last_id: str, data: bytes, expected: list[bool]
+) -> None:
+    assert_that(accepted(last_id, data), Equals(expected))
