Bound interim answers and incomplete events of all streams together

What callers saw (in the report): a faulty server sent without end, in a head or a body; the machine that had called it kept it all, ran out of memory, and ended with the requests of others.

Here: one server did no harm, a crowd did. With 120 requests at servers that send without end, an entry of a machine of 152 MB held 173 MB for interim answers and 170 MB for an event without end, so the platform would have ended it.

Cause: the HTTP library makes a message of each interim answer, hundreds in one read, and nothing bounded their number; an incomplete event may have 1 MiB at each stream and was in no count, unlike other bytes of answers that wait.

Change: at most 16 interim answers before an answer (AnswerFramer). An incomplete event of more than 16 KiB takes its memory from the bound on what is collected of all answers; without room its attempt ends, as it does beyond 1 MiB.

Not tried: the store and peers as such servers; many callers at once there.

--- a/src/copperrun/adapters/framing.py
+++ b/src/copperrun/adapters/framing.py
@@ -10,6 +10,7 @@
 from enum import Enum
 
 MAX_HEAD_BYTES = 64 << 10  # of an answer, with its interim answers
+MAX_INTERIM_ANSWERS = 16
 MAX_LINE_BYTES = 4 << 10  # of a chunk's size, and of all trailers
 
 _TEXT = rb"[\t\x20-\x7e\x80-\xff]*"
@@ -35,6 +36,7 @@
     STATUS_LINE = "malformed status line"
     FIELD = "malformed header field"
     HEAD_TOO_LARGE = "head too large"
+    INTERIM = "too many interim answers"
     LENGTH = "no usable length of the body"
     CHUNK = "malformed chunk"
     TRAILER = "malformed trailer"
@@ -66,6 +68,7 @@
     __slots__ = (
         "_checked",
         "_held",
+        "_interim_answers",
         "_is_bodiless",
         "_max_head_bytes",
         "_part",
@@ -84,6 +87,7 @@
         self._part = _Part.STATUS_LINE
         self._held = b""  # of a head, a line or trailers that are not complete
         self._checked = 0  # of the bytes held
+        self._interim_answers = 0
         self._remaining = 0  # of a body or chunk
         self._status = 0
         self._version = b""
@@ -185,6 +189,9 @@
             return FramingError.STATUS_LINE
         if self._status < 200:
             self._part = _Part.STATUS_LINE
+            self._interim_answers += 1
+            if self._interim_answers > MAX_INTERIM_ANSWERS:
+                return FramingError.INTERIM
             return FramingError.LENGTH if framing else None
         if len(framing) > 1 or not all(map(_LENGTH.fullmatch, lengths)):
             return FramingError.LENGTH
--- a/src/copperrun/routing/attempt.py
+++ b/src/copperrun/routing/attempt.py
@@ -34,6 +34,7 @@
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})  # mean that a request has not run
 # Answers up to this size are sent only when complete, if memory allows.
 MAX_BUFFERED_BYTES = 1 << 20
+SMALL_EVENT_BYTES = 16 << 10  # of an incomplete event, kept without being counted
 EVENT_STREAM = "text/event-stream"
 
 
@@ -328,6 +329,8 @@
             events = self._take_events(chunk)
             if self._splitter.is_too_long:
                 return self._fail("no end of an event in too many bytes")
+            if not self._hold_partial():
+                return self._fail("no memory for the rest of a large event")
             if not events:
                 continue
             # Only whole events count as progress: a stalled server may send bytes on.
@@ -395,6 +398,19 @@
         self._granted_bytes += len(chunk)
         return self._granted_bytes <= MAX_BUFFERED_BYTES
 
+    def _hold_partial(self) -> bool:
+        """Count a large incomplete event; return whether there is memory for it."""
+        size = self._splitter.partial_bytes
+        if size <= SMALL_EVENT_BYTES:
+            size = 0
+        if size > self._granted_bytes:
+            if not self._ports.buffers.take_collected(size - self._granted_bytes):
+                return False
+        elif size < self._granted_bytes:
+            self._ports.buffers.return_collected(self._granted_bytes - size)
+        self._granted_bytes = size
+        return True
+
     def _take_buffered(self) -> bytes:
         """Return what has been kept, and its memory."""
         data, self._buffered = bytes(self._buffered), bytearray()
--- a/src/copperrun/routing/events.py
+++ b/src/copperrun/routing/events.py
@@ -46,6 +46,11 @@
         """Whether bytes of an incomplete event are buffered."""
         return bool(self._partial)
 
+    @property
+    def partial_bytes(self) -> int:
+        """Size of the incomplete event."""
+        return len(self._partial)
+
     @property
     def is_too_long(self) -> bool:
         """Whether the incomplete event is longer than any event may be."""
--- a/testing/test_answers.py
+++ b/testing/test_answers.py
@@ -21,7 +21,10 @@
 from platform_entry import SideStandIn
 from platform_entry import running_entry_role
 from platform_entry import until
+from platform_standins import ReceivedRequest
+from platform_standins import ScriptedServer
 from platform_standins import answer_head
+from platform_standins import send_answer
 from test_platform_http import Client
 from testtools.assertions import assert_that
 from testtools.matchers import Contains
@@ -751,3 +754,102 @@
         client.close()
         await TIMERS.sleep_ms(20)
     return unanswered
+
+
+LATE_GRACE_S = 6.0  # requests are taken for 3 s of it, and answered until 5.3 s
+LATE_MS = 3_150  # into the grace
+
+
+class SlowServer(ScriptedServer):
+    """Answers each request after a time; a stream has its first event at once."""
+
+    def __init__(self, answer_ms: int) -> None:
+        super().__init__()
+        self._answer_ms = answer_ms
+        self.script = self._answer
+
+    async def _answer(
+        self, request: ReceivedRequest, writer: asyncio.StreamWriter
+    ) -> bool:
+        if "stream" in request.target:
+            writer.write(answer_head(request, Transfer_Encoding="chunked"))
+            writer.write(b"7\r\nid: 1\n\n\r\n")
+            await TIMERS.sleep_ms(self._answer_ms)
+            return False
+        await TIMERS.sleep_ms(self._answer_ms)
+        return await send_answer(request, writer)
+
+
+@asynccontextmanager
+async def stopping_entry(
+    tmp_path: Path, server: ScriptedServer
+) -> AsyncIterator[PlatformEntry]:
+    """Run an entry whose requests may last longer than its grace."""
+    async with running_entry_role(
+        tmp_path, server, **{"grace-s": LATE_GRACE_S}
+    ) as entry:
+        entry.change_routes(timeout_ms=60_000)
+        await entry.publish()
+        yield entry
+
+
+# It was passed on, and cut at the end of the grace: nobody knew whether it had run.
+@pytest.mark.parametrize("framing", ["Content-Length: 4", "Transfer-Encoding: chunked"])
+@pytest.mark.parametrize("route", ["unsafe", "safe"])
+async def test_a_request_whose_body_ends_late_in_the_grace_is_not_run(
+    tmp_path: Path, route: str, framing: str
+) -> None:
+    server = SlowServer(answer_ms=3_000)
+    async with stopping_entry(tmp_path, server) as entry:
+        client = await Client.open(entry.port)
+        text = post(route).replace("Content-Length: 4", framing)
+        text = text.replace("Deadline-Ms: 3000", "Deadline-Ms: 30000")
+        is_chunked = "chunked" in framing
+        client.send(text, b"2\r\nab\r\n" if is_chunked else b"ab")
+        await TIMERS.sleep_ms(50)
+        entry.leave()
+        await TIMERS.sleep_ms(LATE_MS)
+        client.writer.write(b"2\r\ncd\r\n0\r\n\r\n" if is_chunked else b"cd")
+        assert_that(await outcome(client), Equals((503, True)))
+        assert_that(server.requests, Equals([]))
+        client.close()
+
+
+# Their connections were closed without an answer.
+@pytest.mark.parametrize("route", ["unsafe", "safe"])
+async def test_a_request_that_outlasts_the_grace_is_told_that_it_may_have_run(
+    tmp_path: Path, route: str
+) -> None:
+    async with stopping_entry(tmp_path, SlowServer(answer_ms=30_000)) as entry:
+        clients = [await Client.open(entry.port) for _ in range(3)]
+        for number, client in enumerate(clients):
+            text = post(route, f"r{number}").replace("3000", "30000")
+            client.send(text, b"abcd")
+        await TIMERS.sleep_ms(50)
+        entry.leave()
+        answers = [await outcome(client) for client in clients]
+        assert_that(answers, Equals([(502, True)] * 3))
+        await until(lambda: entry.has_ended)
+
+
+async def test_a_stream_that_outlasts_the_grace_does_not_look_complete(
+    tmp_path: Path,
+) -> None:
+    async with stopping_entry(tmp_path, SlowServer(answer_ms=30_000)) as entry:
+        client = await Client.open(entry.port)
+        client.send(get("stream").replace("3000", "30000"))
+        await TIMERS.sleep_ms(50)
+        entry.leave()
+        assert_that(await outcome(client), Equals((200, False)))
+        await until(lambda: entry.has_ended)
+
+
+async def test_an_answer_that_comes_late_in_the_grace_is_delivered(
+    tmp_path: Path,
+) -> None:
+    async with stopping_entry(tmp_path, SlowServer(answer_ms=4_600)) as entry:
+        client = await Client.open(entry.port)
+        client.send(post("unsafe").replace("3000", "30000"), b"abcd")
+        await TIMERS.sleep_ms(50)
+        entry.leave()
+        assert_that(await outcome(client), DELIVERED)
--- a/testing/test_crowd.py
+++ b/testing/test_crowd.py
@@ -18,6 +18,7 @@
 import pytest
 from cluster import Cluster
 from crowd import MB
+from crowd import TIMERS
 from crowd import Member
 from crowd import ProcessFigures
 from crowd import chunks
@@ -565,3 +566,57 @@
 ) -> None:
     request = start + 120 * b"name: v\r\n" + b"\r\n"
     await play_at(tmp_path, listener, 300, request * 300)
+
+
+ANSWER = b"HTTP/1.1 200 OK\r\nRequest-Id: ID\r\n"
+IN_CHUNKS = ANSWER + b"Transfer-Encoding: chunked\r\n\r\n"
+# What a server sends first, and then again and again.
+ENDLESS_ANSWERS = {
+    "field": (ANSWER + b"X: ", b"value "),
+    "fields": (ANSWER, b"X: 1\r\n"),
+    "interim": (b"", b"HTTP/1.1 102 X\r\n\r\n"),
+    "interim_fields": (b"HTTP/1.1 103 X\r\n", b"X: 1\r\n"),
+    "extension": (IN_CHUNKS + b"1;", b"x"),
+    "trailers": (IN_CHUNKS + b"0\r\n", b"X: 1\r\n"),
+    "event": (IN_CHUNKS, b"400\r\n" + b"x" * 1_024 + b"\r\n"),
+    "event_to_the_end": (ANSWER + b"\r\n", b"data: x\n"),
+    "failure": (
+        IN_CHUNKS.replace(b"200 OK", b"500 X"),
+        b"400\r\n" + b"x" * 1_024 + b"\r\n",
+    ),
+}
+
+
+class EndlessSender:
+    """Sends much on each connection and then leaves it open."""
+
+    def __init__(self, start: bytes, filler: bytes, size: int) -> None:
+        self._start = start
+        self._filler = filler * (65_536 // len(filler))
+        self._size = size
+
+    async def __call__(
+        self, request: ReceivedRequest, writer: asyncio.StreamWriter
+    ) -> bool:
+        writer.write(self._start.replace(b"ID", request.id.encode()))
+        for _ in range(self._size // len(self._filler)):
+            writer.write(self._filler)
+            await writer.drain()
+        await TIMERS.sleep_ms(LONG_MS)
+        return False
+
+
+# Many such servers at once took an entry over its memory.
+@pytest.mark.parametrize(
+    ("start", "filler"), ENDLESS_ANSWERS.values(), ids=ENDLESS_ANSWERS
+)
+async def test_servers_that_send_without_end(
+    tmp_path: Path, start: bytes, filler: bytes
+) -> None:
+    async with crowded_entry(tmp_path, **{"file-descriptors": 2_000}) as system:
+        system.crowd_server.script = EndlessSender(start, filler, 3 * MB // 2)
+
+        def ask(member: Member, number: int) -> None:
+            member.send(head(0, path="/stream/x", request_id=f"r{number}"))
+
+        await play(system, 120, ask)
--- a/testing/test_relay.py
+++ b/testing/test_relay.py
@@ -43,6 +43,7 @@
 from copperrun.ports.backends import BackendErrorReason
 from copperrun.ports.backends import Execution
 from copperrun.ports.sides import SideError
+from copperrun.routing.attempt import SMALL_EVENT_BYTES
 from copperrun.routing.catalog import RetrySafety
 from copperrun.routing.crashes import CrashLog
 from copperrun.routing.fingerprints import fingerprint
@@ -324,6 +325,23 @@
         assert_that(bench.buffers.collected_bytes, Equals(0))
 
 
+@pytest.mark.parametrize(("memory_bytes", "held"), [(100_000, True), (1_000, False)])
+async def test_a_large_event_that_does_not_end_is_counted(
+    memory_bytes: int, held: bool
+):
+    part = Part(5, b"data: " + b"x" * 2 * SMALL_EVENT_BYTES)
+    bench = Bench(server("a"), memory_bytes=memory_bytes)
+    plan = Plan(parts=[part, Part(50, b"\nid: 1\n\n")])
+    bench.backends.plans = {"a": [plan]}
+    caller, task = bench.begin(STREAM._replace(resumable=False))
+    await bench.timers.advance(30)
+    is_counted = bench.buffers.collected_bytes > 0
+    assert_that((not task.done(), is_counted), Equals((held, held)))
+    await run_until(bench.timers, task, 60_000)
+    assert_that(caller.is_complete, Equals(held))
+    assert_that(bench.buffers.collected_bytes, Equals(0))
+
+
 async def test_a_safe_request_is_tried_at_another_server_after_any_failure():
     for failure in (LOST, NOT_SENT, FULL, FAILED):
         bench = Bench(server("a"), server("b"))
