Refuse requests whose bodies end late in the grace time

What callers saw: an entry was stopped while a body was on its way; the body ended late in the grace time, the request was passed on, and at the end of that time it was cut with no answer, among them requests that may not be repeated (the report, and here).

Cause: whether the entry refuses was looked at when the head had been read, not when the body had ended. From 3 s into the grace time to 55% of it such requests went to servers.

Change: the ingress looks again once the body is there, and refuses: not run.

A request pipelined that late was refused before, too; its test stays.

--- a/src/copperrun/platform/ingress.py
+++ b/src/copperrun/platform/ingress.py
@@ -82,9 +82,7 @@
     async def _answer(self, request: web.BaseRequest) -> web.StreamResponse:
         responder = HttpResponder(request, lambda: self._closes_after(request))
         if self.is_refusing:
-            await responder.refuse(
-                Refusal(RefusalReason.LEAVING, Ran.NO, "this entry is leaving", 1)
-            )
+            await responder.refuse(_leaving())
             return responder.response
         if self._buffers is None or not request.body_exists:
             return await self._serve(request, responder, None)
@@ -98,6 +96,9 @@
         upload: Upload | None,
     ) -> web.StreamResponse:
         body = await self._read_body(request, upload)
+        if self.is_refusing and not isinstance(body, Refusal):
+            # Its body ended too late for an answer to be sure.
+            body = _leaving()
         if isinstance(body, Refusal):
             await responder.refuse(body)
             return responder.response
@@ -166,6 +167,10 @@
     return _decimal(timeout) or MAX_UPLOAD_MS
 
 
+def _leaving() -> Refusal:
+    return Refusal(RefusalReason.LEAVING, Ran.NO, "this entry is leaving", 1)
+
+
 def _memory_full() -> Refusal:
     return Refusal(
         RefusalReason.MEMORY_FULL,
