Answer requests that outlast the grace time of a stop

What callers saw: an entry that stops ended with its grace time, and closed the connections of requests that were still at a server, with no answer.

Cause: the drain waited for the end of the time and left what remained to the process's end.

Change: at the end of the wait (700 ms before the kill, as before) the relay ends each request in progress: 503 if it was sent to no server, else 502, which promises nothing. A stream that has begun is cut as before and does not look complete. The process goes on as soon as these answers are sent, 200 ms later at most.

Evidence: test_answers.py: safe and unsafe requests at a server that takes 30 s, both failed before (closed without an answer).

--- a/src/copperrun/entry/proxy.py
+++ b/src/copperrun/entry/proxy.py
@@ -213,6 +213,10 @@
         """Refuse requests not yet sent to a server, and all later ones."""
         self._relay.refuse_unsent()
 
+    def stop(self) -> None:
+        """End the requests that are still in progress."""
+        self._relay.stop()
+
     async def handle(self, call: BackendCall, responder: Responder) -> None:
         """Answer one request."""
         catalog = self._view.catalog.catalog
--- a/src/copperrun/platform/daemon.py
+++ b/src/copperrun/platform/daemon.py
@@ -66,6 +66,8 @@
 UNSENT_DEADLINE_FRACTION = 0.55
 EXIT_MARGIN_MS = 700  # left before SIGKILL to close connections
 DRAIN_POLL_INTERVAL_MS = 50
+SEND_LIMIT_MS = 200  # of that margin, for the last answers
+SEND_POLL_MS = 10
 # Time without a request after which the remaining connections close.
 IDLE_BEFORE_EXIT_MS = 300
 # Callers learn of a changed limit this long after the entries at the latest.
@@ -185,8 +187,16 @@
             elif now_ms - idle_since_ms >= IDLE_BEFORE_EXIT_MS:
                 break
             await self.timers.sleep_ms(DRAIN_POLL_INTERVAL_MS)
+        process.stop()
+        await self._await_answers(server)
         process.lifecycle.finish()
 
+    async def _await_answers(self, server: CallerServer) -> None:
+        """Let the last answers be sent; a caller that reads none ends the wait."""
+        end_ms = self.timers.now_ms() + SEND_LIMIT_MS
+        while server.is_busy and self.timers.now_ms() < end_ms:
+            await self.timers.sleep_ms(SEND_POLL_MS)
+
     def _build_buffers(self) -> CallerBuffers | None:
         if not self.cfg.memory_bytes:
             return None
--- a/src/copperrun/routing/refusals.py
+++ b/src/copperrun/routing/refusals.py
@@ -114,6 +114,16 @@
     )
 
 
+def stopped() -> Refusal:
+    """Return the refusal at the end of the time that this entry has to shut down."""
+    return Refusal(
+        RefusalReason.LEAVING,
+        Ran.NO,
+        "this entry stopped before the backend server had answered",
+        LEAVING_RETRY_AFTER_MS,
+    )
+
+
 def deadline_expired(request: RoutedRequest) -> Refusal:
     """Return the refusal after the request's deadline."""
     return Refusal(
--- a/src/copperrun/routing/relay.py
+++ b/src/copperrun/routing/relay.py
@@ -33,6 +33,7 @@
 from copperrun.routing.refusals import leaving
 from copperrun.routing.refusals import quarantined
 from copperrun.routing.refusals import server_failed
+from copperrun.routing.refusals import stopped
 from copperrun.routing.requests import AttemptOutcome
 from copperrun.routing.requests import Progress
 from copperrun.routing.requests import RoutedRequest
@@ -99,7 +100,9 @@
         )
         # Requests that wait for a server, with their state, by the scope of their wait.
         self._waiting: dict[asyncio.Timeout, tuple[RoutedRequest, Progress]] = {}
+        self._in_progress: set[asyncio.Timeout] = set()
         self._refuses_unsent = False
+        self._has_stopped = False
         quarantine.subscribe(self._refuse_quarantined)
 
     def refuse_unsent(self) -> None:
@@ -110,6 +113,12 @@
                 continue
             scope.reschedule(asyncio.get_running_loop().time())
 
+    def stop(self) -> None:
+        """End all requests: answer those whose answer has not begun, cut the others."""
+        self._has_stopped = True
+        for scope in self._in_progress:
+            scope.reschedule(asyncio.get_running_loop().time())
+
     async def handle(
         self,
         request: RoutedRequest,
@@ -134,7 +143,11 @@
         outcome = "cancelled"
         try:
             async with self._timers.timeout_ms(self._remaining_ms(request)) as scope:
-                done = await self._try_servers(request, progress, responder, scope)
+                self._in_progress.add(scope)
+                try:
+                    done = await self._try_servers(request, progress, responder, scope)
+                finally:
+                    self._in_progress.discard(scope)
             if done:
                 outcome = "answered"
                 if self._costs is not None:
@@ -145,9 +158,9 @@
         except TimeoutError:
             done = False
             outcome = "timed_out"
-            progress.refusal = self._refuse_to_send(
-                request, progress
-            ) or deadline_expired(request)
+            progress.refusal = self._refuse_to_send(request, progress) or (
+                stopped() if self._has_stopped else deadline_expired(request)
+            )
         finally:
             self._log_end(request, progress, outcome)
             self._record_metrics(request, progress, outcome)
--- a/testing/test_answers.py
+++ b/testing/test_answers.py
@@ -830,3 +830,43 @@
         assert_that(await outcome(client), Equals((503, True)))
         assert_that([request.id for request in server.requests], Equals(["r1"]))
         client.close()
+
+
+# Their connections were closed without an answer.
+@pytest.mark.parametrize("route", ["unsafe", "safe"])
+async def test_a_request_that_outlasts_the_grace_is_told_that_it_may_have_run(
+    tmp_path: Path, route: str
+) -> None:
+    async with stopping_entry(tmp_path, SlowServer(answer_ms=30_000)) as entry:
+        clients = [await Client.open(entry.port) for _ in range(3)]
+        for number, client in enumerate(clients):
+            text = post(route, f"r{number}").replace("3000", "30000")
+            client.send(text, b"abcd")
+        await TIMERS.sleep_ms(50)
+        entry.leave()
+        answers = [await outcome(client) for client in clients]
+        assert_that(answers, Equals([(502, True)] * 3))
+        await until(lambda: entry.has_ended)
+
+
+async def test_a_stream_that_outlasts_the_grace_does_not_look_complete(
+    tmp_path: Path,
+) -> None:
+    async with stopping_entry(tmp_path, SlowServer(answer_ms=30_000)) as entry:
+        client = await Client.open(entry.port)
+        client.send(get("stream").replace("3000", "30000"))
+        await TIMERS.sleep_ms(50)
+        entry.leave()
+        assert_that(await outcome(client), Equals((200, False)))
+        await until(lambda: entry.has_ended)
+
+
+async def test_an_answer_that_comes_late_in_the_grace_is_delivered(
+    tmp_path: Path,
+) -> None:
+    async with stopping_entry(tmp_path, SlowServer(answer_ms=4_600)) as entry:
+        client = await Client.open(entry.port)
+        client.send(post("unsafe").replace("3000", "30000"), b"abcd")
+        await TIMERS.sleep_ms(50)
+        entry.leave()
+        assert_that(await outcome(client), DELIVERED)
