--- a/src/copperrun/ports/backends.py
+++ b/src/copperrun/ports/backends.py
@@ -69,7 +69,7 @@
         return bool(self.resume_after)
 
     @property
-    def takes_body(self) -> bool:
+    def expects_body(self) -> bool:
         """Whether its answer may have a body."""
         return self.method != "HEAD"
 
--- a/src/copperrun/routing/attempt.py
+++ b/src/copperrun/routing/attempt.py
@@ -256,7 +256,7 @@
 
     def _is_stream(self, head: AnswerHead) -> bool:
         """Return whether the body has to be a series of events."""
-        is_streaming = self._request.route.streaming and self._request.call.takes_body
+        is_streaming = self._request.route.streaming and self._request.call.expects_body
         return is_streaming and 200 <= head.status < 300
 
     def _continues_stream(self, head: AnswerHead) -> bool:
--- a/testing/soak_answers.py
+++ b/testing/soak_answers.py
@@ -59,6 +59,8 @@
         ENDLESS: Bytes without an end follow it, or are its body.
         ENDLESS_HEAD: It has more header lines than anybody reads.
         NESTED: Its body is nested deep.
+        MALFORMED: Its head breaks the protocol.
+        NO_STREAM: An answer that is no stream of events comes in place of one.
     """
 
     DOUBLED = "doubled"
@@ -71,10 +73,35 @@
     ENDLESS = "endless"
     ENDLESS_HEAD = "endless_head"
     NESTED = "nested"
+    MALFORMED = "malformed"
+    NO_STREAM = "no_stream"
 
 
 # The store may be slow, silent or away; what it writes is sound but for its bodies.
-STORE_TROUBLES = (Trouble.CUT, Trouble.NESTED, Trouble.ENDLESS)
+STORE_TROUBLES = (Trouble.CUT, Trouble.NESTED, Trouble.ENDLESS, Trouble.MALFORMED)
+STATUS_LINE = b"HTTP/1.1 200 OK\r\n"
+# What stands in place of the status line.
+MALFORMED_LINES = (
+    b"HTTP/1.1 000 OK\r\n",
+    b"HTTP/1.1 099 OK\r\n",
+    b"HTTP/1.1 600 OK\r\n",
+    b"HTTP/1.1 200 a\0b\r\n",
+    b"HTTP/1.1 200 OK\n",
+    STATUS_LINE + b"X Y: 1\r\n",
+    STATUS_LINE + b"X: a\x01b\r\n",
+    STATUS_LINE + b"X: a\r\n b\r\n",
+)
+# With the id lines of the answer that they replace.
+NO_STREAMS = (
+    b"HTTP/1.1 204 No Content\r\n%b\r\n",
+    b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+    b"Content-Length: 0\r\n%b\r\n",
+    b"HTTP/1.1 200 OK\r\nContent-Type: text/html\r\n"
+    b"Content-Length: 10\r\n%b\r\n<html>\n\n\n\n",
+    b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+    b"Response-Signature: sig\r\nContent-Length: 25\r\n%b\r\n"
+    b"HTTP/1.1 500 X\n\nfailed!\n\n",
+)
 
 
 class SpoilingProxy(Proxy):
@@ -149,9 +176,18 @@
                 length = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(NESTED)
                 writer.write(length + NESTED)
             case _:
-                writer.write(data)
+                writer.write(self._replaced(trouble, data, head))
         await writer.drain()
 
+    def _replaced(self, trouble: Trouble, data: bytes, head: bytes) -> bytes:
+        """Return an answer with another head, or another answer."""
+        if trouble is Trouble.MALFORMED and data.startswith(STATUS_LINE):
+            line = self._random.choice(MALFORMED_LINES)
+            return line + data.removeprefix(STATUS_LINE)
+        if trouble is Trouble.NO_STREAM and b"text/event-stream" in head:
+            return self._random.choice(NO_STREAMS) % _id_line(data)
+        return data
+
     def _maybe_without_id(self, data: bytes) -> bytes:
         return _without_id(data) if self._random.random() < 0.5 else data
 
--- a/testing/test_connector.py
+++ b/testing/test_connector.py
@@ -186,6 +186,21 @@
     assert_that(backend.connections, Equals(2))
 
 
+async def test_bytes_behind_an_answer_without_body_end_its_connection():
+    async def answer_twice(
+        request: ReceivedRequest, writer: asyncio.StreamWriter
+    ) -> bool:
+        writer.write(answer_head(request, "204 No Content") + copy_of("r2"))
+        return True
+
+    backend = ScriptedServer()
+    backend.script = answer_twice
+    async with calling(backend) as backends:
+        assert_that(await send(backends, backend, "r1"), Equals((204, b"")))
+        assert_that(await send(backends, backend, "r2"), Equals((204, b"")))
+    assert_that(backend.connections, Equals(2))
+
+
 async def test_connections_of_a_sound_server_are_used_again():
     backend = ScriptedServer()
     async with calling(backend) as backends:
--- a/testing/test_framing.py
+++ b/testing/test_framing.py
@@ -26,6 +26,8 @@
 from copperrun.adapters.client import HttpFailure
 from copperrun.adapters.client import open_session
 from copperrun.adapters.engine import HttpEngine
+from copperrun.adapters.framing import MAX_HEAD_BYTES
+from copperrun.adapters.framing import MAX_INTERIM_ANSWERS
 from copperrun.adapters.timers import SystemTimers
 from copperrun.platform.backends import HttpBackends
 from copperrun.platform.engine_control import HttpEngineControl
@@ -135,6 +137,9 @@
     "interim_length": b"HTTP/1.1 102 X\r\nContent-Length: 0\r\n\r\n"
     + head(b"HTTP/1.1 200 OK", LENGTH)
     + BODY,
+    "status_101_before_an_answer": b"HTTP/1.1 101 Switching Protocols\r\n\r\n"
+    + head(b"HTTP/1.1 200 OK", LENGTH)
+    + BODY,
     "no_answer": b"SSH-2.0-x\r\n\r\n",
 }
 HEADS = pytest.mark.parametrize("form", MALFORMED_HEADS.values(), ids=MALFORMED_HEADS)
@@ -346,6 +351,32 @@
         client.close()
 
 
+@pytest.mark.parametrize(
+    ("count", "status"), [(MAX_INTERIM_ANSWERS, 200), (MAX_INTERIM_ANSWERS + 1, 502)]
+)
+async def test_an_answer_has_few_interim_answers(count: int, status: int) -> None:
+    interim = b"HTTP/1.1 102 Processing\r\n\r\n"
+    whole = head(b"HTTP/1.1 200 OK", LENGTH) + BODY
+    async with running_entry(SAFE, sending(interim * count + whole)) as entry:
+        assert_that((await send_get(entry))[0], Equals(status))
+
+
+@pytest.mark.parametrize(
+    ("size", "status"), [(MAX_HEAD_BYTES, 200), (MAX_HEAD_BYTES + 20_000, 502)]
+)
+async def test_the_head_of_an_answer_has_a_bound(size: int, status: int) -> None:
+    line = b"X: " + b"x" * 4_000 + b"\r\n"
+    whole = head(b"HTTP/1.1 200 OK", line * (size // len(line)) + LENGTH) + BODY
+    async with running_entry(SAFE, sending(whole)) as entry:
+        client = await Client.open(entry.port)
+        client.send(GET.format("r1"))
+        raw = await client.reader.readuntil(b" ")
+        assert_that(raw, Equals(b"HTTP/1.1 "))
+        code = await client.reader.readexactly(3)
+        assert_that(int(code), Equals(status))
+        client.close()
+
+
 MALFORMED_CHUNKS = {
     "blank_after_size": b"b \r\nhello world\r\n0\r\n\r\n",
     "blank_before_size": b" b\r\nhello world\r\n0\r\n\r\n",
@@ -356,6 +387,7 @@
     "endless_size": b"0" * 10_000 + b"b\r\nhello world\r\n0\r\n\r\n",
     "bare_lf_after_size": b"b\nhello world\r\n0\r\n\r\n",
     "bare_lf_after_data": b"b\r\nhello world\n0\r\n\r\n",
+    "bare_lf_before_size": b"5\r\nhello\n06\r\n world\r\n0\r\n\r\n",
     "lf_in_extension": b"b;x=\n1\r\nhello world\r\n0\r\n\r\n",
     "nul_in_extension": b"b;x=\0\r\nhello world\r\n0\r\n\r\n",
     "data_too_long": b"b\r\nhello world, and more\r\n0\r\n\r\n",
